Lay out the workspace and the contracts between its crates

Cause: the modules are to be written side by side, so the types that they share have to stand first. Conclusion: the layout stands; nothing serves a request yet.

--- /dev/null
+++ b/crates/adapters/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP, RPC, metrics and logging behind savorykeel's ports.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Load and measurement tool for savorykeel; it is not shipped.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/main.rs
@@ -0,0 +1,5 @@
+//! The savorykeel binary.
+
+fn main() {
+    println!("savorykeel {}", env!("CARGO_PKG_VERSION"));
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The savorykeel node: the call path and the control loops over the ports.
--- /dev/null
+++ b/crates/policy/src/code.rs
@@ -0,0 +1,148 @@
+//! Numbered result codes that callers and operators read.
+//!
+//! The table with what each code means and what to do is `docs/CODES.md`; a
+//! test keeps both in step. A number is never used again for something else.
+
+use serde::{Deserialize, Serialize};
+
+/// What a caller may conclude about its request.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The backend server answered; the response is its whole answer.
+    Answered,
+    /// The request did not run and will not run.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+/// A numbered result code.
+///
+/// Codes from 100 mean "not run", codes from 200 mean "unknown" and codes from
+/// 300 belong to the operators' side.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumString,
+    strum::FromRepr,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+#[repr(u16)]
+pub enum Code {
+    /// The node has not applied any configuration yet.
+    NoConfiguration = 100,
+    /// No route matches the request.
+    NoRoute = 101,
+    /// No live backend server of the service is known.
+    NoBackendServer = 102,
+    /// The node or its backend server is leaving.
+    Leaving = 103,
+    /// The backend server's queue is full or too slow for the deadline.
+    Overloaded = 104,
+    /// The deadline passed before the request was started.
+    DeadlineBeforeStart = 105,
+    /// The request can't be parsed.
+    BadRequest = 106,
+    /// The request's body is larger than the route allows.
+    BodyTooLarge = 107,
+    /// The request's headers are larger than the node allows.
+    HeadersTooLarge = 108,
+    /// No connection to a backend server could be opened.
+    Unreachable = 109,
+    /// The request is suspected of crashing backend servers.
+    Quarantined = 110,
+    /// The idempotency key was used with a different request.
+    KeyMismatch = 111,
+    /// The chosen node is fenced against the request: it never saw it.
+    Fenced = 112,
+    /// A request with the same idempotency key is still running.
+    KeyBusy = 113,
+    /// The retry budget is used up.
+    RetryBudgetExhausted = 114,
+    /// The caller cancelled before the request was started.
+    Cancelled = 115,
+    /// The connection to the backend server ended after the request was sent.
+    BackendConnectionLost = 200,
+    /// The deadline passed while the request was running.
+    DeadlineWhileRunning = 201,
+    /// The other node could not be asked what became of the request.
+    SettleFailed = 202,
+    /// The answer was kept no longer than its time limit or budget allows.
+    AnswerExpired = 203,
+    /// No ledger node can tell whether the key was used before.
+    LedgerUncertain = 204,
+    /// The backend server's answer can't be parsed or is too large.
+    BadBackendAnswer = 205,
+    /// The publish was derived from a version that is no longer in force.
+    PublishConflict = 300,
+    /// The configuration breaks a rule.
+    PublishRefused = 301,
+    /// The log service can't be reached.
+    LogUnavailable = 302,
+    /// The bearer token is missing or wrong.
+    Unauthorized = 303,
+    /// The publish isn't known yet.
+    PublishPending = 304,
+    /// The record has a format that this node doesn't know.
+    UnknownFormat = 305,
+    /// No such path or move.
+    NotFound = 306,
+}
+
+impl Code {
+    /// Returns the number that callers see.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// Returns what a caller may conclude from the code.
+    pub fn outcome(self) -> Outcome {
+        match self.number() {
+            200..=299 => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    /// Returns the HTTP status that goes with the code.
+    pub fn http_status(self) -> u16 {
+        match self {
+            Code::NoRoute | Code::NotFound => 404,
+            Code::BadRequest => 400,
+            Code::BodyTooLarge => 413,
+            Code::HeadersTooLarge => 431,
+            Code::KeyMismatch => 422,
+            Code::KeyBusy | Code::PublishConflict => 409,
+            Code::PublishRefused => 422,
+            Code::Unauthorized => 401,
+            Code::PublishPending => 202,
+            Code::DeadlineBeforeStart | Code::DeadlineWhileRunning => 504,
+            Code::BackendConnectionLost | Code::BadBackendAnswer => 502,
+            Code::SettleFailed | Code::AnswerExpired | Code::LedgerUncertain => 502,
+            _ => 503,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/config/raw.rs
@@ -0,0 +1,116 @@
+//! The configuration as operators print it, before any check.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// The whole desired configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawConfiguration {
+    /// Number of the format; see [`super::model::CONFIGURATION_FORMAT`].
+    pub format: u32,
+    /// Services by name.
+    pub services: BTreeMap<String, RawService>,
+    /// Routes in order: the first that matches takes the request.
+    pub routes: Vec<RawRoute>,
+    /// Limits for the whole mesh.
+    #[serde(default)]
+    pub limits: RawLimits,
+}
+
+/// One service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawService {
+    /// Version of the backend server's software that should carry traffic.
+    pub version: String,
+    /// Time as RFC 3339 by which all traffic should reach `version`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub by: Option<String>,
+    /// Service-level objective.
+    #[serde(default)]
+    pub objective: RawObjective,
+}
+
+/// A service-level objective.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawObjective {
+    /// Share of requests that must be answered without a failure, 0 to 1.
+    pub success: f64,
+    /// Time in milliseconds within which an answer counts as fast.
+    pub latency_ms: u64,
+    /// Share of requests that must be fast, 0 to 1.
+    pub fast: f64,
+}
+
+impl Default for RawObjective {
+    fn default() -> Self {
+        Self { success: 0.999, latency_ms: 1_000, fast: 0.99 }
+    }
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawRoute {
+    /// Name, unique in the configuration.
+    pub name: String,
+    /// Which requests the route takes.
+    #[serde(rename = "match")]
+    pub matches: RawMatch,
+    /// Service that answers.
+    pub service: String,
+    /// Whether running a request twice does the same as running it once.
+    pub idempotent: bool,
+    /// Whether requests go before others when a queue forms.
+    #[serde(default)]
+    pub urgent: bool,
+    /// Longest time in milliseconds that a request may take.
+    #[serde(default = "default_timeout_ms")]
+    pub timeout_ms: u64,
+    /// Largest request body in bytes.
+    #[serde(default = "default_body_limit_bytes")]
+    pub body_limit_bytes: u64,
+}
+
+/// What a request must look like for a route to take it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawMatch {
+    /// Host name without port; any when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<String>,
+    /// Path prefix, matched on whole segments.
+    pub path: String,
+    /// Methods; any when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub methods: Vec<String>,
+}
+
+/// Limits for the whole mesh.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawLimits {
+    /// Retries allowed as a share of requests, 0 to 1.
+    pub retry_share: f64,
+    /// Largest share of a service's traffic that an unproven version may get.
+    pub unproven_share: f64,
+    /// Largest number of calls below one another.
+    pub call_depth: u32,
+}
+
+impl Default for RawLimits {
+    fn default() -> Self {
+        Self { retry_share: 0.1, unproven_share: 0.05, call_depth: 32 }
+    }
+}
+
+fn default_timeout_ms() -> u64 {
+    5_000
+}
+
+fn default_body_limit_bytes() -> u64 {
+    1 << 20
+}
--- /dev/null
+++ b/crates/policy/src/ids.rs
@@ -0,0 +1,134 @@
+//! Identifiers that several modules share.
+//!
+//! Names are shared immutable strings, because one table is read by many
+//! requests at once and a name is copied into each of them.
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// Longest name, in bytes, that a configuration or a membership entry may hold.
+pub const MAX_NAME_BYTES: usize = 63;
+
+/// A name that breaks the rules for names.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "{found:?} is not a name: use 1 to {MAX_NAME_BYTES} of the characters a-z, A-Z, 0-9, '.', '_' and '-'"
+)]
+pub struct InvalidName {
+    /// The text that was refused, cut to a readable length.
+    pub found: String,
+}
+
+fn check_name(raw: &str) -> Result<(), InvalidName> {
+    let is_allowed = |c: u8| c.is_ascii_alphanumeric() || matches!(c, b'.' | b'_' | b'-');
+    if raw.is_empty() || raw.len() > MAX_NAME_BYTES || !raw.bytes().all(is_allowed) {
+        let found = raw.chars().take(MAX_NAME_BYTES).collect();
+        return Err(InvalidName { found });
+    }
+    Ok(())
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = InvalidName;
+
+            fn try_from(raw: &str) -> Result<Self, InvalidName> {
+                check_name(raw)?;
+                Ok(Self(raw.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = InvalidName;
+
+            fn try_from(raw: String) -> Result<Self, InvalidName> {
+                Self::try_from(raw.as_str())
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.as_ref().into()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Debug::fmt(&self.0, f)
+            }
+        }
+    };
+}
+
+name_type! {
+    /// Names an instance, which is also the name of the node that runs on it.
+    InstanceName
+}
+name_type! {
+    /// Names an availability zone.
+    ZoneName
+}
+name_type! {
+    /// Names a region, which groups availability zones.
+    RegionName
+}
+name_type! {
+    /// Names a service.
+    ServiceName
+}
+name_type! {
+    /// Names a route.
+    RouteName
+}
+name_type! {
+    /// Names a version of a backend server's software.
+    BackendVersion
+}
+
+/// Position of an accepted configuration in the total order of the fold.
+///
+/// Zero means that no configuration was accepted yet.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ConfigVersion(pub u64);
+
+impl fmt::Display for ConfigVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Identifies one request between two nodes, for the settle protocol.
+///
+/// It is drawn at random by the entry node, so that no coordination is needed
+/// for it to be unique.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestId(pub u128);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,11 @@
+//! Pure decisions of savorykeel: no I/O and no clock of its own.
+//!
+//! Time and randomness are passed in, so that every decision can be replayed
+//! from a seed. The reasons for this split are in `docs/design/0001-layout.md`.
+
+pub mod code;
+pub mod config;
+pub mod ids;
+pub mod membership;
+pub mod table;
+pub mod time;
--- /dev/null
+++ b/crates/policy/src/membership/mod.rs
@@ -0,0 +1,3 @@
+//! Which nodes exist and what each of them says of itself.
+
+pub mod entry;
--- /dev/null
+++ b/crates/policy/src/table.rs
@@ -0,0 +1,106 @@
+//! The immutable table that a request uses from start to end.
+//!
+//! A table joins one configuration with the endpoints that are known at that
+//! moment, so that no route can lead to a service or an endpoint that the node
+//! doesn't know. It is replaced as a whole; see `docs/design/0002-configuration.md`.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use crate::{
+    config::model::{Configuration, Route, Service},
+    ids::{BackendVersion, ConfigVersion, InstanceName, ServiceName, ZoneName},
+    membership::entry::{Liveness, NodeRecord},
+};
+
+/// An instance whose backend server can take requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Incarnation of the node beside the backend server.
+    pub incarnation: u64,
+    /// Availability zone of the instance.
+    pub zone: ZoneName,
+    /// Address of the node beside the backend server.
+    pub peer_addr: SocketAddr,
+    /// Version of the backend server's software.
+    pub version: BackendVersion,
+    /// Requests that the backend server runs at once.
+    pub slots: u32,
+    /// Whether the node beside it is only suspected of being down.
+    pub suspect: bool,
+}
+
+/// One service with its endpoints.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceTable {
+    /// The service as configured.
+    pub service: Service,
+    /// Endpoints ordered by instance name.
+    pub endpoints: Vec<Arc<Endpoint>>,
+}
+
+/// One configuration joined with the endpoints known for its services.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Table {
+    /// Version of the configuration.
+    pub version: ConfigVersion,
+    /// The configuration.
+    pub configuration: Arc<Configuration>,
+    /// Services with their endpoints.
+    pub services: BTreeMap<ServiceName, ServiceTable>,
+}
+
+impl Table {
+    /// Joins a configuration with the members known now.
+    ///
+    /// Members that run a service which the configuration doesn't name are left
+    /// out; they are joined again by the next table that names it.
+    pub fn build<'a>(
+        version: ConfigVersion,
+        configuration: Arc<Configuration>,
+        members: impl Iterator<Item = (&'a NodeRecord, Liveness)>,
+    ) -> Self {
+        let mut services: BTreeMap<ServiceName, ServiceTable> = configuration
+            .services
+            .iter()
+            .map(|(name, service)| {
+                let table = ServiceTable { service: service.clone(), endpoints: Vec::new() };
+                (name.clone(), table)
+            })
+            .collect();
+        for (record, liveness) in members {
+            let Some((service, endpoint)) = endpoint_of(record, liveness) else { continue };
+            if let Some(table) = services.get_mut(&service) {
+                table.endpoints.push(Arc::new(endpoint));
+            }
+        }
+        for table in services.values_mut() {
+            table.endpoints.sort_by(|a, b| a.instance.cmp(&b.instance));
+        }
+        Self { version, configuration, services }
+    }
+
+    /// Returns the first route that takes a request.
+    pub fn route(&self, method: &str, host: Option<&str>, path: &str) -> Option<&Arc<Route>> {
+        self.configuration.routes.iter().find(|route| route.takes(method, host, path))
+    }
+}
+
+fn endpoint_of(record: &NodeRecord, liveness: Liveness) -> Option<(ServiceName, Endpoint)> {
+    let is_reachable = matches!(liveness, Liveness::Alive | Liveness::Suspect);
+    let backend = record.backend.as_ref()?;
+    if !is_reachable || record.leaving || backend.draining {
+        return None;
+    }
+    let endpoint = Endpoint {
+        instance: record.instance.clone(),
+        incarnation: record.stamp.incarnation,
+        zone: record.zone.clone(),
+        peer_addr: record.peer_addr,
+        version: backend.version.clone(),
+        slots: backend.slots,
+        suspect: liveness == Liveness::Suspect,
+    };
+    Some((backend.service.clone(), endpoint))
+}
--- /dev/null
+++ b/tests/feature/mod.rs
@@ -0,0 +1,3 @@
+//! Feature tests by theme.
+
+mod binary;
--- /dev/null
+++ b/tests/tests.rs
@@ -0,0 +1,3 @@
+//! Integration tests over real processes.
+
+mod feature;
