Read and check a node's settings

A node needs its names, addresses and limits from one JSON file, and an operator needs to know what is wrong with that file before a node starts.

RawSettings is the file's form; Settings the checked one. Every message names file, JSON path, what was found and what would do, and all broken rules are named at once. Unknown fields are refused.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,3 @@
 //! The savorykeel node: the call path and the control loops over the ports.
+
+pub mod settings;
--- /dev/null
+++ b/crates/node/src/settings/check.rs
@@ -0,0 +1,213 @@
+//! The checks between [`RawSettings`] and [`Settings`].
+
+use std::{fmt::Display, net::SocketAddr, ops::RangeInclusive, sync::Arc, time::Duration};
+
+use savorykeel_policy::{config::model::Refusal, ids::InvalidName};
+
+use super::{
+    Limits, Listen, MetricsSettings, RawLimits, RawListen, RawMetrics, RawSettings, Settings,
+    SettingsRefusals,
+};
+
+const WORKERS: RangeInclusive<usize> = 1..=64;
+const HEADER_BYTES: RangeInclusive<usize> = 1_024..=1 << 20;
+const BODY_BYTES: RangeInclusive<usize> = 1_024..=64 << 20;
+const CALLER_CONNECTIONS: RangeInclusive<usize> = 1..=100_000;
+const QUEUE_LENGTH: RangeInclusive<usize> = 0..=100_000;
+const KEPT_ANSWERS: RangeInclusive<usize> = 1..=10_000_000;
+const KEPT_BYTES: RangeInclusive<usize> = 1_024..=1 << 30;
+const SHORT_MILLIS: RangeInclusive<u128> = 10..=60_000;
+const LONG_MILLIS: RangeInclusive<u128> = 0..=3_600_000;
+
+/// Collects refusals, so that an operator reads all of them at once.
+#[derive(Default)]
+struct Checker {
+    refusals: Vec<Refusal>,
+}
+
+impl Checker {
+    fn refuse(&mut self, path: &str, problem: impl Into<String>) {
+        self.refusals.push(Refusal { path: path.into(), problem: problem.into() });
+    }
+
+    fn name<T>(&mut self, path: &str, raw: &str) -> Option<T>
+    where
+        T: for<'a> TryFrom<&'a str, Error = InvalidName>,
+    {
+        T::try_from(raw).map_err(|e| self.refuse(path, e.to_string())).ok()
+    }
+
+    fn addr(&mut self, path: &str, raw: &str) -> Option<SocketAddr> {
+        let addr = raw.parse().ok();
+        if addr.is_none() {
+            self.refuse(
+                path,
+                format!(
+                    "{raw:?} is not an address: use IP number and port, for instance 127.0.0.1:7001"
+                ),
+            );
+        }
+        addr
+    }
+
+    /// Checks an address that others are to reach, which needs a real IP
+    /// number and port.
+    fn remote_addr(&mut self, path: &str, raw: &str) -> Option<SocketAddr> {
+        let addr = self.addr(path, raw)?;
+        if addr.ip().is_unspecified() || addr.port() == 0 {
+            self.refuse(
+                path,
+                format!("{raw:?} can't be reached: use an IP number other than 0.0.0.0 or [::] and a port other than 0"),
+            );
+            return None;
+        }
+        Some(addr)
+    }
+
+    fn number<T: PartialOrd + Display>(&mut self, path: &str, found: T, range: &RangeInclusive<T>) {
+        if !range.contains(&found) {
+            let (least, most) = (range.start(), range.end());
+            self.refuse(path, format!("{found} is out of range: use {least} to {most}"));
+        }
+    }
+
+    fn millis(&mut self, path: &str, found: Duration, range: &RangeInclusive<u128>) {
+        self.number(path, found.as_millis(), range);
+    }
+}
+
+impl TryFrom<RawSettings> for Settings {
+    type Error = SettingsRefusals;
+
+    fn try_from(raw: RawSettings) -> Result<Self, SettingsRefusals> {
+        let mut checker = Checker::default();
+        let settings = check_settings(&mut checker, raw);
+        match settings {
+            Some(settings) if checker.refusals.is_empty() => Ok(settings),
+            _ => Err(SettingsRefusals(checker.refusals)),
+        }
+    }
+}
+
+fn check_settings(checker: &mut Checker, raw: RawSettings) -> Option<Settings> {
+    let instance = checker.name("instance", &raw.instance);
+    let zone = checker.name("zone", &raw.zone);
+    let region = checker.name("region", &raw.region);
+    let listen = check_listen(checker, &raw.listen);
+    let advertised = raw.advertise.peers.as_deref();
+    let advertise_peers = advertised.and_then(|addr| checker.remote_addr("advertise.peers", addr));
+    let log_service = check_log_service(checker, &raw.log_service);
+    let metrics = raw.metrics.as_ref().map(|metrics| check_metrics(checker, metrics));
+    checker.number("workers", raw.workers, &WORKERS);
+    let limits = check_limits(checker, &raw.limits);
+    let listen = listen?;
+    if listen.peers.ip().is_unspecified() && advertised.is_none() {
+        checker.refuse(
+            "advertise.peers",
+            format!(
+                "it is absent while listen.peers is {}: name the address at which other nodes reach this one",
+                listen.peers
+            ),
+        );
+    }
+    Some(Settings {
+        instance: instance?,
+        zone: zone?,
+        region: region?,
+        listen,
+        advertise_peers,
+        log_service: log_service?,
+        metrics: metrics.flatten(),
+        token_file: raw.operators.token_file,
+        journal_file: raw.journal_file,
+        workers: raw.workers,
+        limits,
+    })
+}
+
+fn check_listen(checker: &mut Checker, raw: &RawListen) -> Option<Listen> {
+    let callers = checker.addr("listen.callers", &raw.callers);
+    let backend = checker.addr("listen.backend", &raw.backend);
+    let peers = checker.addr("listen.peers", &raw.peers);
+    let operators = checker.addr("listen.operators", &raw.operators);
+    let named = [
+        ("listen.callers", callers?),
+        ("listen.backend", backend?),
+        ("listen.peers", peers?),
+        ("listen.operators", operators?),
+    ];
+    for (i, (path, addr)) in named.iter().enumerate() {
+        let taken = named[..i].iter().find(|(_, other)| other == addr && addr.port() != 0);
+        if let Some((other, _)) = taken {
+            checker.refuse(path, format!("{addr} is also {other}: give each its own port"));
+        }
+    }
+    Some(Listen { callers: callers?, backend: backend?, peers: peers?, operators: operators? })
+}
+
+fn check_log_service(checker: &mut Checker, raw: &str) -> Option<Arc<str>> {
+    let base = raw.trim_end_matches('/');
+    let authority = base.strip_prefix("http://").and_then(|rest| rest.split('/').next());
+    let Some(authority) = authority else {
+        checker.refuse(
+            "log_service",
+            format!("{raw:?} is not a base URL: use for instance http://127.0.0.1:7000"),
+        );
+        return None;
+    };
+    checker.remote_addr("log_service", authority)?;
+    Some(base.into())
+}
+
+fn check_metrics(checker: &mut Checker, raw: &RawMetrics) -> Option<MetricsSettings> {
+    let is_allowed = |c: u8| c.is_ascii_alphanumeric() || matches!(c, b'.' | b'_' | b'-');
+    if raw.prefix.is_empty() || !raw.prefix.bytes().all(is_allowed) {
+        checker.refuse(
+            "metrics.prefix",
+            format!("{:?} is not a prefix: use letters, digits, '.', '_' and '-'", raw.prefix),
+        );
+    }
+    let statsd = checker.remote_addr("metrics.statsd", &raw.statsd)?;
+    Some(MetricsSettings { statsd, prefix: raw.prefix.as_str().into() })
+}
+
+fn check_limits(checker: &mut Checker, raw: &RawLimits) -> Limits {
+    checker.number("limits.header_bytes", raw.header_bytes, &HEADER_BYTES);
+    checker.number("limits.body_bytes", raw.body_bytes, &BODY_BYTES);
+    checker.number("limits.caller_connections", raw.caller_connections, &CALLER_CONNECTIONS);
+    checker.number("limits.queue_length", raw.queue_length, &QUEUE_LENGTH);
+    checker.number("limits.kept_answers", raw.kept_answers, &KEPT_ANSWERS);
+    checker.number("limits.kept_bytes", raw.kept_bytes, &KEPT_BYTES);
+    checker.millis("limits.queue_wait_ms", raw.queue_wait, &LONG_MILLIS);
+    checker.millis("limits.heartbeat_ms", raw.heartbeat, &SHORT_MILLIS);
+    checker.millis("limits.silence_ms", raw.silence, &SHORT_MILLIS);
+    checker.millis("limits.connect_ms", raw.connect, &SHORT_MILLIS);
+    checker.millis("limits.settle_ms", raw.settle, &SHORT_MILLIS);
+    checker.millis("limits.kept_ms", raw.kept, &LONG_MILLIS);
+    checker.millis("limits.drain_ms", raw.drain, &LONG_MILLIS);
+    if raw.silence < raw.heartbeat * 2 {
+        checker.refuse(
+            "limits.silence_ms",
+            format!(
+                "{} is too short: use at least twice limits.heartbeat_ms, which is {}",
+                raw.silence.as_millis(),
+                raw.heartbeat.as_millis()
+            ),
+        );
+    }
+    Limits {
+        header_bytes: raw.header_bytes,
+        body_bytes: raw.body_bytes,
+        caller_connections: raw.caller_connections,
+        queue_length: raw.queue_length,
+        queue_wait: raw.queue_wait,
+        heartbeat: raw.heartbeat,
+        silence: raw.silence,
+        connect: raw.connect,
+        settle: raw.settle,
+        kept_answers: raw.kept_answers,
+        kept_bytes: raw.kept_bytes,
+        kept: raw.kept,
+        drain: raw.drain,
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings/checked.rs
@@ -0,0 +1,87 @@
+//! Settings after every check.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+
+use savorykeel_policy::ids::{InstanceName, RegionName, ZoneName};
+
+/// The whole settings of a node, checked.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Name of the instance, unique in the mesh.
+    pub instance: InstanceName,
+    /// Availability zone of the instance.
+    pub zone: ZoneName,
+    /// Region of the availability zone.
+    pub region: RegionName,
+    /// Addresses on which the node listens.
+    pub listen: Listen,
+    /// Address at which other nodes reach this one, where it differs from the
+    /// address that `listen.peers` is bound to.
+    pub advertise_peers: Option<SocketAddr>,
+    /// Base URL of the platform's log service, without a slash at its end.
+    pub log_service: Arc<str>,
+    /// Where metrics go; nowhere when absent.
+    pub metrics: Option<MetricsSettings>,
+    /// File that holds the bearer token for requests that write. Without it the
+    /// operators' API writes nothing.
+    pub token_file: Option<PathBuf>,
+    /// File to which each applied configuration version is written, for tests.
+    pub journal_file: Option<PathBuf>,
+    /// Number of worker threads.
+    pub workers: usize,
+    /// Limits of this node.
+    pub limits: Limits,
+}
+
+/// Addresses on which the node listens; port 0 takes a free port.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Listen {
+    /// For callers outside the mesh.
+    pub callers: SocketAddr,
+    /// For the backend server on the same instance.
+    pub backend: SocketAddr,
+    /// For other nodes; its IP number is also the source of links to them.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// Where metrics go.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MetricsSettings {
+    /// Address of a statsd server.
+    pub statsd: SocketAddr,
+    /// Prefix of each metric's name.
+    pub prefix: Arc<str>,
+}
+
+/// Limits of one node, checked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest total size of a request's headers, in bytes.
+    pub header_bytes: usize,
+    /// Largest body of a request or an answer, in bytes, whatever a route allows.
+    pub body_bytes: usize,
+    /// Connections that callers may hold open.
+    pub caller_connections: usize,
+    /// Requests that may wait for the backend server.
+    pub queue_length: usize,
+    /// Longest time that a request waits for the backend server.
+    pub queue_wait: Duration,
+    /// Time between heartbeats on a link to another node.
+    pub heartbeat: Duration,
+    /// Time without any byte after which a link counts as dead.
+    pub silence: Duration,
+    /// Longest time to open a connection.
+    pub connect: Duration,
+    /// Longest time to ask another node what became of a request.
+    pub settle: Duration,
+    /// Answers kept for the settle protocol and for idempotency keys.
+    pub kept_answers: usize,
+    /// Memory for kept answers, in bytes.
+    pub kept_bytes: usize,
+    /// Time for which an answer is kept.
+    pub kept: Duration,
+    /// Longest time that a graceful shutdown waits for requests in flight.
+    pub drain: Duration,
+}
--- /dev/null
+++ b/crates/node/src/settings/load.rs
@@ -0,0 +1,82 @@
+//! Reads settings from a file.
+
+use std::{
+    fmt, fs, io,
+    path::{Path, PathBuf},
+};
+
+use super::{RawSettings, Settings, SettingsRefusals};
+
+/// Why a settings file can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("{}: can't be read: {source}", .file.display())]
+    Unreadable {
+        /// The settings file.
+        file: PathBuf,
+        /// What the system answered.
+        source: io::Error,
+    },
+    /// The file is not JSON or doesn't have the fields of the settings.
+    #[error("{}: {path}: {problem}", .file.display())]
+    Malformed {
+        /// The settings file.
+        file: PathBuf,
+        /// JSON path of the value that was found.
+        path: String,
+        /// What was found and what would do.
+        problem: String,
+    },
+    /// A value breaks a rule.
+    #[error("{}", Lines { file, refusals })]
+    Refused {
+        /// The settings file.
+        file: PathBuf,
+        /// Each broken rule.
+        refusals: SettingsRefusals,
+    },
+}
+
+/// Writes one line for each broken rule.
+struct Lines<'a> {
+    file: &'a Path,
+    refusals: &'a SettingsRefusals,
+}
+
+impl fmt::Display for Lines<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, refusal) in self.refusals.0.iter().enumerate() {
+            if i > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{}: {refusal}", self.file.display())?;
+        }
+        Ok(())
+    }
+}
+
+/// Reads and checks the settings in `file`.
+pub fn read(file: &Path) -> Result<Settings, SettingsError> {
+    let text = fs::read_to_string(file)
+        .map_err(|source| SettingsError::Unreadable { file: file.into(), source })?;
+    parse(file, &text)
+}
+
+/// Checks settings that were read already; `file` only names them in errors.
+pub fn parse(file: &Path, text: &str) -> Result<Settings, SettingsError> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    let raw: RawSettings =
+        serde_path_to_error::deserialize(&mut json).map_err(|e| SettingsError::Malformed {
+            file: file.into(),
+            path: e.path().to_string(),
+            problem: e.into_inner().to_string(),
+        })?;
+    json.end().map_err(|e| SettingsError::Malformed {
+        file: file.into(),
+        path: ".".into(),
+        problem: format!("{e}: use one JSON object and nothing after it"),
+    })?;
+    Settings::try_from(raw)
+        .map_err(|refusals| SettingsError::Refused { file: file.into(), refusals })
+}
--- /dev/null
+++ b/crates/node/src/settings/raw.rs
@@ -0,0 +1,158 @@
+//! Settings as they stand in the file, before any check.
+
+use std::{path::PathBuf, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// The whole settings file.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawSettings {
+    /// Name of the instance, unique in the mesh.
+    pub instance: String,
+    /// Availability zone of the instance.
+    pub zone: String,
+    /// Region of the availability zone.
+    pub region: String,
+    /// Addresses on which the node listens.
+    pub listen: RawListen,
+    /// Addresses that the node gives to others, where they differ.
+    #[serde(default)]
+    pub advertise: RawAdvertise,
+    /// Base URL of the platform's log service.
+    pub log_service: String,
+    /// Where metrics go; nowhere when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub metrics: Option<RawMetrics>,
+    /// The operators' API.
+    #[serde(default)]
+    pub operators: RawOperators,
+    /// File to which each applied configuration version is written, for tests.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub journal_file: Option<PathBuf>,
+    /// Number of worker threads.
+    #[serde(default = "default_workers")]
+    pub workers: usize,
+    /// Limits of this node.
+    #[serde(default)]
+    pub limits: RawLimits,
+}
+
+/// Addresses on which the node listens, each as `ip:port`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawListen {
+    /// For callers outside the mesh.
+    pub callers: String,
+    /// For the backend server on the same instance.
+    pub backend: String,
+    /// For other nodes.
+    pub peers: String,
+    /// For operators.
+    pub operators: String,
+}
+
+/// Addresses that the node gives to others.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawAdvertise {
+    /// Address at which other nodes reach this one; `listen.peers` when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<String>,
+}
+
+/// Where metrics go.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawMetrics {
+    /// Address of a statsd server, as `ip:port`.
+    pub statsd: String,
+    /// Prefix of each metric's name.
+    #[serde(default = "default_metrics_prefix")]
+    pub prefix: String,
+}
+
+/// The operators' API.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawOperators {
+    /// File that holds the bearer token for requests that write.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token_file: Option<PathBuf>,
+}
+
+/// Limits of one node; each has a default.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawLimits {
+    /// Largest total size of a request's headers, in bytes.
+    pub header_bytes: usize,
+    /// Largest body of a request or an answer, in bytes, whatever a route allows.
+    pub body_bytes: usize,
+    /// Connections that callers may hold open.
+    pub caller_connections: usize,
+    /// Requests that may wait for the backend server.
+    pub queue_length: usize,
+    /// Longest time that a request waits for the backend server.
+    #[serde(rename = "queue_wait_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub queue_wait: Duration,
+    /// Time between heartbeats on a link to another node.
+    #[serde(rename = "heartbeat_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub heartbeat: Duration,
+    /// Time without any byte after which a link counts as dead.
+    #[serde(rename = "silence_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub silence: Duration,
+    /// Longest time to open a connection.
+    #[serde(rename = "connect_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub connect: Duration,
+    /// Longest time to ask another node what became of a request.
+    #[serde(rename = "settle_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub settle: Duration,
+    /// Answers kept for the settle protocol and for idempotency keys.
+    pub kept_answers: usize,
+    /// Memory for kept answers, in bytes.
+    pub kept_bytes: usize,
+    /// Time for which an answer is kept.
+    #[serde(rename = "kept_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub kept: Duration,
+    /// Longest time that a graceful shutdown waits for requests in flight.
+    #[serde(rename = "drain_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub drain: Duration,
+}
+
+impl Default for RawLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 32 << 10,
+            body_bytes: 16 << 20,
+            caller_connections: 1_024,
+            queue_length: 128,
+            queue_wait: Duration::from_millis(250),
+            heartbeat: Duration::from_millis(250),
+            silence: Duration::from_millis(1_000),
+            connect: Duration::from_millis(500),
+            settle: Duration::from_millis(1_000),
+            kept_answers: 20_000,
+            kept_bytes: 32 << 20,
+            kept: Duration::from_secs(120),
+            drain: Duration::from_secs(30),
+        }
+    }
+}
+
+fn default_workers() -> usize {
+    2
+}
+
+fn default_metrics_prefix() -> String {
+    "savorykeel".into()
+}
--- /dev/null
+++ b/crates/node/tests/settings.rs
@@ -0,0 +1,128 @@
+//! Checks of the settings file.
+
+use std::path::Path;
+
+use savorykeel_node::settings::{self, Settings, SettingsError};
+use serde_json::{Value, json};
+use yare::parameterized;
+
+fn good() -> Value {
+    json!({
+        "instance": "gate-1",
+        "zone": "patras-a",
+        "region": "achaia",
+        "listen": {
+            "callers": "127.0.0.1:0",
+            "backend": "127.0.0.1:0",
+            "peers": "127.0.1.1:0",
+            "operators": "127.0.0.1:0"
+        },
+        "log_service": "http://127.0.0.1:7000/"
+    })
+}
+
+fn set(document: &mut Value, pointer: &str, value: Value) {
+    let (parent, key) = pointer.rsplit_once('/').unwrap();
+    if document.pointer(parent).is_none() {
+        set(document, parent, json!({}));
+    }
+    document.pointer_mut(parent).unwrap()[key] = value;
+}
+
+fn parse(document: &Value) -> Result<Settings, SettingsError> {
+    settings::parse(Path::new("node.json"), &document.to_string())
+}
+
+#[test]
+fn good_settings_get_defaults() {
+    let settings = parse(&good()).unwrap();
+    assert_eq!(settings.instance.as_str(), "gate-1");
+    assert_eq!(settings.log_service.as_ref(), "http://127.0.0.1:7000");
+    assert_eq!(settings.metrics, None);
+    assert_eq!(settings.token_file, None);
+    assert_eq!(settings.limits.heartbeat.as_millis(), 250);
+}
+
+#[test]
+fn all_fields_are_read() {
+    let mut document = good();
+    set(&mut document, "/advertise", json!({"peers": "127.0.1.9:7003"}));
+    set(&mut document, "/metrics", json!({"statsd": "127.0.0.1:8125", "prefix": "shop.keel"}));
+    set(&mut document, "/operators", json!({"token_file": "/etc/keel/token"}));
+    set(&mut document, "/journal_file", json!("journal"));
+    set(&mut document, "/workers", json!(3));
+    set(&mut document, "/limits", json!({"heartbeat_ms": 100, "queue_length": 0}));
+    let settings = parse(&document).unwrap();
+    assert_eq!(settings.advertise_peers.unwrap().port(), 7003);
+    assert_eq!(settings.metrics.unwrap().prefix.as_ref(), "shop.keel");
+    assert_eq!(settings.token_file.unwrap(), Path::new("/etc/keel/token"));
+    assert_eq!(settings.workers, 3);
+    assert_eq!(settings.limits.heartbeat.as_millis(), 100);
+    assert_eq!(settings.limits.queue_length, 0);
+}
+
+#[parameterized(
+    instance = { "/instance", json!("gate 1"), "instance: \"gate 1\" is not a name: use 1 to 63" },
+    zone = { "/zone", json!(""), "zone: \"\" is not a name" },
+    type_of_region = { "/region", json!(5), "region: invalid type: integer `5`, expected a string" },
+    host_name = { "/listen/callers", json!("localhost:80"), "listen.callers: \"localhost:80\" is not an address: use IP number" },
+    no_port = { "/listen/peers", json!("127.0.0.1"), "listen.peers: \"127.0.0.1\" is not an address" },
+    everywhere = { "/listen/peers", json!("0.0.0.0:7003"), "advertise.peers: it is absent while listen.peers is 0.0.0.0:7003" },
+    advertised = { "/advertise/peers", json!("0.0.0.0:1"), "advertise.peers: \"0.0.0.0:1\" can't be reached" },
+    log_scheme = { "/log_service", json!("ftp://127.0.0.1:1"), "log_service: \"ftp://127.0.0.1:1\" is not a base URL: use for instance http://" },
+    log_host = { "/log_service", json!("http://logs:1"), "log_service: \"logs:1\" is not an address" },
+    statsd = { "/metrics", json!({"statsd": "x"}), "metrics.statsd: \"x\" is not an address" },
+    prefix = { "/metrics", json!({"statsd": "127.0.0.1:1", "prefix": "a b"}), "metrics.prefix: \"a b\" is not a prefix" },
+    workers = { "/workers", json!(0), "workers: 0 is out of range: use 1 to 64" },
+    heartbeat = { "/limits/heartbeat_ms", json!(5), "limits.heartbeat_ms: 5 is out of range: use 10 to 60000" },
+    silence = { "/limits/silence_ms", json!(300), "limits.silence_ms: 300 is too short: use at least twice limits.heartbeat_ms, which is 250" },
+    negative = { "/limits/body_bytes", json!(-1), "limits.body_bytes: invalid value: integer `-1`" },
+    unknown = { "/limits/hearbeat_ms", json!(5), "limits.hearbeat_ms: unknown field `hearbeat_ms`, expected one of" },
+    unknown_at_top = { "/colour", json!("red"), "colour: unknown field `colour`, expected one of" },
+)]
+fn bad_settings_name_file_path_and_remedy(pointer: &str, value: Value, expected: &str) {
+    let mut document = good();
+    set(&mut document, pointer, value);
+    let message = parse(&document).unwrap_err().to_string();
+    assert!(message.starts_with(&format!("node.json: {expected}")), "{message}");
+}
+
+#[test]
+fn every_broken_rule_is_named_at_once() {
+    let mut document = good();
+    set(&mut document, "/instance", json!("?"));
+    set(&mut document, "/workers", json!(1_000));
+    set(&mut document, "/listen/backend", json!("nowhere"));
+    let message = parse(&document).unwrap_err().to_string();
+    assert_eq!(message.lines().count(), 3, "{message}");
+}
+
+#[test]
+fn one_port_for_two_listeners_is_refused() {
+    let mut document = good();
+    set(&mut document, "/listen/callers", json!("127.0.0.1:7001"));
+    set(&mut document, "/listen/operators", json!("127.0.0.1:7001"));
+    let message = parse(&document).unwrap_err().to_string();
+    assert!(
+        message.contains("listen.operators: 127.0.0.1:7001 is also listen.callers"),
+        "{message}"
+    );
+}
+
+#[parameterized(
+    empty = { "", "EOF" },
+    cut = { "{\"instance\":\"a\"", "EOF" },
+    missing = { "{}", "missing field `instance`" },
+    trailing = { "TRAILING", "use one JSON object and nothing after it" },
+)]
+fn text_that_is_not_settings_is_refused(text: &str, expected: &str) {
+    let text = text.replace("TRAILING", &format!("{} {{}}", good()));
+    let message = settings::parse(Path::new("node.json"), &text).unwrap_err().to_string();
+    assert!(message.starts_with("node.json: ") && message.contains(expected), "{message}");
+}
+
+#[test]
+fn a_missing_file_is_named() {
+    let message = settings::read(Path::new("no/such/file.json")).unwrap_err().to_string();
+    assert!(message.starts_with("no/such/file.json: can't be read"), "{message}");
+}
