--- /dev/null
+++ b/crates/adapters/src/metrics.rs
@@ -0,0 +1,179 @@
+//! Metrics as statsd lines over UDP.
+//!
+//! Every name is a variant here, so that `docs/METRICS.md` can be checked
+//! against the code. Without a statsd address nothing is formatted or sent.
+
+use std::{
+    fmt,
+    net::{SocketAddr, UdpSocket},
+    sync::Arc,
+    time::Duration,
+};
+
+use cadence::{
+    BufferedUdpMetricSink, Counted, Gauged, MetricBuilder, QueuingMetricSink, StatsdClient, Timed,
+};
+
+/// Lines that may wait to be sent; further ones are dropped.
+const QUEUE_LINES: usize = 16_384;
+
+/// A number that only grows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumIter, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Counter {
+    /// Calls by service, route and result code.
+    Calls,
+    /// Attempts at a call on a backend server after the first one.
+    Retries,
+    /// Questions to another node about what became of a request.
+    Settles,
+    /// Requests refused because the queue was full or too slow.
+    Shed,
+    /// Links to other nodes that were replaced because they went silent.
+    SilentLinks,
+    /// Configuration versions applied.
+    Applied,
+    /// Records of the log service read by this node.
+    LogRecords,
+    /// Appends to the log service by outcome.
+    LogAppends,
+    /// Bytes of control messages sent to other nodes.
+    ControlBytesSent,
+    /// Bytes of control messages received from other nodes.
+    ControlBytesReceived,
+    /// Moves that ended, by outcome.
+    MovesEnded,
+}
+
+/// A number that goes up and down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumIter, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Gauge {
+    /// Version of the configuration in force on this node.
+    ConfigurationVersion,
+    /// Members by liveness.
+    Members,
+    /// Requests running at the backend server.
+    Running,
+    /// Requests waiting for the backend server.
+    Queued,
+    /// Answers kept for settling.
+    KeptAnswers,
+    /// Share of traffic of a service's new version, in thousandths.
+    MoveShare,
+}
+
+/// A span of time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumIter, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Timer {
+    /// A call from the request's last byte to the answer's first, in milliseconds.
+    CallMs,
+    /// A request's wait for the backend server, in milliseconds.
+    QueueMs,
+    /// From reading a configuration to applying it, in milliseconds.
+    ApplyMs,
+}
+
+/// A tag of a metric.
+#[derive(Debug, Clone, Copy)]
+pub struct Tag<'a> {
+    /// What the tag tells.
+    pub key: &'a str,
+    /// Its value.
+    pub value: &'a str,
+}
+
+/// Sends metrics, or does nothing when no statsd address is set.
+#[derive(Clone, Default)]
+pub struct Metrics {
+    client: Option<Arc<StatsdClient>>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").field("enabled", &self.client.is_some()).finish()
+    }
+}
+
+/// Why metrics can't be sent.
+#[derive(Debug, thiserror::Error)]
+pub enum MetricsError {
+    /// No UDP socket can be opened.
+    #[error("no UDP socket for metrics: {0}")]
+    Socket(#[from] std::io::Error),
+    /// The client can't be built.
+    #[error("no statsd client: {0}")]
+    Client(#[from] cadence::MetricError),
+}
+
+impl Metrics {
+    /// Returns metrics that are never sent.
+    pub fn disabled() -> Self {
+        Self::default()
+    }
+
+    /// Returns metrics that are sent to `statsd` with `instance` as a tag.
+    pub fn to_statsd(
+        statsd: SocketAddr,
+        prefix: &str,
+        instance: &str,
+    ) -> Result<Self, MetricsError> {
+        let source = match statsd {
+            SocketAddr::V4(_) => "0.0.0.0:0",
+            SocketAddr::V6(_) => "[::]:0",
+        };
+        let socket = UdpSocket::bind(source)?;
+        socket.set_nonblocking(true)?;
+        let sink = BufferedUdpMetricSink::from(statsd, socket)?;
+        let sink = QueuingMetricSink::with_capacity(sink, QUEUE_LINES);
+        let client = StatsdClient::builder(prefix, sink)
+            .with_tag("instance", instance)
+            // A metric that can't be sent is no reason to fail or to log for each line.
+            .with_error_handler(|_| {})
+            .build();
+        Ok(Self { client: Some(Arc::new(client)) })
+    }
+
+    /// Adds `n` to a counter.
+    pub fn count(&self, counter: Counter, n: u64, tags: &[Tag<'_>]) {
+        if let Some(client) = &self.client {
+            tagged(client.count_with_tags(counter.into(), n), tags).send();
+        }
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, gauge: Gauge, value: u64, tags: &[Tag<'_>]) {
+        if let Some(client) = &self.client {
+            tagged(client.gauge_with_tags(gauge.into(), value), tags).send();
+        }
+    }
+
+    /// Records a span of time.
+    pub fn time(&self, timer: Timer, span: Duration, tags: &[Tag<'_>]) {
+        if let Some(client) = &self.client {
+            tagged(client.time_with_tags(timer.into(), span.as_millis() as u64), tags).send();
+        }
+    }
+
+    /// Sends what waits in the buffer.
+    pub fn flush(&self) {
+        if let Some(client) = &self.client {
+            // Losing the last lines is better than failing at shutdown.
+            let _ = client.flush();
+        }
+    }
+}
+
+fn tagged<'m, 'c, T>(
+    mut metric: MetricBuilder<'m, 'c, T>,
+    tags: &'m [Tag<'m>],
+) -> MetricBuilder<'m, 'c, T>
+where
+    T: cadence::Metric + From<String>,
+{
+    for tag in tags {
+        metric = metric.with_tag(tag.key, tag.value);
+    }
+    metric
+}
--- /dev/null
+++ b/crates/core/configuration.rs
@@ -0,0 +1,116 @@
+//! Reads the operators' configuration from a file or from standard input.
+
+use std::{
+    fs,
+    io::{self, Read},
+    path::{Path, PathBuf},
+};
+
+use savorykeel_policy::config::{
+    model::{Configuration, Refusals},
+    raw::RawConfiguration,
+};
+
+/// Why a configuration can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigurationError {
+    /// The source can't be read.
+    #[error("{source_name}: can't be read: {source}")]
+    Unreadable {
+        /// File name, or "standard input".
+        source_name: String,
+        /// What the system answered.
+        source: io::Error,
+    },
+    /// The text is not JSON or doesn't have the fields of a configuration.
+    #[error("{source_name}: {path}: {problem}")]
+    Malformed {
+        /// File name, or "standard input".
+        source_name: String,
+        /// JSON path of the value that was found.
+        path: String,
+        /// What was found and what would do.
+        problem: String,
+    },
+    /// A value breaks a rule.
+    #[error("{}", lines(.source_name, .refusals))]
+    Refused {
+        /// File name, or "standard input".
+        source_name: String,
+        /// Each broken rule.
+        refusals: Refusals,
+    },
+}
+
+fn lines(source_name: &str, refusals: &Refusals) -> String {
+    let lines: Vec<String> =
+        refusals.0.iter().map(|refusal| format!("{source_name}: {refusal}")).collect();
+    lines.join("\n")
+}
+
+/// Where a configuration comes from.
+#[derive(Debug, Clone)]
+pub enum Source {
+    /// A file.
+    File(PathBuf),
+    /// Standard input.
+    Stdin,
+}
+
+impl Source {
+    /// Returns the file, or standard input for none and for `-`.
+    pub fn new(file: Option<PathBuf>) -> Self {
+        match file {
+            Some(file) if file != Path::new("-") => Source::File(file),
+            _ => Source::Stdin,
+        }
+    }
+
+    fn name(&self) -> String {
+        match self {
+            Source::File(file) => file.display().to_string(),
+            Source::Stdin => "standard input".into(),
+        }
+    }
+
+    fn text(&self) -> io::Result<String> {
+        match self {
+            Source::File(file) => fs::read_to_string(file),
+            Source::Stdin => {
+                let mut text = String::new();
+                io::stdin().read_to_string(&mut text)?;
+                Ok(text)
+            }
+        }
+    }
+}
+
+/// Reads a configuration whose checks all pass.
+pub fn read(source: &Source) -> Result<RawConfiguration, ConfigurationError> {
+    let source_name = source.name();
+    let text = match source.text() {
+        Ok(text) => text,
+        Err(source) => return Err(ConfigurationError::Unreadable { source_name, source }),
+    };
+    let raw = parse(&source_name, &text)?;
+    match Configuration::try_from(raw.clone()) {
+        Ok(_) => Ok(raw),
+        Err(refusals) => Err(ConfigurationError::Refused { source_name, refusals }),
+    }
+}
+
+fn parse(source_name: &str, text: &str) -> Result<RawConfiguration, ConfigurationError> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    let raw =
+        serde_path_to_error::deserialize(&mut json).map_err(|e| ConfigurationError::Malformed {
+            source_name: source_name.into(),
+            path: e.path().to_string(),
+            problem: e.into_inner().to_string(),
+        })?;
+    json.end().map_err(|e| ConfigurationError::Malformed {
+        source_name: source_name.into(),
+        path: ".".into(),
+        problem: format!("{e}: use one JSON object and nothing after it"),
+    })?;
+    Ok(raw)
+}
--- /dev/null
+++ b/crates/core/flags/mod.rs
@@ -0,0 +1,64 @@
+//! The command line: one module for each set of flags, with its help text and
+//! its checks.
+
+mod check;
+
+use std::ffi::OsString;
+
+use argh::FromArgs;
+
+pub use check::{CheckFlags, CheckTarget};
+
+/// Distributes configuration through a service mesh without a control plane of
+/// its own.
+#[derive(FromArgs, Debug)]
+struct TopFlags {
+    /// print the version and end
+    #[argh(switch)]
+    version: bool,
+
+    #[argh(subcommand)]
+    command: Option<Command>,
+}
+
+/// A command with its flags.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Checks a settings or a configuration file.
+    Check(CheckFlags),
+}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Parsed {
+    /// Run a command.
+    Command(Command),
+    /// Print a text, for instance the help, and end well.
+    Text(String),
+    /// Print what is wrong and end with the exit code for wrong usage.
+    Wrong(String),
+}
+
+/// Parses the arguments of the process, the first of which is its own name.
+pub fn parse(args: impl Iterator<Item = OsString>) -> Parsed {
+    let args: Result<Vec<String>, OsString> = args.skip(1).map(OsString::into_string).collect();
+    let args = match args {
+        Ok(args) => args,
+        Err(arg) => return Parsed::Wrong(format!("the argument {arg:?} is not UTF-8 text")),
+    };
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    match TopFlags::from_args(&["savorykeel"], &args) {
+        Ok(TopFlags { version: true, .. }) => Parsed::Text(version()),
+        Ok(TopFlags { command: Some(command), .. }) => Parsed::Command(command),
+        Ok(TopFlags { command: None, .. }) => {
+            Parsed::Wrong("no command given: run savorykeel --help for the list".into())
+        }
+        Err(early) if early.status.is_ok() => Parsed::Text(early.output),
+        Err(early) => Parsed::Wrong(early.output),
+    }
+}
+
+fn version() -> String {
+    format!("savorykeel {}", env!("CARGO_PKG_VERSION"))
+}
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -1,5 +1,26 @@
-//! The savorykeel binary.
+//! The savorykeel binary: reads flags, runs one command, ends with its exit code.
 
-fn main() {
-    println!("savorykeel {}", env!("CARGO_PKG_VERSION"));
+mod commands;
+mod configuration;
+mod exit;
+mod flags;
+
+use std::{env, process::ExitCode};
+
+use exit::Exit;
+use flags::Parsed;
+
+fn main() -> ExitCode {
+    let exit = match flags::parse(env::args_os()) {
+        Parsed::Command(command) => commands::run(command),
+        Parsed::Text(text) => {
+            println!("{}", text.trim_end());
+            Exit::Done
+        }
+        Parsed::Wrong(text) => {
+            eprintln!("{}", text.trim_end());
+            Exit::Usage
+        }
+    };
+    exit.into()
 }
