Add the peer link over Cap'n Proto RPC and the backend server over HTTP

Cause: the call path needs both before anything can be served. Change: the schema with its generated code, links with heartbeats, the serving side, and an HTTP client that says "not sent" only when no connection opened.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -1,1 +1,9 @@
 //! HTTP, RPC, metrics and logging behind savorykeel's ports.
+
+pub mod backend;
+pub mod peer;
+
+#[allow(missing_docs, unused_qualifications, clippy::all, clippy::unimplemented)]
+#[rustfmt::skip]
+#[path = "generated/peer_capnp.rs"]
+mod peer_capnp;
--- /dev/null
+++ b/crates/adapters/src/peer/client.rs
@@ -0,0 +1,160 @@
+//! Links to other nodes: one connection to each, opened when first needed.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    future::Future,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use capnp::capability::Promise;
+use savorykeel_policy::ids::RequestId;
+use savorykeel_ports::peer::{
+    Attempt, LoadHint, PeerCall, PeerError, PeerLinks, PeerReply, Settlement,
+};
+use tokio::sync::Mutex;
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    decode::{read_reply, read_settlement},
+    encode::{id_high, id_low, millis, write_call},
+    link::Link,
+};
+
+/// How links are opened and watched.
+#[derive(Debug, Clone, Copy)]
+pub struct LinkSettings {
+    /// Address that connections are made from.
+    pub source: IpAddr,
+    /// Longest time that opening a connection may take.
+    pub connect_timeout: Duration,
+    /// Time between two heartbeats.
+    pub heartbeat_interval: Duration,
+    /// Time after which an unanswered heartbeat means a silent connection.
+    pub heartbeat_timeout: Duration,
+}
+
+/// A place for the link to one node; the lock makes callers share one attempt
+/// to connect.
+type Slot = Rc<Mutex<Option<Rc<Link>>>>;
+
+/// The links of one worker thread.
+#[derive(Clone)]
+pub struct RpcLinks {
+    settings: LinkSettings,
+    slots: Rc<RefCell<HashMap<SocketAddr, Slot>>>,
+    cancel: CancellationToken,
+}
+
+impl RpcLinks {
+    /// Starts without any link; all are closed when `cancel` is cancelled.
+    pub fn new(settings: LinkSettings, cancel: CancellationToken) -> Self {
+        Self { settings, slots: Rc::default(), cancel }
+    }
+
+    /// Closes the links to nodes for which `is_wanted` is false.
+    pub fn retain(&self, is_wanted: impl Fn(&SocketAddr) -> bool) {
+        self.slots.borrow_mut().retain(|addr, slot| {
+            let keep = is_wanted(addr);
+            if !keep && let Ok(Some(link)) = slot.try_lock().as_deref() {
+                link.down.cancel();
+            }
+            keep
+        });
+    }
+
+    async fn link(&self, addr: SocketAddr) -> Result<Rc<Link>, PeerError> {
+        let slot = self.slots.borrow_mut().entry(addr).or_default().clone();
+        let mut slot = slot.lock().await;
+        if let Some(link) = slot.as_ref().filter(|link| !link.down.is_cancelled()) {
+            return Ok(link.clone());
+        }
+        let link = Link::open(addr, self.settings, &self.cancel)
+            .await
+            .map_err(|_| PeerError::NotSent(addr))?;
+        *slot = Some(link.clone());
+        Ok(link)
+    }
+}
+
+/// Waits for a reply, or until the link is down.
+async fn await_reply<T>(
+    addr: SocketAddr,
+    link: &Link,
+    reply: Promise<T, capnp::Error>,
+) -> Result<T, PeerError> {
+    let reply: std::pin::Pin<Box<dyn Future<Output = Result<T, capnp::Error>>>> = Box::pin(reply);
+    tokio::select! {
+        biased;
+        result = reply => result.map_err(|e| reply_error(addr, &e)),
+        () = link.down.cancelled() => Err(PeerError::Lost(addr)),
+    }
+}
+
+fn reply_error(addr: SocketAddr, error: &capnp::Error) -> PeerError {
+    match error.kind {
+        capnp::ErrorKind::Disconnected => PeerError::Lost(addr),
+        _ => malformed(addr, error),
+    }
+}
+
+fn malformed(addr: SocketAddr, error: &capnp::Error) -> PeerError {
+    PeerError::Malformed { addr, problem: error.to_string() }
+}
+
+impl PeerLinks for RpcLinks {
+    async fn call(
+        &self,
+        addr: SocketAddr,
+        call: &PeerCall,
+    ) -> Result<(PeerReply, LoadHint), PeerError> {
+        let link = self.link(addr).await?;
+        let mut req = link.client.call_request();
+        write_call(call, req.get().init_call());
+        let response = await_reply(addr, &link, req.send().promise).await?;
+        let read = || read_reply(response.get()?.get_reply()?);
+        read().map_err(|e| malformed(addr, &e))
+    }
+
+    async fn settle(&self, addr: SocketAddr, attempt: Attempt) -> Result<Settlement, PeerError> {
+        let link = self.link(addr).await?;
+        let mut req = link.client.settle_request();
+        let mut params = req.get();
+        params.set_id_high(id_high(attempt.id));
+        params.set_id_low(id_low(attempt.id));
+        params.set_incarnation(attempt.incarnation);
+        params.set_age_ms(millis(attempt.age));
+        let response = await_reply(addr, &link, req.send().promise).await?;
+        let read = || read_settlement(response.get()?.get_settlement()?);
+        read().map_err(|e| malformed(addr, &e))
+    }
+
+    async fn cancel(&self, addr: SocketAddr, id: RequestId) -> Result<(), PeerError> {
+        let link = self.link(addr).await?;
+        let mut req = link.client.cancel_request();
+        req.get().set_id_high(id_high(id));
+        req.get().set_id_low(id_low(id));
+        await_reply(addr, &link, req.send().promise).await?;
+        Ok(())
+    }
+
+    async fn control(&self, addr: SocketAddr, body: Vec<u8>) -> Result<Vec<u8>, PeerError> {
+        let link = self.link(addr).await?;
+        let mut req = link.client.control_request();
+        req.get().set_body(&body);
+        let response = await_reply(addr, &link, req.send().promise).await?;
+        let read = || Ok(response.get()?.get_body()?.to_vec());
+        read().map_err(|e| malformed(addr, &e))
+    }
+
+    async fn ledger(&self, addr: SocketAddr, body: Vec<u8>) -> Result<Vec<u8>, PeerError> {
+        let link = self.link(addr).await?;
+        let mut req = link.client.ledger_request();
+        req.get().set_body(&body);
+        let response = await_reply(addr, &link, req.send().promise).await?;
+        let read = || Ok(response.get()?.get_body()?.to_vec());
+        read().map_err(|e| malformed(addr, &e))
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/peer/decode.rs
@@ -0,0 +1,91 @@
+//! Reads port messages from Cap'n Proto readers and checks them.
+
+use std::time::Duration;
+
+use capnp::Error;
+use savorykeel_policy::{
+    code::Code,
+    ids::{RequestId, RouteName, ServiceName},
+};
+use savorykeel_ports::peer::{
+    Attempt, Header, HttpAnswer, HttpRequest, LoadHint, PeerCall, PeerReply, Settlement,
+};
+
+use crate::peer_capnp::{answer, call, header, reply, request, settlement};
+
+pub(super) fn request_id(high: u64, low: u64) -> RequestId {
+    RequestId((u128::from(high) << 64) | u128::from(low))
+}
+
+pub(super) fn read_call(from: call::Reader<'_>) -> Result<PeerCall, Error> {
+    let attempt = Attempt {
+        id: request_id(from.get_id_high(), from.get_id_low()),
+        incarnation: from.get_incarnation(),
+        age: Duration::from_millis(from.get_age_ms().into()),
+    };
+    Ok(PeerCall {
+        attempt,
+        service: ServiceName::try_from(from.get_service()?.to_str()?).map_err(invalid)?,
+        route: RouteName::try_from(from.get_route()?.to_str()?).map_err(invalid)?,
+        idempotent: from.get_idempotent(),
+        urgent: from.get_urgent(),
+        time_left: Duration::from_millis(from.get_time_left_ms().into()),
+        depth: from.get_depth(),
+        caller: from.get_caller()?.to_string()?,
+        request: read_request(from.get_request()?)?,
+    })
+}
+
+fn read_request(from: request::Reader<'_>) -> Result<HttpRequest, Error> {
+    Ok(HttpRequest {
+        method: from.get_method()?.to_string()?,
+        target: from.get_target()?.to_string()?,
+        headers: read_headers(from.get_headers()?)?,
+        body: from.get_body()?.to_vec(),
+    })
+}
+
+fn read_headers(from: capnp::struct_list::Reader<'_, header::Owned>) -> Result<Vec<Header>, Error> {
+    from.iter()
+        .map(|header| {
+            Ok(Header {
+                name: header.get_name()?.to_string()?,
+                value: header.get_value()?.to_vec(),
+            })
+        })
+        .collect()
+}
+
+fn read_answer(from: answer::Reader<'_>) -> Result<HttpAnswer, Error> {
+    Ok(HttpAnswer {
+        status: from.get_status(),
+        headers: read_headers(from.get_headers()?)?,
+        body: from.get_body()?.to_vec(),
+    })
+}
+
+pub(super) fn read_reply(from: reply::Reader<'_>) -> Result<(PeerReply, LoadHint), Error> {
+    let load = LoadHint { in_flight: from.get_in_flight(), slots: from.get_slots() };
+    let reply = match from.which()? {
+        reply::Answer(answer) => PeerReply::Answered(read_answer(answer?)?),
+        reply::Failed(number) => PeerReply::Failed(read_code(number)?),
+    };
+    Ok((reply, load))
+}
+
+pub(super) fn read_settlement(from: settlement::Reader<'_>) -> Result<Settlement, Error> {
+    Ok(match from.which()? {
+        settlement::Ended(reply) => Settlement::Ended(read_reply(reply?)?.0),
+        settlement::Running(()) => Settlement::Running,
+        settlement::Fenced(()) => Settlement::Fenced,
+        settlement::Forgotten(()) => Settlement::Forgotten,
+    })
+}
+
+fn read_code(number: u16) -> Result<Code, Error> {
+    Code::from_repr(number).ok_or_else(|| Error::failed(format!("{number} is no result code")))
+}
+
+fn invalid(error: impl std::fmt::Display) -> Error {
+    Error::failed(error.to_string())
+}
--- /dev/null
+++ b/crates/adapters/src/peer/server.rs
@@ -0,0 +1,129 @@
+//! Serves the messages of other nodes.
+
+use std::{net, rc::Rc, time::Duration};
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use futures_util::{AsyncReadExt, future::LocalBoxFuture};
+use savorykeel_policy::ids::RequestId;
+use savorykeel_ports::peer::{Attempt, LoadHint, PeerCall, PeerReply, Settlement};
+use tokio::net::TcpStream;
+use tokio_util::{compat::TokioAsyncReadCompatExt, sync::CancellationToken};
+
+use crate::peer_capnp::peer;
+
+use super::{
+    decode::{read_call, request_id},
+    encode::{write_reply, write_settlement},
+    reader_options,
+};
+
+/// What a node does with the messages of other nodes.
+///
+/// A call goes on when the connection that brought it ends, because the entry
+/// node may settle it over another one; so `call` has to run its work in a task
+/// of its own.
+#[derive(Clone)]
+pub struct PeerHandler {
+    /// Runs a call.
+    pub call: Rc<dyn Fn(PeerCall) -> LocalBoxFuture<'static, (PeerReply, LoadHint)>>,
+    /// Tells what became of a request and fences it when it was never seen.
+    pub settle: Rc<dyn Fn(Attempt) -> Settlement>,
+    /// Cancels a request.
+    pub cancel: Rc<dyn Fn(RequestId)>,
+    /// Answers a control message.
+    pub control: Rc<dyn Fn(Vec<u8>) -> LocalBoxFuture<'static, Vec<u8>>>,
+    /// Answers a ledger message.
+    pub ledger: Rc<dyn Fn(Vec<u8>) -> LocalBoxFuture<'static, Vec<u8>>>,
+}
+
+struct PeerServer {
+    handler: PeerHandler,
+}
+
+impl peer::Server for PeerServer {
+    async fn call(
+        self: Rc<Self>,
+        params: peer::CallParams,
+        mut results: peer::CallResults,
+    ) -> Result<(), capnp::Error> {
+        let call = read_call(params.get()?.get_call()?)?;
+        let (reply, load) = (self.handler.call)(call).await;
+        write_reply(&reply, load, results.get().init_reply());
+        Ok(())
+    }
+
+    async fn settle(
+        self: Rc<Self>,
+        params: peer::SettleParams,
+        mut results: peer::SettleResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let attempt = Attempt {
+            id: request_id(params.get_id_high(), params.get_id_low()),
+            incarnation: params.get_incarnation(),
+            age: Duration::from_millis(params.get_age_ms().into()),
+        };
+        let settlement = (self.handler.settle)(attempt);
+        write_settlement(&settlement, results.get().init_settlement());
+        Ok(())
+    }
+
+    async fn cancel(
+        self: Rc<Self>,
+        params: peer::CancelParams,
+        _: peer::CancelResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        (self.handler.cancel)(request_id(params.get_id_high(), params.get_id_low()));
+        Ok(())
+    }
+
+    async fn heartbeat(
+        self: Rc<Self>,
+        _: peer::HeartbeatParams,
+        _: peer::HeartbeatResults,
+    ) -> Result<(), capnp::Error> {
+        Ok(())
+    }
+
+    async fn control(
+        self: Rc<Self>,
+        params: peer::ControlParams,
+        mut results: peer::ControlResults,
+    ) -> Result<(), capnp::Error> {
+        let body = params.get()?.get_body()?.to_vec();
+        let answer = (self.handler.control)(body).await;
+        results.get().set_body(&answer);
+        Ok(())
+    }
+
+    async fn ledger(
+        self: Rc<Self>,
+        params: peer::LedgerParams,
+        mut results: peer::LedgerResults,
+    ) -> Result<(), capnp::Error> {
+        let body = params.get()?.get_body()?.to_vec();
+        let answer = (self.handler.ledger)(body).await;
+        results.get().set_body(&answer);
+        Ok(())
+    }
+}
+
+/// Serves one connection of another node until it ends or `cancel` is cancelled.
+pub async fn serve_connection(
+    stream: net::TcpStream,
+    handler: PeerHandler,
+    cancel: CancellationToken,
+) -> std::io::Result<()> {
+    stream.set_nonblocking(true)?;
+    let stream = TcpStream::from_std(stream)?;
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.compat().split();
+    let network = VatNetwork::new(reader, writer, Side::Server, reader_options());
+    let client: peer::Client = capnp_rpc::new_client(PeerServer { handler });
+    let rpc = RpcSystem::new(Box::new(network), Some(client.client));
+    tokio::select! {
+        result = rpc => result.map_err(std::io::Error::other),
+        () = cancel.cancelled() => Ok(()),
+    }
+}
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -40,12 +40,27 @@
     pub body: Vec<u8>,
 }
 
+/// Identifies one attempt at one life of a node, for the settle protocol.
+///
+/// The node beside the backend server compares the incarnation with its own and
+/// the age with how far back it remembers, so that what it has forgotten is
+/// never taken for what it never saw.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Attempt {
+    /// Identifies the attempt.
+    pub id: RequestId,
+    /// Incarnation of the node that the attempt was aimed at.
+    pub incarnation: u64,
+    /// Time since the entry node made the attempt.
+    pub age: Duration,
+}
+
 /// A request on its way from the entry node to the node beside the chosen
 /// backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerCall {
     /// Identifies this attempt for the settle protocol.
-    pub id: RequestId,
+    pub attempt: Attempt,
     /// Service that is to answer.
     pub service: ServiceName,
     /// Route that took the request.
@@ -82,6 +97,8 @@
     Running,
     /// It was never seen and, from now on, never runs.
     Fenced,
+    /// The node can't tell: it restarted or no longer remembers that far back.
+    Forgotten,
 }
 
 /// How busy the answering node is; it rides on every reply.
@@ -123,7 +140,7 @@
     ) -> Result<(PeerReply, LoadHint), PeerError>;
 
     /// Asks what became of a request; a request never seen is fenced.
-    async fn settle(&self, addr: SocketAddr, id: RequestId) -> Result<Settlement, PeerError>;
+    async fn settle(&self, addr: SocketAddr, attempt: Attempt) -> Result<Settlement, PeerError>;
 
     /// Tells the node that nobody waits for the request any more.
     async fn cancel(&self, addr: SocketAddr, id: RequestId) -> Result<(), PeerError>;
