--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,115 @@
+//! A library for operators' programs that print the whole desired configuration.
+//!
+//! A program builds a [`Mesh`], calls [`Mesh::print`] and is piped into
+//! `savorykeel publish`. The configuration is checked before it is printed, by
+//! the code that every node runs, so that a mistake shows where it was made.
+//! The fields are described in `docs/CONFIGURATION.md`.
+//!
+//! ```
+//! use savorykeel_operator::{Mesh, Route, Service};
+//!
+//! let mesh = Mesh::new()
+//!     .service(Service::new("gate", "v2").by("2026-12-04T18:00:00Z"))
+//!     .route(Route::non_idempotent("unlock", "gate", "/gate/unlock").method("POST").urgent());
+//! assert!(mesh.check().is_ok());
+//! ```
+
+mod route;
+mod service;
+
+use std::process::ExitCode;
+
+use savorykeel_policy::config::{
+    model::{CONFIGURATION_FORMAT, Configuration},
+    raw::{RawConfiguration, RawLimits},
+};
+
+pub use route::Route;
+pub use savorykeel_policy::config::model::{Refusal, Refusals};
+pub use service::Service;
+
+/// The whole desired configuration, while it is being built.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Mesh {
+    raw: RawConfiguration,
+}
+
+impl Default for Mesh {
+    fn default() -> Self {
+        let raw = RawConfiguration {
+            format: CONFIGURATION_FORMAT,
+            services: Default::default(),
+            routes: Vec::new(),
+            limits: RawLimits::default(),
+        };
+        Self { raw }
+    }
+}
+
+impl Mesh {
+    /// Returns a configuration without services and routes.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a service; a service of the same name is replaced.
+    pub fn service(mut self, service: Service) -> Self {
+        self.raw.services.insert(service.name, service.raw);
+        self
+    }
+
+    /// Adds a route after those that were added before it.
+    ///
+    /// The first route that matches takes a request, so add narrow ones first.
+    pub fn route(mut self, route: Route) -> Self {
+        self.raw.routes.push(route.raw);
+        self
+    }
+
+    /// Sets the retries allowed as a share of requests, 0 to 1.
+    pub fn retry_share(mut self, share: f64) -> Self {
+        self.raw.limits.retry_share = share;
+        self
+    }
+
+    /// Sets the largest share of a service's traffic that an unproven version may get.
+    pub fn unproven_share(mut self, share: f64) -> Self {
+        self.raw.limits.unproven_share = share;
+        self
+    }
+
+    /// Sets the largest number of calls below one another.
+    pub fn call_depth(mut self, depth: u32) -> Self {
+        self.raw.limits.call_depth = depth;
+        self
+    }
+
+    /// Runs every check that a node runs and returns the configuration.
+    pub fn check(&self) -> Result<RawConfiguration, Refusals> {
+        Configuration::try_from(self.raw.clone())?;
+        Ok(self.raw.clone())
+    }
+
+    /// Prints the configuration to standard output, or what is wrong with it to
+    /// standard error, and returns the program's exit code.
+    ///
+    /// Nothing is printed to standard output when a check fails, so that
+    /// `program | savorykeel publish` publishes nothing.
+    pub fn print(&self) -> ExitCode {
+        match self.check() {
+            Ok(raw) => {
+                println!(
+                    "{}",
+                    serde_json::to_string_pretty(&raw).expect("a configuration is JSON")
+                );
+                ExitCode::SUCCESS
+            }
+            Err(refusals) => {
+                for refusal in &refusals.0 {
+                    eprintln!("{refusal}");
+                }
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
--- /dev/null
+++ b/operators/python/savorykeel.py
@@ -0,0 +1,169 @@
+"""A library for operators' programs that print the whole desired configuration.
+
+It needs the standard library only. A program builds a Mesh, calls print() and
+is piped into ``savorykeel publish``:
+
+    from savorykeel import Mesh, Route, Service
+
+    mesh = Mesh()
+    mesh.add_service(Service("gate", version="v2", by="2026-12-04T18:00:00Z"))
+    mesh.add_route(Route("unlock", service="gate", path="/gate/unlock",
+                         methods=["POST"], idempotent=False, urgent=True))
+    mesh.print()
+
+The fields are described in docs/CONFIGURATION.md. Mistakes that the library
+sees raise ConfigurationError; ``savorykeel check --configuration -`` and
+``savorykeel publish`` check everything.
+"""
+
+import json
+import sys
+from dataclasses import dataclass, field
+from datetime import datetime
+from typing import Any, Optional, Union
+
+FORMAT = 1
+
+
+class ConfigurationError(ValueError):
+    """The configuration can't be valid."""
+
+
+@dataclass(frozen=True)
+class Objective:
+    """A service-level objective."""
+
+    success: float = 0.999
+    """Share of requests that must be answered without a failure, 0 to 1."""
+    latency_ms: int = 1_000
+    """Time in milliseconds within which an answer counts as fast."""
+    fast: float = 0.99
+    """Share of requests that must be fast, 0 to 1."""
+
+    def to_json(self) -> dict[str, Any]:
+        return {"success": self.success, "latency_ms": self.latency_ms, "fast": self.fast}
+
+
+@dataclass(frozen=True)
+class Service:
+    """A service and the version of its backend servers that should carry traffic."""
+
+    name: str
+    """Name, unique in the configuration."""
+    version: str
+    """Version of the backend server's software that should carry traffic."""
+    by: Union[str, datetime, None] = None
+    """Time by which all traffic should reach the version: RFC 3339, or a datetime with a zone."""
+    objective: Objective = field(default_factory=Objective)
+    """Service-level objective."""
+
+    def to_json(self) -> dict[str, Any]:
+        document: dict[str, Any] = {"version": self.version, "objective": self.objective.to_json()}
+        if self.by is not None:
+            document["by"] = _time_text(self.name, self.by)
+        return document
+
+
+@dataclass(frozen=True)
+class Route:
+    """Which requests go to which service."""
+
+    name: str
+    """Name, unique in the configuration."""
+    service: str
+    """Service that answers."""
+    path: str
+    """Path prefix, matched on whole segments."""
+    idempotent: bool
+    """Whether running a request twice does the same as running it once."""
+    methods: tuple[str, ...] = ()
+    """Methods; any when empty."""
+    host: Optional[str] = None
+    """Host name without port; any when absent."""
+    urgent: bool = False
+    """Whether requests go before others when a queue forms."""
+    timeout_ms: int = 5_000
+    """Longest time in milliseconds that a request may take."""
+    body_limit_bytes: int = 1 << 20
+    """Largest request body in bytes."""
+
+    def to_json(self) -> dict[str, Any]:
+        match: dict[str, Any] = {"path": self.path, "methods": list(self.methods)}
+        if self.host is not None:
+            match["host"] = self.host
+        return {
+            "name": self.name,
+            "match": match,
+            "service": self.service,
+            "idempotent": self.idempotent,
+            "urgent": self.urgent,
+            "timeout_ms": self.timeout_ms,
+            "body_limit_bytes": self.body_limit_bytes,
+        }
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Limits for the whole mesh."""
+
+    retry_share: float = 0.1
+    """Retries allowed as a share of requests, 0 to 1."""
+    unproven_share: float = 0.05
+    """Largest share of a service's traffic that an unproven version may get."""
+    call_depth: int = 32
+    """Largest number of calls below one another."""
+
+    def to_json(self) -> dict[str, Any]:
+        return {
+            "retry_share": self.retry_share,
+            "unproven_share": self.unproven_share,
+            "call_depth": self.call_depth,
+        }
+
+
+class Mesh:
+    """The whole desired configuration, while it is being built."""
+
+    def __init__(self, limits: Limits = Limits()) -> None:
+        self.limits = limits
+        self.services: dict[str, Service] = {}
+        self.routes: list[Route] = []
+
+    def add_service(self, service: Service) -> None:
+        """Adds a service."""
+        if service.name in self.services:
+            raise ConfigurationError(f"service {service.name!r} was added twice")
+        self.services[service.name] = service
+
+    def add_route(self, route: Route) -> None:
+        """Adds a route; the first that matches takes a request, so add narrow ones first."""
+        if any(other.name == route.name for other in self.routes):
+            raise ConfigurationError(f"route {route.name!r} was added twice")
+        self.routes.append(route)
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns the configuration as it is published."""
+        for route in self.routes:
+            if route.service not in self.services:
+                raise ConfigurationError(
+                    f"route {route.name!r} names the unknown service {route.service!r}"
+                )
+        return {
+            "format": FORMAT,
+            "services": {name: service.to_json() for name, service in self.services.items()},
+            "routes": [route.to_json() for route in self.routes],
+            "limits": self.limits.to_json(),
+        }
+
+    def print(self, file: Any = None) -> None:
+        """Prints the configuration to standard output, all of it or nothing."""
+        text = json.dumps(self.to_json(), indent=2)
+        print(text, file=file or sys.stdout)
+
+
+def _time_text(service: str, time: Union[str, datetime]) -> str:
+    if isinstance(time, str):
+        return time
+    if time.tzinfo is None:
+        raise ConfigurationError(f"service {service!r}: the time {time} has no time zone")
+    return time.isoformat()
