Serve calls from entry node to backend server

Cause: the call path has to stand before its policies can be put in. Change: the node's servers for callers and the backend server, announcements with a lease, entry and serving side, graceful leave. Conclusion: later work can build on run(), NodeState and Worker.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,3 +1,11 @@
 //! The savorykeel node: the call path and the control loops over the ports.
 
+mod calls;
+mod control;
+mod http;
+mod run;
 pub mod settings;
+mod state;
+mod worker;
+
+pub use run::{Addresses, NodeError, run};
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,270 @@
+//! Wires a node together and runs it until it is told to stop.
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener, TcpStream},
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use async_channel::Sender;
+use ntex::{
+    SharedCfg,
+    http::{HttpService, HttpServiceConfig, Request},
+    rt::{DefaultRuntime, System},
+    server::Server,
+    time::{Seconds, sleep},
+};
+use savorykeel_ports::clock::Clock;
+use serde::Serialize;
+use slog::{Logger, info, warn};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    calls::{announce, entry},
+    control::{self, ControlContext, ControlState},
+    settings::Settings,
+    state::NodeState,
+    worker::{Worker, WorkerSeed, link_settings},
+};
+
+/// Time between two looks at whether the calls in flight have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Time between two looks at the backend server's lease.
+const LEASE_POLL: Duration = Duration::from_millis(200);
+
+/// Time for which a leaving node still takes calls as an entry, so that callers
+/// that keep connections open learn that they close.
+const LINGER: Duration = Duration::from_millis(1_500);
+
+/// Time after which an idle connection of a caller is closed.
+const CALLER_KEEP_ALIVE: Seconds = Seconds(75);
+
+/// Addresses that a node is bound to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Addresses {
+    /// Name of the instance.
+    pub instance: String,
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the backend server on the same instance.
+    pub backend: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// Why a node can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// A listening address can't be bound.
+    #[error("listen.{field}: {addr} can't be bound: {source}")]
+    Bind {
+        /// Field of the settings under `listen`.
+        field: &'static str,
+        /// The address.
+        addr: SocketAddr,
+        /// What the system answered.
+        source: io::Error,
+    },
+    /// A server can't be started.
+    #[error("the node's servers can't be started: {0}")]
+    Start(#[from] io::Error),
+}
+
+struct Listeners {
+    callers: TcpListener,
+    backend: TcpListener,
+    peers: TcpListener,
+    operators: TcpListener,
+}
+
+impl Listeners {
+    fn bind(settings: &Settings) -> Result<Self, NodeError> {
+        let listen = &settings.listen;
+        Ok(Self {
+            callers: bind("callers", listen.callers)?,
+            backend: bind("backend", listen.backend)?,
+            peers: bind("peers", listen.peers)?,
+            operators: bind("operators", listen.operators)?,
+        })
+    }
+
+    fn addresses(&self, settings: &Settings) -> io::Result<Addresses> {
+        Ok(Addresses {
+            instance: settings.instance.as_str().to_owned(),
+            callers: self.callers.local_addr()?,
+            backend: self.backend.local_addr()?,
+            peers: self.peers.local_addr()?,
+            operators: self.operators.local_addr()?,
+        })
+    }
+}
+
+fn bind(field: &'static str, addr: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(addr).map_err(|source| NodeError::Bind { field, addr, source })
+}
+
+/// Runs a node on the calling thread until `stop` is cancelled.
+///
+/// `on_ready` hears the bound addresses once the node takes requests. After
+/// `stop`, the node announces that it leaves and lets calls in flight end, at
+/// most for the drain limit of the settings.
+pub fn run(
+    settings: Settings,
+    log: Logger,
+    stop: CancellationToken,
+    on_ready: impl FnOnce(&Addresses) + 'static,
+) -> Result<(), NodeError> {
+    let listeners = Listeners::bind(&settings)?;
+    let name = settings.instance.as_str().to_owned();
+    System::new(&name, DefaultRuntime).block_on(run_node(settings, log, stop, listeners, on_ready))
+}
+
+async fn run_node(
+    settings: Settings,
+    log: Logger,
+    stop: CancellationToken,
+    listeners: Listeners,
+    on_ready: impl FnOnce(&Addresses),
+) -> Result<(), NodeError> {
+    let addresses = listeners.addresses(&settings)?;
+    let state = new_state(settings, log, &addresses);
+    let cancel = CancellationToken::new();
+    let (accepted_tx, accepted_rx) = async_channel::unbounded();
+    let seed = WorkerSeed { state: state.clone(), accepted: accepted_rx, cancel: cancel.clone() };
+    let servers = start_servers(&seed, &listeners)?;
+    spawn_peer_acceptor(listeners.peers, accepted_tx, cancel.clone())?;
+    spawn_lease_watch(state.clone(), cancel.clone());
+    spawn_control(&state, &cancel);
+    info!(state.log, "node started"; "callers" => %addresses.callers, "peers" => %addresses.peers);
+    on_ready(&addresses);
+    stop.cancelled().await;
+    leave(&state).await;
+    servers.stop(true).await;
+    cancel.cancel();
+    info!(state.log, "node stopped");
+    Ok(())
+}
+
+fn new_state(settings: Settings, log: Logger, addresses: &Addresses) -> Arc<NodeState> {
+    let clock = Clock::default();
+    let peer_addr = settings.advertise_peers.unwrap_or(addresses.peers);
+    let control = Arc::new(ControlState::new(&settings, clock, peer_addr, log.clone()));
+    Arc::new(NodeState {
+        settings,
+        clock,
+        log,
+        control,
+        backend: parking_lot::Mutex::default(),
+        leaving: AtomicBool::new(false),
+        entered: AtomicU32::new(0),
+        serving: AtomicU32::new(0),
+    })
+}
+
+fn start_servers(seed: &WorkerSeed, listeners: &Listeners) -> io::Result<Server> {
+    let limits = &seed.state.settings.limits;
+    let http_config = || {
+        HttpServiceConfig::new()
+            .set_keepalive_timeout(CALLER_KEEP_ALIVE)
+            .set_max_buf_size(limits.header_bytes)
+    };
+    let (for_callers, for_backend) = (seed.clone(), seed.clone());
+    let server = ntex::server::build()
+        .workers(seed.state.settings.workers)
+        .maxconn(limits.caller_connections)
+        .disable_signals()
+        .shutdown_timeout(ntex::time::Millis(limits.drain.as_millis() as u32))
+        .listen("callers", listeners.callers.try_clone()?, async move |_| {
+            let worker = Worker::current(&for_callers);
+            HttpService::new(move |req: Request| {
+                let caller = req.peer_addr().map_or_else(String::new, |addr| addr.ip().to_string());
+                entry::handle(worker.clone(), req, caller)
+            })
+        })?
+        .listen("backend", listeners.backend.try_clone()?, async move |_| {
+            let worker = Worker::current(&for_backend);
+            HttpService::new(move |req: Request| handle_backend(worker.clone(), req))
+        })?
+        .config("callers", SharedCfg::new("callers").add(http_config()))
+        .config("backend", SharedCfg::new("backend").add(http_config()))
+        .run();
+    Ok(server)
+}
+
+async fn handle_backend(worker: Rc<Worker>, req: Request) -> crate::http::HttpResult {
+    if req.path() == announce::ANNOUNCEMENT_PATH {
+        return announce::handle(&worker.state, req).await;
+    }
+    let caller = worker.state.backend.lock().as_ref().map(|backend| backend.record.service.clone());
+    let caller = caller.map_or_else(String::new, |service| service.as_str().to_owned());
+    entry::handle(worker, req, caller).await
+}
+
+/// Accepts connections of other nodes and shares them out among the workers.
+fn spawn_peer_acceptor(
+    listener: TcpListener,
+    accepted: Sender<TcpStream>,
+    cancel: CancellationToken,
+) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    ntex::rt::spawn(async move {
+        loop {
+            let stream = tokio::select! {
+                result = listener.accept() => result,
+                () = cancel.cancelled() => return,
+            };
+            let Ok((stream, _)) = stream else {
+                // Accepting fails while the process is out of file descriptors;
+                // without a pause the loop would spin.
+                sleep(ntex::time::Millis(50)).await;
+                continue;
+            };
+            if let Ok(stream) = stream.into_std() {
+                let _ = accepted.send(stream).await;
+            }
+        }
+    })
+    .detach();
+    Ok(())
+}
+
+fn spawn_lease_watch(state: Arc<NodeState>, cancel: CancellationToken) {
+    ntex::rt::spawn(async move {
+        while !cancel.is_cancelled() {
+            sleep(LEASE_POLL).await;
+            announce::expire(&state);
+        }
+    })
+    .detach();
+}
+
+fn spawn_control(state: &Arc<NodeState>, cancel: &CancellationToken) {
+    let context = ControlContext::new(state.control.clone(), link_settings(state));
+    ntex::rt::spawn(control::run(context, cancel.clone())).detach();
+}
+
+/// Announces that the node leaves and waits until its calls have ended.
+async fn leave(state: &NodeState) {
+    info!(state.log, "node is leaving");
+    state.control.begin_leaving();
+    state.leaving.store(true, Ordering::Release);
+    let started = Instant::now();
+    while started.elapsed() < state.settings.limits.drain {
+        if started.elapsed() >= LINGER && state.is_idle() {
+            return;
+        }
+        sleep(DRAIN_POLL).await;
+    }
+    warn!(state.log, "calls still in flight at the drain limit";
+        "entered" => state.entered.load(Ordering::Relaxed),
+        "serving" => state.serving.load(Ordering::Relaxed));
+}
--- /dev/null
+++ b/crates/node/src/worker.rs
@@ -0,0 +1,132 @@
+//! What one worker thread owns: links to other nodes and connections to the
+//! backend server, neither of which may cross threads.
+
+use std::{
+    cell::{OnceCell, RefCell},
+    net::{SocketAddr, TcpStream},
+    rc::Rc,
+    sync::Arc,
+};
+
+use async_channel::Receiver;
+use rand::{SeedableRng, rngs::StdRng};
+use savorykeel_adapters::{
+    backend::HttpBackend,
+    peer::{LinkSettings, PeerHandler, RpcLinks, serve_connection},
+};
+use savorykeel_ports::backend::BackendError;
+use slog::debug;
+use tokio_util::sync::CancellationToken;
+
+use crate::{calls::serve, control, state::NodeState};
+
+thread_local! {
+    static WORKER: OnceCell<Rc<Worker>> = const { OnceCell::new() };
+}
+
+/// What a worker thread is started with.
+#[derive(Clone)]
+pub(crate) struct WorkerSeed {
+    /// State of the node.
+    pub(crate) state: Arc<NodeState>,
+    /// Connections that other nodes opened, shared out among the workers.
+    pub(crate) accepted: Receiver<TcpStream>,
+    /// Ends the worker's tasks.
+    pub(crate) cancel: CancellationToken,
+}
+
+/// What one worker thread owns.
+pub(crate) struct Worker {
+    /// State of the node.
+    pub(crate) state: Arc<NodeState>,
+    /// Links to other nodes.
+    pub(crate) links: RpcLinks,
+    /// Source of random choices.
+    pub(crate) rng: RefCell<StdRng>,
+    backend: RefCell<Option<CachedBackend>>,
+}
+
+struct CachedBackend {
+    addr: SocketAddr,
+    connections: usize,
+    client: HttpBackend,
+}
+
+impl Worker {
+    /// Returns the calling thread's worker, made from `seed` when first asked.
+    pub(crate) fn current(seed: &WorkerSeed) -> Rc<Worker> {
+        WORKER.with(|cell| cell.get_or_init(|| Worker::start(seed)).clone())
+    }
+
+    fn start(seed: &WorkerSeed) -> Rc<Worker> {
+        let settings = link_settings(&seed.state);
+        let worker = Rc::new(Worker {
+            state: seed.state.clone(),
+            links: RpcLinks::new(settings, seed.cancel.clone()),
+            rng: RefCell::new(StdRng::from_rng(&mut rand::rng())),
+            backend: RefCell::default(),
+        });
+        ntex::rt::spawn(accept_peers(worker.clone(), seed.clone())).detach();
+        worker
+    }
+
+    /// Returns a client for the backend server at `addr`.
+    ///
+    /// `connections` is this worker's share of the backend server's limit.
+    pub(crate) async fn backend(
+        &self,
+        addr: SocketAddr,
+        connections: usize,
+    ) -> Result<HttpBackend, BackendError> {
+        if let Some(cached) = &*self.backend.borrow()
+            && cached.addr == addr
+            && cached.connections == connections
+        {
+            return Ok(cached.client.clone());
+        }
+        let client = HttpBackend::new(addr, connections).await?;
+        *self.backend.borrow_mut() =
+            Some(CachedBackend { addr, connections, client: client.clone() });
+        Ok(client)
+    }
+}
+
+/// Returns how this node opens links.
+pub(crate) fn link_settings(state: &NodeState) -> LinkSettings {
+    let limits = &state.settings.limits;
+    LinkSettings {
+        source: state.settings.listen.peers.ip(),
+        connect_timeout: limits.connect,
+        heartbeat_interval: limits.heartbeat,
+        heartbeat_timeout: limits.silence,
+    }
+}
+
+async fn accept_peers(worker: Rc<Worker>, seed: WorkerSeed) {
+    let handler = peer_handler(&worker);
+    while let Ok(stream) = seed.accepted.recv().await {
+        let (handler, cancel) = (handler.clone(), seed.cancel.clone());
+        let log = worker.state.log.clone();
+        ntex::rt::spawn(async move {
+            if let Err(e) = serve_connection(stream, handler, cancel).await {
+                debug!(log, "connection of another node ended"; "error" => %e);
+            }
+        })
+        .detach();
+    }
+}
+
+fn peer_handler(worker: &Rc<Worker>) -> PeerHandler {
+    let (for_call, for_settle, for_cancel) = (worker.clone(), worker.clone(), worker.clone());
+    let for_control = worker.clone();
+    PeerHandler {
+        call: Rc::new(move |call| Box::pin(serve::run_detached(for_call.clone(), call))),
+        settle: Rc::new(move |attempt| serve::settle(&for_settle, attempt)),
+        cancel: Rc::new(move |id| serve::cancel(&for_cancel, id)),
+        control: Rc::new(move |body| {
+            let state = for_control.state.clone();
+            Box::pin(async move { control::handle(&state.control, &body) })
+        }),
+        ledger: Rc::new(move |_| Box::pin(async { Vec::new() })),
+    }
+}
