Add the node command

It reads checked settings, prints one JSON line with the bound addresses and logs to standard error.

--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands: each takes its flags and says how it ended.
 
 mod check;
+mod node;
 
 use crate::{exit::Exit, flags::Command};
 
@@ -8,6 +9,7 @@
 pub fn run(command: Command) -> Exit {
     let result = match command {
         Command::Check(flags) => check::run(flags),
+        Command::Node(flags) => node::run(flags),
     };
     result.unwrap_or_else(|e| {
         eprintln!("savorykeel: {e:#}");
--- a/crates/core/flags/mod.rs
+++ b/crates/core/flags/mod.rs
@@ -2,12 +2,14 @@
 //! its checks.
 
 mod check;
+mod node;
 
 use std::ffi::OsString;
 
 use argh::FromArgs;
 
 pub use check::{CheckFlags, CheckTarget};
+pub use node::NodeFlags;
 
 /// Distributes configuration through a service mesh without a control plane of
 /// its own.
@@ -27,6 +29,8 @@
 pub enum Command {
     /// Checks a settings or a configuration file.
     Check(CheckFlags),
+    /// Runs a node.
+    Node(NodeFlags),
 }
 
 /// What the command line asks for.
--- /dev/null
+++ b/crates/core/flags/node.rs
@@ -0,0 +1,40 @@
+//! Flags of `savorykeel node`.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use savorykeel_adapters::logging::{LogFormat, LogLevel};
+use strum::IntoEnumIterator;
+
+/// Runs the node that stands beside a backend server.
+///
+/// It prints one JSON line with its addresses when it takes requests and logs to
+/// standard error. SIGTERM and SIGINT end it gracefully, a second one at once.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "node")]
+pub struct NodeFlags {
+    /// settings file
+    #[argh(option, arg_name = "FILE")]
+    pub settings: PathBuf,
+
+    /// how log lines look: json (default) or human
+    #[argh(option, arg_name = "FORMAT", default = "LogFormat::default()", from_str_fn(log_format))]
+    pub log_format: LogFormat,
+
+    /// least severity that is logged: error, warn, info (default) or debug
+    #[argh(option, arg_name = "LEVEL", default = "LogLevel::default()", from_str_fn(log_level))]
+    pub log_level: LogLevel,
+}
+
+fn log_format(raw: &str) -> Result<LogFormat, String> {
+    raw.parse().map_err(|_| unknown(raw, LogFormat::iter()))
+}
+
+fn log_level(raw: &str) -> Result<LogLevel, String> {
+    raw.parse().map_err(|_| unknown(raw, LogLevel::iter()))
+}
+
+fn unknown<T: ToString>(raw: &str, known: impl Iterator<Item = T>) -> String {
+    let known: Vec<String> = known.map(|value| value.to_string()).collect();
+    format!("{raw:?} is not known: use one of {}", known.join(", "))
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,4 +8,4 @@
 mod state;
 mod worker;
 
-pub use run::{Addresses, NodeError, run};
+pub use run::{Addresses, Ending, NodeError, run};
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -60,6 +60,15 @@
     pub operators: SocketAddr,
 }
 
+/// How a node ended after it was told to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// Every call in flight was finished.
+    Graceful,
+    /// The drain limit passed with calls still in flight.
+    CallsCut,
+}
+
 /// Why a node can't run.
 #[derive(Debug, thiserror::Error)]
 pub enum NodeError {
@@ -121,7 +130,7 @@
     log: Logger,
     stop: CancellationToken,
     on_ready: impl FnOnce(&Addresses) + 'static,
-) -> Result<(), NodeError> {
+) -> Result<Ending, NodeError> {
     let listeners = Listeners::bind(&settings)?;
     let name = settings.instance.as_str().to_owned();
     System::new(&name, DefaultRuntime).block_on(run_node(settings, log, stop, listeners, on_ready))
@@ -133,7 +142,7 @@
     stop: CancellationToken,
     listeners: Listeners,
     on_ready: impl FnOnce(&Addresses),
-) -> Result<(), NodeError> {
+) -> Result<Ending, NodeError> {
     let addresses = listeners.addresses(&settings)?;
     let state = new_state(settings, log, &addresses);
     let cancel = CancellationToken::new();
@@ -146,11 +155,11 @@
     info!(state.log, "node started"; "callers" => %addresses.callers, "peers" => %addresses.peers);
     on_ready(&addresses);
     stop.cancelled().await;
-    leave(&state).await;
+    let ending = leave(&state).await;
     servers.stop(true).await;
     cancel.cancel();
     info!(state.log, "node stopped");
-    Ok(())
+    Ok(ending)
 }
 
 fn new_state(settings: Settings, log: Logger, addresses: &Addresses) -> Arc<NodeState> {
@@ -253,18 +262,19 @@
 }
 
 /// Announces that the node leaves and waits until its calls have ended.
-async fn leave(state: &NodeState) {
+async fn leave(state: &NodeState) -> Ending {
     info!(state.log, "node is leaving");
     state.control.begin_leaving();
     state.leaving.store(true, Ordering::Release);
     let started = Instant::now();
     while started.elapsed() < state.settings.limits.drain {
         if started.elapsed() >= LINGER && state.is_idle() {
-            return;
+            return Ending::Graceful;
         }
         sleep(DRAIN_POLL).await;
     }
     warn!(state.log, "calls still in flight at the drain limit";
         "entered" => state.entered.load(Ordering::Relaxed),
         "serving" => state.serving.load(Ordering::Relaxed));
+    Ending::CallsCut
 }
