Publish a JSON Schema that check agrees with

The comparison found two faults in the checks, mended here: - times beyond RFC 3339 (a space for T, no seconds, a zone name) were taken; - a service that stands twice was taken, and the last one won.

--- a/crates/policy/src/config/mod.rs
+++ b/crates/policy/src/config/mod.rs
@@ -4,3 +4,4 @@
 
 pub mod model;
 pub mod raw;
+mod rfc3339;
--- a/crates/policy/src/config/model.rs
+++ b/crates/policy/src/config/model.rs
@@ -8,6 +8,7 @@
 };
 
 use super::raw::{RawConfiguration, RawLimits, RawMatch, RawObjective, RawRoute, RawService};
+use super::rfc3339::has_rfc3339_shape;
 
 /// Number of the only configuration format that this program knows.
 pub const CONFIGURATION_FORMAT: u32 = 1;
@@ -186,7 +187,8 @@
 }
 
 fn check_time(checker: &mut Checker, path: &str, raw: &str) -> Option<WallMillis> {
-    let millis = raw.parse::<jiff::Timestamp>().ok().map(|at| at.as_millisecond());
+    let time = raw.parse::<jiff::Timestamp>().ok().filter(|_| has_rfc3339_shape(raw));
+    let millis = time.map(|at| at.as_millisecond());
     match millis.and_then(|at| u64::try_from(at).ok()) {
         Some(at) => Some(WallMillis(at)),
         None => {
--- a/crates/policy/src/config/raw.rs
+++ b/crates/policy/src/config/raw.rs
@@ -3,14 +3,17 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use serde_with::{MapPreventDuplicates, serde_as};
 
 /// The whole desired configuration.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawConfiguration {
     /// Number of the format; see [`super::model::CONFIGURATION_FORMAT`].
     pub format: u32,
-    /// Services by name.
+    /// Services by name; a name that stands twice is refused.
+    #[serde_as(as = "MapPreventDuplicates<_, _>")]
     pub services: BTreeMap<String, RawService>,
     /// Routes in order: the first that matches takes the request.
     pub routes: Vec<RawRoute>,
--- /dev/null
+++ b/tests/feature/check_configuration.rs
@@ -0,0 +1,164 @@
+//! `savorykeel check --configuration` and the published JSON Schema.
+
+use std::{
+    io::Write,
+    process::{Command, Output, Stdio},
+};
+
+use serde_json::{Value, json};
+use yare::parameterized;
+
+const SCHEMA: &str = include_str!("../../docs/configuration.schema.json");
+
+fn good() -> Value {
+    json!({
+        "format": 1,
+        "services": {
+            "gate": {
+                "version": "v2",
+                "by": "2026-12-04T18:00:00Z",
+                "objective": {"success": 0.999, "latency_ms": 250, "fast": 0.99}
+            },
+            "ring": {"version": "2026.12-rc_1"}
+        },
+        "routes": [
+            {
+                "name": "unlock",
+                "match": {"host": "doors.example", "path": "/gate/unlock", "methods": ["POST"]},
+                "service": "gate",
+                "idempotent": false,
+                "urgent": true,
+                "timeout_ms": 2000,
+                "body_limit_bytes": 0
+            },
+            {"name": "ring", "match": {"path": "/"}, "service": "ring", "idempotent": true}
+        ],
+        "limits": {"retry_share": 0.1, "unproven_share": 0.05, "call_depth": 32}
+    })
+}
+
+/// Sets the value at a JSON pointer, or removes it for `None`.
+fn with(pointer: &str, value: Option<Value>) -> Value {
+    let mut document = good();
+    let (parent, key) = pointer.rsplit_once('/').unwrap();
+    match document.pointer_mut(parent).unwrap() {
+        Value::Array(items) => items[key.parse::<usize>().unwrap()] = value.unwrap(),
+        Value::Object(fields) => {
+            match value {
+                Some(value) => fields.insert(key.into(), value),
+                None => fields.remove(key),
+            };
+        }
+        other => panic!("{parent} is {other}"),
+    }
+    document
+}
+
+fn check(text: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_savorykeel"))
+        .args(["check", "--configuration", "-"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(text.as_bytes()).unwrap();
+    child.wait_with_output().unwrap()
+}
+
+fn schema_accepts(document: &Value) -> bool {
+    let schema: Value = serde_json::from_str(SCHEMA).unwrap();
+    jsonschema::validator_for(&schema).unwrap().is_valid(document)
+}
+
+fn check_refusal(document: &Value) -> String {
+    let output = check(&document.to_string());
+    assert_eq!(output.status.code(), Some(2));
+    String::from_utf8(output.stderr).unwrap()
+}
+
+#[parameterized(
+    whole = { good() },
+    no_limits = { with("/limits", None) },
+    some_limits = { with("/limits", Some(json!({"call_depth": 1}))) },
+    no_time = { with("/services/gate/by", None) },
+    null_time = { with("/services/gate/by", Some(json!(null))) },
+    time_with_offset = { with("/services/gate/by", Some(json!("2026-12-04T21:00:00.250+03:00"))) },
+    no_objective = { with("/services/gate/objective", None) },
+    empty_objective = { with("/services/gate/objective", Some(json!({}))) },
+    whole_number_share = { with("/services/gate/objective/success", Some(json!(1))) },
+    no_host = { with("/routes/0/match/host", None) },
+    null_host = { with("/routes/0/match/host", Some(json!(null))) },
+    any_method = { with("/routes/0/match/methods", Some(json!([]))) },
+    no_routes = { with("/routes", Some(json!([]))) },
+    longest_timeout = { with("/routes/0/timeout_ms", Some(json!(300_000))) },
+    largest_body = { with("/routes/0/body_limit_bytes", Some(json!(16_777_216))) },
+)]
+fn good_documents_pass_both(document: Value) {
+    let output = check(&document.to_string());
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    assert!(schema_accepts(&document));
+}
+
+#[parameterized(
+    format = { with("/format", Some(json!(2))), "format: 2 is not a known format: use 1" },
+    no_format = { with("/format", None), "missing field `format`" },
+    services_as_list = { with("/services", Some(json!([]))), "services: invalid type: sequence" },
+    service_name = { with("/services/a b", Some(json!({"version": "v1"}))), "services.a b: \"a b\" is not a name" },
+    long_name = { with("/routes/0/name", Some(json!("x".repeat(64)))), "routes[0].name: " },
+    version = { with("/services/gate/version", Some(json!(""))), "services.gate.version: \"\" is not a name" },
+    no_version = { with("/services/gate/version", None), "services.gate: missing field `version`" },
+    time = { with("/services/gate/by", Some(json!("tomorrow"))), "services.gate.by: \"tomorrow\" is not a time: use RFC 3339" },
+    time_without_zone = { with("/services/gate/by", Some(json!("2026-12-04T18:00:00"))), "services.gate.by: " },
+    time_with_space = { with("/services/gate/by", Some(json!("2026-12-04 18:00:00Z"))), "services.gate.by: " },
+    time_with_zone_name = { with("/services/gate/by", Some(json!("2026-12-04T18:00:00+02:00[Europe/Athens]"))), "services.gate.by: " },
+    time_without_seconds = { with("/services/gate/by", Some(json!("2026-12-04T18:00Z"))), "services.gate.by: " },
+    share = { with("/services/gate/objective/fast", Some(json!(1.5))), "services.gate.objective.fast: 1.5 is not a share" },
+    latency = { with("/services/gate/objective/latency_ms", Some(json!(0))), "services.gate.objective.latency_ms: 0 ms: use 1 to 300000" },
+    objective_field = { with("/services/gate/objective/p99", Some(json!(1))), "services.gate.objective.p99: unknown field `p99`" },
+    no_match = { with("/routes/0/match", None), "routes[0]: missing field `match`" },
+    path = { with("/routes/0/match/path", Some(json!("gate"))), "routes[0].match.path: \"gate\" is not a path" },
+    method = { with("/routes/0/match/methods/0", Some(json!("post"))), "routes[0].match.methods[0]: \"post\" is not a method" },
+    idempotent_by_default = { with("/routes/0/idempotent", None), "routes[0]: missing field `idempotent`" },
+    idempotent_as_text = { with("/routes/0/idempotent", Some(json!("no"))), "routes[0].idempotent: invalid type" },
+    timeout = { with("/routes/0/timeout_ms", Some(json!(300_001))), "routes[0].timeout_ms: 300001 ms: use 1 to 300000" },
+    negative = { with("/routes/0/timeout_ms", Some(json!(-1))), "routes[0].timeout_ms: invalid value" },
+    fraction = { with("/routes/0/timeout_ms", Some(json!(1.5))), "routes[0].timeout_ms: invalid type" },
+    body_limit = { with("/routes/0/body_limit_bytes", Some(json!(16_777_217))), "routes[0].body_limit_bytes: 16777217 bytes: use at most 16777216" },
+    retry_share = { with("/limits/retry_share", Some(json!(-0.1))), "limits.retry_share: -0.1 is not a share" },
+    depth = { with("/limits/call_depth", Some(json!(0))), "limits.call_depth: 0: use at least 1" },
+    limit_field = { with("/limits/colour", Some(json!(1))), "limits.colour: unknown field `colour`" },
+    top_field = { with("/comment", Some(json!("hello"))), "comment: unknown field `comment`" },
+)]
+fn bad_documents_fail_both(document: Value, expected: &str) {
+    let message = check_refusal(&document);
+    assert!(message.contains(expected), "{message}");
+    assert!(message.starts_with("standard input: "), "{message}");
+    assert!(!schema_accepts(&document));
+}
+
+/// Rules between two places of a document, which a JSON Schema can't state.
+#[parameterized(
+    unknown_service = { with("/routes/0/service", Some(json!("gates"))), "routes[0].service: route \"unlock\" names the unknown service \"gates\"" },
+    route_name_twice = { with("/routes/1/name", Some(json!("unlock"))), "routes[1].name: \"unlock\" names two routes" },
+    no_such_day = { with("/services/gate/by", Some(json!("2026-02-30T18:00:00Z"))), "services.gate.by: " },
+)]
+fn only_check_sees_what_a_schema_cannot_state(document: Value, expected: &str) {
+    let message = check_refusal(&document);
+    assert!(message.contains(expected), "{message}");
+    assert!(schema_accepts(&document));
+}
+
+#[parameterized(
+    service_twice = { r#"{"format":1,"services":{"a":{"version":"v1"},"a":{"version":"v2"}},"routes":[]}"#, "services" },
+    field_twice = { r#"{"format":1,"format":1,"services":{},"routes":[]}"#, "duplicate field `format`" },
+    two_documents = { r#"{"format":1,"services":{},"routes":[]} {}"#, "use one JSON object and nothing after it" },
+    cut = { r#"{"format":1,"services":{"#, "EOF" },
+    empty = { "", "EOF" },
+)]
+fn text_with_two_readings_is_refused(text: &str, expected: &str) {
+    let output = check(text);
+    let message = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2), "{message}");
+    assert!(message.contains(expected), "{message}");
+}
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -1,3 +1,5 @@
 //! Feature tests by theme.
 
 mod binary;
+mod check_configuration;
+mod cli_usage;
