Decide moves between backend server versions

Cause: nothing decided which version of a service takes which calls. Change: policy::moves holds targets, evidence and state of moves as values with a commutative, associative and idempotent merge; a sequential judge; a ramp; and the split that the call path reads. A node that skipped configurations or lost its memory derives the same base version from its peers' notes. How good and bad versions fare is not measured yet. Conclusion: other modules can compile against MoveBook and VersionSplit.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod config;
 pub mod ids;
 pub mod membership;
+pub mod moves;
 pub mod table;
 pub mod time;
--- /dev/null
+++ b/crates/policy/src/moves/book.rs
@@ -0,0 +1,422 @@
+//! All that one node knows about moves.
+//!
+//! Targets and states are known to every node, because every node chooses
+//! versions. Reports of evidence go to the nodes of the same service alone.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::model::Configuration,
+    ids::{BackendVersion, ConfigVersion, InstanceName, RouteName, ServiceName, ZoneName},
+    membership::entry::Stamp,
+    table::{ServiceTable, Table},
+    time::{Tick, WallMillis},
+};
+
+use super::{
+    capacity::Capacity,
+    evidence::{Evidence, Observation, Report},
+    split::VersionSplit,
+    state::{MoveKey, MoveState, Permille},
+    status::{ENDING_FORMAT, MoveEnding, MoveReport, Phase, Seen},
+    targets::{ServiceTargets, Target, Targets},
+    watch::{Base, Look, Watch},
+};
+
+/// Targets and states of one service, as they travel.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceMoves {
+    /// The service.
+    pub service: ServiceName,
+    /// The targets noted.
+    pub targets: ServiceTargets,
+    /// The states of its moves.
+    pub states: Vec<KnownState>,
+}
+
+/// The state of one move, as it travels.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownState {
+    /// The move's id.
+    pub asked: ConfigVersion,
+    /// Its state.
+    pub state: MoveState,
+}
+
+/// What one node tells another about moves.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MoveGossip {
+    /// Services whose targets or states changed.
+    pub services: Vec<ServiceMoves>,
+    /// Reports for a node of the same service.
+    pub reports: Vec<Report>,
+}
+
+impl MoveGossip {
+    /// Tells whether there is nothing to say.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty() && self.reports.is_empty()
+    }
+}
+
+/// Counts the changes of a [`MoveBook`], for [`MoveBook::delta_since`].
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BookRevision(pub u64);
+
+/// All that one node knows about moves.
+#[derive(Debug, Default)]
+pub struct MoveBook {
+    targets: Targets,
+    states: BTreeMap<MoveKey, MoveState>,
+    revisions: BTreeMap<ServiceName, BookRevision>,
+    revision: BookRevision,
+    evidence: Evidence,
+    own: Option<Report>,
+    watches: BTreeMap<MoveKey, Watch>,
+}
+
+impl MoveBook {
+    /// Notes an applied configuration.
+    pub fn follow(&mut self, version: ConfigVersion, configuration: &Configuration) {
+        let before: Vec<_> = configuration.services.keys().map(|s| self.targets.runs(s)).collect();
+        self.targets.follow(version, configuration);
+        for (service, before) in configuration.services.keys().zip(before) {
+            if self.targets.runs(service) != before {
+                self.touch(service);
+            }
+        }
+    }
+
+    /// Says which backend server this node counts; the counts start anew when
+    /// the version changed.
+    pub fn announce(
+        &mut self,
+        instance: &InstanceName,
+        incarnation: u64,
+        zone: &ZoneName,
+        service: &ServiceName,
+        version: &BackendVersion,
+    ) {
+        let is_same = |own: &Report| own.service == *service && own.version == *version;
+        if self.own.as_ref().is_some_and(is_same) {
+            return;
+        }
+        let sequence = self.own.as_ref().map_or(0, |own| own.stamp.sequence + 1);
+        self.own = Some(Report {
+            instance: instance.clone(),
+            stamp: Stamp { incarnation, sequence },
+            zone: zone.clone(),
+            service: service.clone(),
+            version: version.clone(),
+            crashes: 0,
+            routes: BTreeMap::new(),
+        });
+    }
+
+    /// Counts one call that the backend server beside this node ran.
+    pub fn record(&mut self, route: &RouteName, version: &BackendVersion, seen: Observation) {
+        if let Some(own) = self.own.as_mut().filter(|own| own.version == *version) {
+            own.record(route, seen);
+        }
+    }
+
+    /// Counts an end of the backend server beside this node without leaving.
+    pub fn record_crash(&mut self) {
+        if let Some(own) = &mut self.own {
+            own.record_crash();
+        }
+    }
+
+    /// Returns this node's own report.
+    pub fn own_report(&self) -> Option<&Report> {
+        self.own.as_ref()
+    }
+
+    /// Returns the newest revision.
+    pub fn revision(&self) -> BookRevision {
+        self.revision
+    }
+
+    /// Returns what changed after `revision`; the first delta is everything.
+    pub fn delta_since(&self, revision: BookRevision) -> MoveGossip {
+        let changed = self.revisions.iter().filter(|(_, at)| **at > revision);
+        let services = changed.filter_map(|(service, _)| self.service_moves(service)).collect();
+        MoveGossip { services, reports: Vec::new() }
+    }
+
+    /// Takes in what another node said and tells whether a target or a state
+    /// changed.
+    pub fn merge(&mut self, gossip: MoveGossip) -> bool {
+        let mut is_changed = false;
+        for moves in gossip.services {
+            is_changed |= self.merge_service(moves);
+        }
+        for report in gossip.reports {
+            self.evidence.merge(report);
+        }
+        is_changed
+    }
+
+    /// Takes in the end of a move that the log keeps.
+    pub fn merge_ending(&mut self, ending: &MoveEnding) -> bool {
+        let key = MoveKey { service: ending.service.clone(), asked: ending.asked };
+        self.merge_state(key, &ending.state)
+    }
+
+    /// Returns how the calls of a service are split now, or none when no backend
+    /// server may take them.
+    pub fn split(&self, table: &ServiceTable, service: &ServiceName) -> Option<VersionSplit> {
+        let course = self.course(table, service)?;
+        let new_slots = slots_of(table, &course.target.version);
+        let has_new = new_slots > 0 && course.state.bad.is_none();
+        let Some(old) = course.old else {
+            return has_new.then(|| VersionSplit::whole(course.target.version));
+        };
+        if !has_new {
+            return Some(VersionSplit::whole(old));
+        }
+        let ceiling = Capacity { new_slots, old_slots: slots_of(table, &old) }.ceiling();
+        let share = course.state.effective_share().min(ceiling);
+        Some(VersionSplit::between(old, course.target.version, share, course.target.asked.0))
+    }
+
+    /// Looks at the move of the service beside this node and returns whether its
+    /// state changed.
+    pub fn look(&mut self, table: &Table, tick: Tick, wall: WallMillis) -> bool {
+        let Some(own) = self.own.clone() else { return false };
+        let service = own.service.clone();
+        self.evidence.merge(own);
+        let Some(service_table) = table.services.get(&service) else { return false };
+        let Some(course) = self.course(service_table, &service) else { return false };
+        self.forget_gone(table, &service);
+        let key = MoveKey { service: service.clone(), asked: course.target.asked };
+        let look = Look {
+            tick,
+            wall,
+            by: self.targets.by(&service),
+            unproven: Permille::from_share(table.configuration.limits.unproven_share),
+            old: course.old.as_ref(),
+            base: course.base,
+            new: &course.target.version,
+            capacity: Capacity {
+                new_slots: slots_of(service_table, &course.target.version),
+                old_slots: course.old.as_ref().map_or(0, |old| slots_of(service_table, old)),
+            },
+            evidence: &self.evidence,
+        };
+        self.watches.retain(|watched, _| *watched == key);
+        let routes = table.configuration.routes.iter().filter(|r| r.service == service).count();
+        let watch = self
+            .watches
+            .entry(key.clone())
+            .or_insert_with(|| Watch::new(routes, &look, &course.state));
+        let wanted = watch.look(&look, &course.state);
+        self.merge_state(key, &wanted)
+    }
+
+    /// Tells whether evidence is worth sending: both versions have instances, so
+    /// that there is something to compare and somewhere to go back to.
+    pub fn wants_evidence(&self, table: &Table) -> bool {
+        let Some(own) = &self.own else { return false };
+        let Some(service) = table.services.get(&own.service) else { return false };
+        self.course(service, &own.service)
+            .is_some_and(|course| course.old.is_some() && course.state.bad.is_none())
+    }
+
+    /// Returns the move in force of each service, for operators.
+    pub fn reports(&self, table: &Table) -> Vec<MoveReport> {
+        let reports = table.services.iter();
+        reports.filter_map(|(service, t)| self.report(t, service)).collect()
+    }
+
+    /// Returns the end of a service's move in force, for the log, once it ended.
+    pub fn ending(&self, table: &Table, at: WallMillis) -> Option<MoveEnding> {
+        let service = &self.own.as_ref()?.service;
+        let report = self.report(table.services.get(service)?, service)?;
+        let state = self.state(service, &self.targets.current(service)?);
+        if !state.done && state.bad.is_none() {
+            return None;
+        }
+        Some(MoveEnding {
+            format: ENDING_FORMAT,
+            service: service.clone(),
+            asked: report.asked,
+            to: report.to,
+            from: report.from,
+            state,
+            at,
+            old: report.old,
+            new: report.new,
+        })
+    }
+
+    fn touch(&mut self, service: &ServiceName) {
+        self.revision.0 += 1;
+        self.revisions.insert(service.clone(), self.revision);
+    }
+
+    fn service_moves(&self, service: &ServiceName) -> Option<ServiceMoves> {
+        let targets = self.targets.notes(service)?.clone();
+        let first = MoveKey { service: service.clone(), asked: ConfigVersion(0) };
+        let of_service = self.states.range(first..).take_while(|(key, _)| key.service == *service);
+        let states = of_service
+            .map(|(key, state)| KnownState { asked: key.asked, state: state.clone() })
+            .collect();
+        Some(ServiceMoves { service: service.clone(), targets, states })
+    }
+
+    fn merge_service(&mut self, moves: ServiceMoves) -> bool {
+        let mut is_changed = self.targets.merge(&moves.service, &moves.targets);
+        if is_changed {
+            self.touch(&moves.service);
+        }
+        for known in moves.states {
+            let key = MoveKey { service: moves.service.clone(), asked: known.asked };
+            is_changed |= self.merge_state(key, &known.state);
+        }
+        is_changed
+    }
+
+    fn merge_state(&mut self, key: MoveKey, state: &MoveState) -> bool {
+        let service = key.service.clone();
+        let is_changed = self.states.entry(key).or_default().merge(state);
+        if is_changed {
+            self.touch(&service);
+        }
+        is_changed
+    }
+
+    /// Returns the state of a target: all states that were noted under an id
+    /// within its run belong to it.
+    fn state(&self, service: &ServiceName, target: &Target) -> MoveState {
+        let from = MoveKey { service: service.clone(), asked: target.asked };
+        let next = self.targets.runs(service).into_iter().find(|run| run.asked > target.asked);
+        let end = next.map_or(ConfigVersion(u64::MAX), |next| next.asked);
+        let to = MoveKey { service: service.clone(), asked: end };
+        let states = self.states.range(from..to);
+        states.fold(MoveState::default(), |joined, (_, state)| joined.joined(state))
+    }
+
+    fn course(&self, table: &ServiceTable, service: &ServiceName) -> Option<Course> {
+        let mut runs = self.targets.runs(service);
+        let target = runs.pop()?;
+        let state = self.state(service, &target);
+        let live: BTreeSet<&BackendVersion> =
+            table.endpoints.iter().map(|endpoint| &endpoint.version).collect();
+        let base = self.base(service, &runs);
+        let is_return = base.as_ref().is_some_and(|base| base.version == target.version);
+        if is_return && state.bad.is_none() {
+            // The target never stopped carrying the traffic.
+            return Some(Course { target, state, old: None, base: Base::Target });
+        }
+        let is_usable = |run: &Target| {
+            run.version != target.version
+                && live.contains(&run.version)
+                && self.state(service, run).bad.is_none()
+        };
+        let known = base.filter(is_usable);
+        let earlier = || runs.iter().rev().find(|run| is_usable(run)).cloned();
+        let old = known.or_else(earlier).map(|run| run.version);
+        let old = old.or_else(|| self.unknown_base(table, &runs, &target));
+        let base = if runs.is_empty() { Base::Unknown } else { Base::Known };
+        Some(Course { target, state, old, base })
+    }
+
+    /// Returns the version that carried all traffic before the target was asked
+    /// for: the last that was done, else the oldest known.
+    fn base(&self, service: &ServiceName, runs: &[Target]) -> Option<Target> {
+        let is_done = |run: &&Target| {
+            let state = self.state(service, run);
+            state.done && state.bad.is_none()
+        };
+        let done = runs.iter().rev().find(is_done);
+        done.or_else(|| runs.iter().find(|run| self.state(service, run).bad.is_none())).cloned()
+    }
+
+    /// Takes the version with most live instances when no earlier target is
+    /// known, so that a node without history doesn't hand all traffic to the
+    /// target.
+    fn unknown_base(
+        &self,
+        table: &ServiceTable,
+        runs: &[Target],
+        target: &Target,
+    ) -> Option<BackendVersion> {
+        if !runs.is_empty() {
+            return None;
+        }
+        let mut counts: BTreeMap<&BackendVersion, usize> = BTreeMap::new();
+        for endpoint in &table.endpoints {
+            *counts.entry(&endpoint.version).or_default() += 1;
+        }
+        counts.remove(&target.version);
+        let most = counts.into_iter().max_by_key(|(_, count)| *count);
+        most.map(|(version, _)| version.clone())
+    }
+
+    fn forget_gone(&mut self, table: &Table, service: &ServiceName) {
+        let Some(table) = table.services.get(service) else { return };
+        let live: BTreeSet<&InstanceName> =
+            table.endpoints.iter().map(|endpoint| &endpoint.instance).collect();
+        let own = self.own.as_ref().map(|own| &own.instance);
+        self.evidence.retain(|instance| live.contains(instance) || Some(instance) == own);
+    }
+
+    fn report(&self, table: &ServiceTable, service: &ServiceName) -> Option<MoveReport> {
+        let course = self.course(table, service)?;
+        let key = MoveKey { service: service.clone(), asked: course.target.asked };
+        let watch = self.watches.get(&key);
+        let share = self.split(table, service).map_or(Permille::NONE, |split| {
+            if *split.new_version() == course.target.version {
+                split.share()
+            } else {
+                Permille::NONE
+            }
+        });
+        Some(MoveReport {
+            service: service.clone(),
+            asked: course.target.asked,
+            phase: phase_of(table, &course, share),
+            from: course.old,
+            to: course.target.version,
+            share_permille: share,
+            by: self.targets.by(service),
+            by_note: watch.map(|watch| watch.due().note),
+            reason: course.state.bad,
+            old: watch.map_or(Seen::default(), Watch::seen_old),
+            new: watch.map_or(Seen::default(), Watch::seen_new),
+            is_evidence_thin: watch.is_some_and(Watch::is_evidence_thin),
+        })
+    }
+}
+
+/// Where a service's traffic goes from and to.
+struct Course {
+    target: Target,
+    state: MoveState,
+    old: Option<BackendVersion>,
+    base: Base,
+}
+
+fn phase_of(table: &ServiceTable, course: &Course, share: Permille) -> Phase {
+    if course.state.bad.is_some() {
+        return Phase::TakenBack;
+    }
+    if slots_of(table, &course.target.version) == 0 {
+        return Phase::WaitingForInstances;
+    }
+    match (course.state.done, course.state.is_rechecking()) {
+        (true, true) => Phase::Rechecking,
+        (true, false) => Phase::Done,
+        (false, _) if course.old.is_none() => Phase::Rising,
+        (false, _) if share < course.state.share => Phase::WaitingForCapacity,
+        (false, _) => Phase::Rising,
+    }
+}
+
+fn slots_of(table: &ServiceTable, version: &BackendVersion) -> u32 {
+    let live = table.endpoints.iter().filter(|endpoint| endpoint.version == *version);
+    live.map(|endpoint| endpoint.slots).sum()
+}
--- /dev/null
+++ b/crates/policy/src/moves/histogram.rs
@@ -0,0 +1,104 @@
+//! A small latency histogram whose buckets are the same on every node.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Buckets of a histogram.
+pub const LATENCY_BUCKETS: usize = 64;
+
+/// Upper bound of the first bucket in microseconds.
+const FIRST_BUCKET_US: f64 = 250.0;
+
+/// Buckets for each doubling of the latency.
+const BUCKETS_PER_OCTAVE: f64 = 4.0;
+
+/// Counts of calls by latency.
+///
+/// It travels whole instead of a count of slow calls, because the judge's bound
+/// for slow comes from the old version's own calls and may move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<Bucket>", into = "Vec<Bucket>")]
+pub struct Histogram([u32; LATENCY_BUCKETS]);
+
+/// One bucket that isn't empty, as it travels.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Bucket {
+    index: u8,
+    count: u32,
+}
+
+impl Default for Histogram {
+    fn default() -> Self {
+        Self([0; LATENCY_BUCKETS])
+    }
+}
+
+impl From<Vec<Bucket>> for Histogram {
+    fn from(buckets: Vec<Bucket>) -> Self {
+        let mut histogram = Self::default();
+        for bucket in buckets {
+            if let Some(count) = histogram.0.get_mut(usize::from(bucket.index)) {
+                *count = count.saturating_add(bucket.count);
+            }
+        }
+        histogram
+    }
+}
+
+impl From<Histogram> for Vec<Bucket> {
+    fn from(histogram: Histogram) -> Self {
+        let counts = histogram.0.iter().enumerate().filter(|(_, count)| **count > 0);
+        counts.map(|(i, count)| Bucket { index: i as u8, count: *count }).collect()
+    }
+}
+
+impl Histogram {
+    /// Counts one call.
+    pub fn record(&mut self, took: Duration) {
+        let bucket = bucket_of(took);
+        self.0[bucket] = self.0[bucket].saturating_add(1);
+    }
+
+    /// Returns the number of calls.
+    pub fn total(&self) -> u64 {
+        self.0.iter().map(|n| u64::from(*n)).sum()
+    }
+
+    /// Returns the number of calls in buckets from `bucket` on.
+    pub fn tail(&self, bucket: usize) -> u64 {
+        self.0.iter().skip(bucket).map(|n| u64::from(*n)).sum()
+    }
+
+    /// Adds the counts of another histogram.
+    pub fn add(&mut self, other: &Self) {
+        for (count, more) in self.0.iter_mut().zip(other.0) {
+            *count = count.saturating_add(more);
+        }
+    }
+
+    /// Returns what was counted since `earlier`, or nothing where it counted
+    /// more.
+    pub fn since(&self, earlier: &Self) -> Self {
+        let mut increase = *self;
+        for (count, before) in increase.0.iter_mut().zip(earlier.0) {
+            *count = count.saturating_sub(before);
+        }
+        increase
+    }
+
+    /// Returns the lowest bucket from which on at most `share` of the calls lie.
+    pub fn tail_bucket(&self, share: f64) -> usize {
+        let allowed = (self.total() as f64 * share) as u64;
+        (0..LATENCY_BUCKETS).find(|b| self.tail(*b) <= allowed).unwrap_or(LATENCY_BUCKETS)
+    }
+}
+
+fn bucket_of(took: Duration) -> usize {
+    let ratio = took.as_micros() as f64 / FIRST_BUCKET_US;
+    if ratio <= 1.0 {
+        return 0;
+    }
+    let bucket = (ratio.log2() * BUCKETS_PER_OCTAVE).ceil() as usize;
+    bucket.min(LATENCY_BUCKETS - 1)
+}
--- /dev/null
+++ b/crates/policy/src/moves/targets.rs
@@ -0,0 +1,138 @@
+//! Which versions each service was asked to run, in order.
+//!
+//! The version that a move starts from must be the same on every node, also on
+//! one that started a moment ago. A node notes the target of each configuration
+//! that it applies and merges the notes of its peers, so no node depends on
+//! having read every record of the log.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::model::Configuration,
+    ids::{BackendVersion, ConfigVersion, ServiceName},
+    time::WallMillis,
+};
+
+/// Notes kept for each service.
+pub const MAX_TARGETS: usize = 8;
+
+/// A version that a configuration asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// Version of the configuration that asked, as far as the notes go back.
+    pub asked: ConfigVersion,
+    /// The version asked for.
+    pub version: BackendVersion,
+}
+
+/// The notes about one service.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceTargets {
+    asked: BTreeMap<ConfigVersion, BackendVersion>,
+}
+
+impl ServiceTargets {
+    /// Notes a target unless the last note says the same.
+    fn note(&mut self, asked: ConfigVersion, version: &BackendVersion) {
+        let before = self.asked.range(..=asked).next_back();
+        if before.is_some_and(|(_, noted)| noted == version) {
+            return;
+        }
+        self.asked.insert(asked, version.clone());
+        self.trim();
+    }
+
+    /// Adds the notes of a peer and tells whether any is new.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        let before = self.clone();
+        for (asked, version) in &other.asked {
+            let noted = self.asked.entry(*asked).or_insert_with(|| version.clone());
+            if version > noted {
+                *noted = version.clone();
+            }
+        }
+        self.trim();
+        *self != before
+    }
+
+    fn trim(&mut self) {
+        while self.asked.len() > MAX_TARGETS {
+            self.asked.pop_first();
+        }
+    }
+
+    /// Returns the targets in order, each with the earliest note of its run.
+    pub fn runs(&self) -> Vec<Target> {
+        let mut runs: Vec<Target> = Vec::new();
+        for (asked, version) in &self.asked {
+            if runs.last().is_none_or(|last| last.version != *version) {
+                runs.push(Target { asked: *asked, version: version.clone() });
+            }
+        }
+        runs
+    }
+}
+
+/// The targets of all services, with the times asked for.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Targets {
+    /// Version of the newest configuration noted.
+    pub applied: ConfigVersion,
+    services: BTreeMap<ServiceName, ServiceTargets>,
+    by: BTreeMap<ServiceName, WallMillis>,
+}
+
+impl Targets {
+    /// Notes what an applied configuration asks for.
+    pub fn follow(&mut self, version: ConfigVersion, configuration: &Configuration) {
+        if version < self.applied {
+            return;
+        }
+        self.applied = version;
+        self.by.clear();
+        for (name, service) in &configuration.services {
+            self.services.entry(name.clone()).or_default().note(version, &service.version);
+            if let Some(by) = service.by {
+                self.by.insert(name.clone(), by);
+            }
+        }
+    }
+
+    /// Returns the targets of a service in order, the one in force last.
+    ///
+    /// Notes that a peer took from a newer configuration are left out until this
+    /// node has applied it.
+    pub fn runs(&self, service: &ServiceName) -> Vec<Target> {
+        let Some(targets) = self.services.get(service) else { return Vec::new() };
+        let mut runs = targets.runs();
+        runs.retain(|target| target.asked <= self.applied);
+        runs
+    }
+
+    /// Returns the target in force.
+    pub fn current(&self, service: &ServiceName) -> Option<Target> {
+        self.runs(service).pop()
+    }
+
+    /// Returns the time by which the target in force should carry all traffic.
+    pub fn by(&self, service: &ServiceName) -> Option<WallMillis> {
+        self.by.get(service).copied()
+    }
+
+    /// Returns the notes about a service, for gossip.
+    pub fn notes(&self, service: &ServiceName) -> Option<&ServiceTargets> {
+        self.services.get(service)
+    }
+
+    /// Adds a peer's notes about a service and tells whether any is new.
+    pub fn merge(&mut self, service: &ServiceName, notes: &ServiceTargets) -> bool {
+        self.services.entry(service.clone()).or_default().merge(notes)
+    }
+
+    /// Returns the services with notes.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
+    }
+}
