Add stand-ins of the log service, backend servers, a faulty network and callers

Tests and the demo need the systems around savorykeel, with their faults on demand. Each stand-in runs on a thread of its own with its own runtime, binds any free port and stops when its handle is dropped, so that many fit into one test process. The caller checks each answer against its own request and holds what it saw against the ledgers of the backend servers.

ntex's client tells a connection that ended after the request was sent as a connect error without a cause; the caller counts that as cut, not as not sent.

--- /dev/null
+++ b/crates/standins/src/backend/announce.rs
@@ -0,0 +1,95 @@
+//! Announcement to the node on the same instance, repeated within its lease.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use ntex::{SharedCfg, client::Client, http::StatusCode, time::Millis};
+use serde::Serialize;
+use tokio_util::sync::CancellationToken;
+
+use super::server::Shared;
+
+/// Announcements per lease, so that two may be lost.
+const PER_LEASE: u64 = 3;
+
+/// Pause after an announcement that the node didn't take.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest wait for the node's answer.
+const ANSWER_TIMEOUT: Millis = Millis(1_000);
+
+#[derive(Serialize)]
+struct Announcement<'a> {
+    service: &'a str,
+    version: &'a str,
+    address: SocketAddr,
+    slots: usize,
+    connections: usize,
+    draining: bool,
+    lease_ms: u64,
+}
+
+/// Keeps the announcement alive until the token is cancelled.
+pub(crate) async fn announce(shared: Arc<Shared>, life: CancellationToken) {
+    let (Some(node), Ok(client)) = (shared.settings.node, client().await) else {
+        life.cancelled().await;
+        return;
+    };
+    let url = format!("http://{node}/savorykeel/v1/announcement");
+    let mut announced = false;
+    loop {
+        // Registered before the flags are read, so that no change is missed.
+        let mut changed = std::pin::pin!(shared.announce_now.notified());
+        changed.as_mut().enable();
+        let wanted = shared.announcing.load(Ordering::Relaxed);
+        let pause = if wanted {
+            announced = put(&client, &url, &shared).await;
+            if announced { lease_part(&shared) } else { RETRY_PAUSE }
+        } else {
+            announced = announced && !withdraw(&client, &url).await;
+            if announced { RETRY_PAUSE } else { lease_part(&shared) }
+        };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = changed => {}
+            () = life.cancelled() => return,
+        }
+    }
+}
+
+async fn client() -> Result<Client, ntex::client::error::ClientBuilderError> {
+    let cfg: SharedCfg = SharedCfg::new("announce").into();
+    Client::builder().response_timeout(ANSWER_TIMEOUT).build(cfg).await
+}
+
+fn lease_part(shared: &Shared) -> Duration {
+    Duration::from_millis(shared.settings.lease_ms / PER_LEASE)
+}
+
+async fn put(client: &Client, url: &str, shared: &Shared) -> bool {
+    let announcement = Announcement {
+        service: &shared.settings.service,
+        version: &shared.settings.version,
+        address: shared.addr,
+        slots: shared.settings.slots,
+        connections: shared.settings.connections,
+        draining: shared.draining.load(Ordering::Relaxed),
+        lease_ms: shared.settings.lease_ms,
+    };
+    let taken = client
+        .put(url)
+        .send_json(&announcement)
+        .await
+        .is_ok_and(|answer| answer.status() == StatusCode::OK);
+    if taken {
+        shared.ledger.lock().counts.announcements += 1;
+    }
+    taken
+}
+
+async fn withdraw(client: &Client, url: &str) -> bool {
+    client.delete(url).send().await.is_ok_and(|answer| answer.status() == StatusCode::OK)
+}
--- /dev/null
+++ b/crates/standins/src/backend/run.rs
@@ -0,0 +1,148 @@
+//! Running one request: slot, latency, failure, answer.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use ntex::http::{Response, StatusCode};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::http::{Call, empty};
+
+use super::{ledger::Run, server::Shared};
+
+/// Largest padding that a request may ask for, in bytes.
+const MAX_PADDING_BYTES: usize = 16 << 20;
+
+/// Body of an answer, by which a caller checks that it got the whole answer to
+/// its own request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The request's `X-Request-Tag`.
+    pub tag: Option<String>,
+    /// Length of the request's body in bytes.
+    pub body_bytes: usize,
+    /// 64-bit xxh3 of the request's body, in hex.
+    pub body_hash: String,
+    /// Name of the backend server.
+    pub instance: String,
+    /// Its service.
+    pub service: String,
+    /// Its version.
+    pub version: String,
+    /// As many bytes as `X-Answer-Padding` asked for.
+    pub padding: String,
+}
+
+impl Answer {
+    /// Returns the hash that an answer to this body carries.
+    pub fn hash_of(body: &[u8]) -> String {
+        format!("{:016x}", xxh3_64(body))
+    }
+}
+
+/// Counts a request as cancelled unless it is told otherwise.
+struct CancelGuard<'a> {
+    shared: &'a Shared,
+    ended: bool,
+}
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        self.shared.running.fetch_sub(1, Ordering::Relaxed);
+        if !self.ended {
+            self.shared.ledger.lock().counts.cancelled += 1;
+        }
+    }
+}
+
+/// Runs a request within the slots.
+pub(crate) async fn run(shared: Arc<Shared>, call: Call) -> Response {
+    if shared.slots.available_permits() == 0
+        && shared.waiting.load(Ordering::Relaxed) >= shared.settings.waiting
+    {
+        shared.ledger.lock().counts.shed += 1;
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    shared.waiting.fetch_add(1, Ordering::Relaxed);
+    let waiting = WaitGuard { shared: &shared };
+    let slot = shared.slots.acquire().await;
+    drop(waiting);
+    let Ok(_slot) = slot else { return empty(StatusCode::SERVICE_UNAVAILABLE) };
+    let running = shared.running.fetch_add(1, Ordering::Relaxed) + 1;
+    let mut guard = CancelGuard { shared: &shared, ended: false };
+    let place = shared.ledger.lock().begin(describe(&shared, &call));
+    if call.header("x-crash") == Some("1") && shared.crash() {
+        call.cut();
+        return empty(StatusCode::INTERNAL_SERVER_ERROR);
+    }
+    let (latency, rate) = shared.draw_parameters(&call.path, running);
+    if !latency.is_zero() {
+        tokio::time::sleep(latency).await;
+    }
+    let fails = rate > 0.0 && shared.rng.lock().random_bool(rate.min(1.0));
+    let status = if fails { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
+    guard.ended = true;
+    shared.ledger.lock().end(place, status.as_u16());
+    answer(&shared, &call, status)
+}
+
+/// Keeps the number of waiting requests right when one is dropped.
+struct WaitGuard<'a> {
+    shared: &'a Shared,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.shared.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn describe(shared: &Shared, call: &Call) -> Run {
+    let text = |name: &str| call.header(name).map(str::to_owned);
+    Run {
+        attempt: text("savorykeel-request-id"),
+        key: text("idempotency-key"),
+        tag: text("x-request-tag"),
+        deadline_ms: call.header("savorykeel-deadline-ms").and_then(|ms| ms.parse().ok()),
+        depth: call.header("savorykeel-depth").and_then(|depth| depth.parse().ok()),
+        method: call.method.as_str().to_owned(),
+        path: call.path.clone(),
+        started_ms: shared.since_start().as_millis() as u64,
+        status: None,
+    }
+}
+
+fn answer(shared: &Shared, call: &Call, status: StatusCode) -> Response {
+    let padding = call.header("x-answer-padding").and_then(|n| n.parse().ok()).unwrap_or(0_usize);
+    let body = Answer {
+        tag: call.header("x-request-tag").map(str::to_owned),
+        body_bytes: call.body.len(),
+        body_hash: Answer::hash_of(&call.body),
+        instance: shared.settings.name.clone(),
+        service: shared.settings.service.clone(),
+        version: shared.settings.version.clone(),
+        padding: "x".repeat(padding.min(MAX_PADDING_BYTES)),
+    };
+    let mut response = Response::build(status);
+    response.header("x-backend-version", shared.settings.version.as_str());
+    if let Some(tag) = &body.tag {
+        response.header("x-request-tag", tag.as_str());
+    }
+    response.json(&body)
+}
+
+impl Shared {
+    /// Returns how long a request takes and how likely it fails.
+    fn draw_parameters(&self, path: &str, running: usize) -> (Duration, f64) {
+        let behaviour = self.behaviour.lock();
+        let cold = self.since_boot() < Duration::from_millis(behaviour.cold_ms);
+        let cold_extra = if cold { behaviour.cold_extra_latency_ms } else { 0 };
+        let route_extra = behaviour.route(path).map_or(0, |route| route.extra_latency_ms);
+        let latency_ms = behaviour.latency_ms + cold_extra + route_extra;
+        (Duration::from_millis(latency_ms), behaviour.rate(path, running))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/caller/load.rs
@@ -0,0 +1,231 @@
+//! Calls all the time, from several callers at once.
+
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
+
+use crate::{backend::Answer, thread::OwnedThread};
+
+use super::{CallError, Observation, Reply, Request, Seen, client::Wire};
+
+/// Pause of a caller that reached no node at all.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(20);
+
+/// One kind of request in the mix.
+#[derive(Debug, Clone)]
+pub struct Template {
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Bytes in the body.
+    pub body_bytes: usize,
+    /// Bytes of padding asked for in the answer.
+    pub padding_bytes: usize,
+    /// Whether each request carries an idempotency key of its own.
+    pub keyed: bool,
+}
+
+impl Template {
+    /// A request with a short body, keyed when it isn't a `GET`.
+    pub fn new(method: &str, target: &str) -> Self {
+        Self {
+            method: method.to_owned(),
+            target: target.to_owned(),
+            body_bytes: if method == "GET" { 0 } else { 64 },
+            padding_bytes: 0,
+            keyed: method != "GET",
+        }
+    }
+}
+
+/// What the callers do.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Nodes that callers may enter by, in turn.
+    pub entries: Vec<SocketAddr>,
+    /// Kinds of requests, in turn.
+    pub mix: Vec<Template>,
+    /// Callers, each with one request at a time.
+    pub callers: usize,
+    /// Pause of a caller between two requests.
+    pub pause: Duration,
+    /// Prefix of the tags, so that two loads don't share one.
+    pub name: String,
+    /// Time after which a caller gives up.
+    pub timeout: Duration,
+}
+
+impl Plan {
+    /// Four callers with a pause of 5 ms.
+    pub fn new(name: &str, entries: Vec<SocketAddr>, mix: Vec<Template>) -> Self {
+        Self {
+            entries,
+            mix,
+            callers: 4,
+            pause: Duration::from_millis(5),
+            name: name.to_owned(),
+            timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+/// What the load's thread and its owner share. Lock order: `entries` before
+/// `observations`.
+struct Shared {
+    entries: Mutex<Vec<SocketAddr>>,
+    observations: Mutex<Vec<Observation>>,
+    next: AtomicU64,
+    started: Instant,
+}
+
+/// Callers at work; dropping it abandons their requests.
+pub struct Load {
+    shared: Arc<Shared>,
+    finish: CancellationToken,
+    thread: OwnedThread,
+}
+
+impl Load {
+    /// Starts the callers on a thread of their own.
+    pub fn start(plan: Plan) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            entries: Mutex::new(plan.entries.clone()),
+            observations: Mutex::new(Vec::new()),
+            next: AtomicU64::new(0),
+            started: Instant::now(),
+        });
+        let finish = CancellationToken::new();
+        let (served, finished) = (shared.clone(), finish.clone());
+        let thread = OwnedThread::start("load", CancellationToken::new(), move |_| {
+            run(plan, served, finished)
+        })?;
+        Ok(Self { shared, finish, thread })
+    }
+
+    /// Replaces the nodes that callers enter by.
+    pub fn set_entries(&self, entries: Vec<SocketAddr>) {
+        *self.shared.entries.lock() = entries;
+    }
+
+    /// Returns the number of calls that ended so far.
+    pub fn calls(&self) -> usize {
+        self.shared.observations.lock().len()
+    }
+
+    /// Returns what was seen so far.
+    pub fn observations(&self) -> Vec<Observation> {
+        self.shared.observations.lock().clone()
+    }
+
+    /// Lets each caller finish its request and returns everything seen.
+    pub fn finish(mut self) -> Vec<Observation> {
+        self.finish.cancel();
+        self.thread.join();
+        self.observations()
+    }
+}
+
+async fn run(plan: Plan, shared: Arc<Shared>, finish: CancellationToken) {
+    let Ok(wire) = Wire::new().await else { return };
+    let plan = Rc::new(plan);
+    let callers = (0..plan.callers).map(|_| {
+        let caller = call_until(wire.clone(), plan.clone(), shared.clone(), finish.clone());
+        ntex::rt::spawn(caller)
+    });
+    let callers: Vec<_> = callers.collect();
+    for caller in callers {
+        let _ = caller.await;
+    }
+}
+
+async fn call_until(wire: Wire, plan: Rc<Plan>, shared: Arc<Shared>, finish: CancellationToken) {
+    while !finish.is_cancelled() {
+        let n = shared.next.fetch_add(1, Ordering::Relaxed);
+        let observation = call_once(&wire, &plan, &shared, n).await;
+        let unreachable = matches!(observation.seen, Seen::Lost { .. });
+        shared.observations.lock().push(observation);
+        let pause = if unreachable { UNREACHABLE_PAUSE.max(plan.pause) } else { plan.pause };
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+async fn call_once(wire: &Wire, plan: &Plan, shared: &Shared, n: u64) -> Observation {
+    let template = &plan.mix[n as usize % plan.mix.len()];
+    let tag = format!("{}-{n}", plan.name);
+    let req = request(template, &tag, plan.timeout);
+    let entries = shared.entries.lock().clone();
+    let at = shared.started.elapsed();
+    let begun = Instant::now();
+    let seen = enter(wire, &entries, n as usize, &req, &tag).await;
+    let latency = begun.elapsed();
+    Observation { tag, target: template.target.clone(), keyed: template.keyed, at, latency, seen }
+}
+
+fn request(template: &Template, tag: &str, timeout: Duration) -> Request {
+    let mut req = Request::new(&template.method, &template.target).tag(tag).timeout(timeout);
+    if template.keyed {
+        req = req.key(tag);
+    }
+    if template.padding_bytes > 0 {
+        req = req.header("X-Answer-Padding", template.padding_bytes.to_string());
+    }
+    // The body differs by request, so that a swapped answer is told by its hash.
+    req.body = tag.bytes().cycle().take(template.body_bytes).collect();
+    req
+}
+
+/// Sends the request by the first node that takes a connection.
+async fn enter(
+    wire: &Wire,
+    entries: &[SocketAddr],
+    first: usize,
+    req: &Request,
+    tag: &str,
+) -> Seen {
+    let mut problem = "no node to enter by".to_owned();
+    for i in 0..entries.len() {
+        let entry = entries[(first + i) % entries.len()];
+        match wire.call(entry, req).await {
+            Ok(reply) => return judge(&reply, req, tag),
+            Err(CallError::Cut(problem)) => {
+                return Seen::Cut { problem: format!("{entry}: {problem}") };
+            }
+            Err(CallError::TimedOut) => {
+                return Seen::Lost { problem: format!("{entry}: no whole answer in time") };
+            }
+            Err(e) => problem = format!("{entry}: {e}"),
+        }
+    }
+    Seen::Lost { problem }
+}
+
+/// Tells what a whole answer says of the request.
+fn judge(reply: &Reply, req: &Request, tag: &str) -> Seen {
+    let code = reply.code().unwrap_or(0);
+    match reply.outcome() {
+        Some("not-run") => return Seen::NotRun { code },
+        Some("unknown") => return Seen::Unknown { code },
+        _ => {}
+    }
+    let Ok(answer) = reply.json::<Answer>() else {
+        let problem = format!("status {} with {} bytes", reply.status, reply.body.len());
+        return Seen::Mismatched { problem };
+    };
+    if answer.tag.as_deref() != Some(tag) || answer.body_hash != Answer::hash_of(&req.body) {
+        return Seen::Mismatched { problem: format!("got the answer to {:?}", answer.tag) };
+    }
+    Seen::Answered { status: reply.status, version: answer.version, instance: answer.instance }
+}
--- /dev/null
+++ b/crates/standins/src/caller/mod.rs
@@ -0,0 +1,14 @@
+//! Stand-in of a caller: it sends requests, checks that it gets the whole answer
+//! to its own request, and tells what it saw.
+
+mod client;
+mod load;
+mod message;
+mod tally;
+
+pub use self::{
+    client::{Client, Pending},
+    load::{Load, Plan, Template},
+    message::{CallError, Header, Reply, Request},
+    tally::{Observation, Seen, Tally},
+};
--- /dev/null
+++ b/crates/standins/src/http.rs
@@ -0,0 +1,155 @@
+//! The HTTP server under the stand-ins, by ntex.
+
+use std::{cell::Cell, future::Future, io, net, rc::Rc, time::Duration};
+
+use ntex::{
+    SharedCfg,
+    http::{HttpService, HttpServiceConfig, Method, Payload, Request, Response, StatusCode},
+    http::{error::PayloadError, header::HeaderMap},
+    io::IoRef,
+    service::{Pipeline, ServiceFactory, fn_service},
+    time::Seconds,
+    util::BytesMut,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio_util::sync::CancellationToken;
+
+/// Time after which an idle connection is closed.
+const KEEP_ALIVE: Seconds = Seconds(75);
+
+/// Pause after a failed accept, for instance when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// A request with its whole body.
+pub(crate) struct Call {
+    /// Method.
+    pub(crate) method: Method,
+    /// Path without query.
+    pub(crate) path: String,
+    /// Query, empty when there is none.
+    pub(crate) query: String,
+    /// Headers.
+    pub(crate) headers: HeaderMap,
+    /// Whole body.
+    pub(crate) body: Vec<u8>,
+    io: Option<IoRef>,
+}
+
+impl Call {
+    /// Returns a header as text, or nothing when it is absent or not text.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// Closes the connection at once, so that the caller gets no answer.
+    pub(crate) fn cut(&self) {
+        if let Some(io) = &self.io {
+            io.terminate();
+        }
+    }
+
+    /// Parses the body as JSON and names the path of what is wrong.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Response> {
+        let mut de = serde_json::Deserializer::from_slice(&self.body);
+        serde_path_to_error::deserialize(&mut de).map_err(|e| {
+            let problem = format!("{}: {}\n", e.path(), e.inner());
+            Response::build(StatusCode::BAD_REQUEST).body(problem)
+        })
+    }
+
+    /// Returns a value of the query.
+    pub(crate) fn query_value(&self, name: &str) -> Option<&str> {
+        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+    }
+}
+
+/// Answers with a value as JSON.
+pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Response {
+    Response::build(status).json(value)
+}
+
+/// Answers with a status and no body.
+pub(crate) fn empty(status: StatusCode) -> Response {
+    Response::build(status).finish()
+}
+
+/// Serves HTTP/1.1 on a listener until the token is cancelled, then cuts every
+/// connection.
+///
+/// A connection above `max_connections` is closed at once, as a server does
+/// that is out of them.
+pub(crate) async fn serve<H, F>(
+    listener: net::TcpListener,
+    stop: CancellationToken,
+    max_connections: usize,
+    handler: H,
+) -> io::Result<()>
+where
+    H: Fn(Call) -> F + Clone + 'static,
+    F: Future<Output = Response> + 'static,
+{
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let service = fn_service(move |req: Request| {
+        let handler = handler.clone();
+        async move { answer(req, handler).await }
+    });
+    let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE).set_client_timeout(Seconds::ZERO);
+    let cfg: SharedCfg = SharedCfg::new("standin").add(http).into();
+    let factory = HttpService::h1(service);
+    let service =
+        factory.create(cfg.clone()).await.map_err(|()| io::Error::other("no HTTP service"))?;
+    let service = Pipeline::new(service);
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return Ok(()),
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if open.get() >= max_connections {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let io = ntex::rt::from_tcp_stream(stream.into_std()?, cfg.clone())?;
+        let (service, stop, open) = (service.clone(), stop.clone(), open.clone());
+        ntex::rt::spawn(async move {
+            let io_ref = io.get_ref();
+            tokio::select! {
+                _ = service.call(io) => {}
+                () = stop.cancelled() => io_ref.terminate(),
+            }
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn answer<H, F>(mut req: Request, handler: H) -> Result<Response, io::Error>
+where
+    H: Fn(Call) -> F,
+    F: Future<Output = Response>,
+{
+    let Ok(body) = read_body(req.take_payload()).await else {
+        return Ok(empty(StatusCode::BAD_REQUEST));
+    };
+    let call = Call {
+        method: req.method().clone(),
+        path: req.path().to_owned(),
+        query: req.uri().query().unwrap_or("").to_owned(),
+        headers: req.headers().clone(),
+        body,
+        io: req.io().cloned(),
+    };
+    Ok(handler(call).await)
+}
+
+async fn read_body(mut payload: Payload) -> Result<Vec<u8>, PayloadError> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = std::future::poll_fn(|cx| payload.poll_recv(cx)).await {
+        body.extend_from_slice(&chunk?);
+    }
+    Ok(body.to_vec())
+}
--- /dev/null
+++ b/crates/standins/src/log/store.rs
@@ -0,0 +1,176 @@
+//! The streams, their retention and the limit on appends.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::Settings;
+
+/// Counts of one stream since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamCounts {
+    /// Appends that took effect.
+    pub appends: u64,
+    /// Bytes of these appends.
+    pub append_bytes: u64,
+    /// Appends refused by the limit.
+    pub refused_appends: u64,
+    /// Reads answered, long polls included.
+    pub reads: u64,
+    /// Records handed out by these reads.
+    pub records_read: u64,
+}
+
+/// A record with the time of its append.
+struct Stored {
+    body: Vec<u8>,
+    at: Instant,
+}
+
+/// One stream.
+#[derive(Default)]
+pub(crate) struct Stream {
+    records: VecDeque<Stored>,
+    earliest: u64,
+    pub(crate) counts: StreamCounts,
+}
+
+impl Stream {
+    fn next(&self) -> u64 {
+        self.earliest + self.records.len() as u64
+    }
+
+    fn drop_oldest(&mut self) {
+        self.records.pop_front();
+        self.earliest += 1;
+    }
+}
+
+/// Records of a read.
+pub(crate) struct Page {
+    pub(crate) earliest: u64,
+    pub(crate) next: u64,
+    pub(crate) records: Vec<(u64, Vec<u8>)>,
+}
+
+/// Why the store refuses a request.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum StoreError {
+    TooManyAppends,
+    Expired { earliest: u64 },
+}
+
+/// Every stream, and the budget of appends.
+pub(crate) struct Store {
+    streams: BTreeMap<String, Stream>,
+    appends_per_second: u32,
+    retain: Option<Duration>,
+    retain_records: Option<usize>,
+    budget: f64,
+    refilled: Instant,
+}
+
+impl Store {
+    pub(crate) fn new(settings: &Settings, now: Instant) -> Self {
+        Self {
+            streams: BTreeMap::new(),
+            appends_per_second: settings.appends_per_second,
+            retain: settings.retain_ms.map(Duration::from_millis),
+            retain_records: settings.retain_records,
+            budget: f64::from(settings.appends_per_second),
+            refilled: now,
+        }
+    }
+
+    /// Appends a record and returns its offset.
+    pub(crate) fn append(
+        &mut self,
+        name: &str,
+        body: Vec<u8>,
+        now: Instant,
+    ) -> Result<u64, StoreError> {
+        let allowed = self.take_from_budget(now);
+        let stream = self.streams.entry(name.to_owned()).or_default();
+        if !allowed {
+            stream.counts.refused_appends += 1;
+            return Err(StoreError::TooManyAppends);
+        }
+        let offset = stream.next();
+        stream.counts.appends += 1;
+        stream.counts.append_bytes += body.len() as u64;
+        stream.records.push_back(Stored { body, at: now });
+        self.expire(now);
+        Ok(offset)
+    }
+
+    /// Returns up to `limit` records from an offset on.
+    pub(crate) fn read(
+        &mut self,
+        name: &str,
+        from: u64,
+        limit: usize,
+        now: Instant,
+    ) -> Result<Page, StoreError> {
+        self.expire(now);
+        let stream = self.streams.entry(name.to_owned()).or_default();
+        if from < stream.earliest {
+            return Err(StoreError::Expired { earliest: stream.earliest });
+        }
+        let skipped = (from - stream.earliest).min(stream.records.len() as u64) as usize;
+        let bodies = stream.records.iter().skip(skipped).take(limit);
+        let records = (from..).zip(bodies.map(|stored| stored.body.clone())).collect();
+        Ok(Page { earliest: stream.earliest, next: stream.next(), records })
+    }
+
+    /// Notes that a read was answered with so many records.
+    pub(crate) fn note_read(&mut self, name: &str, records: usize) {
+        let counts = &mut self.streams.entry(name.to_owned()).or_default().counts;
+        counts.reads += 1;
+        counts.records_read += records as u64;
+    }
+
+    /// Returns the counts of every stream.
+    pub(crate) fn counts(&self) -> BTreeMap<String, StreamCounts> {
+        self.streams.iter().map(|(name, stream)| (name.clone(), stream.counts)).collect()
+    }
+
+    /// Forgets the `count` oldest records of a stream.
+    pub(crate) fn expire_oldest(&mut self, name: &str, count: usize) {
+        let Some(stream) = self.streams.get_mut(name) else { return };
+        for _ in 0..count.min(stream.records.len()) {
+            stream.drop_oldest();
+        }
+    }
+
+    fn take_from_budget(&mut self, now: Instant) -> bool {
+        let rate = f64::from(self.appends_per_second);
+        let refill = now.duration_since(self.refilled).as_secs_f64() * rate;
+        self.budget = (self.budget + refill).min(rate);
+        self.refilled = now;
+        let allowed = self.budget >= 1.0;
+        if allowed {
+            self.budget -= 1.0;
+        }
+        allowed
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let (retain, retain_records) = (self.retain, self.retain_records);
+        for stream in self.streams.values_mut() {
+            let too_many =
+                retain_records.map_or(0, |kept| stream.records.len().saturating_sub(kept));
+            for _ in 0..too_many {
+                stream.drop_oldest();
+            }
+            while let (Some(retain), Some(oldest)) = (retain, stream.records.front()) {
+                if now.duration_since(oldest.at) < retain {
+                    break;
+                }
+                stream.drop_oldest();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/proxy/handle.rs
@@ -0,0 +1,152 @@
+//! Starting the proxy and turning its switches.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    http,
+    thread::{OwnedThread, bind},
+};
+
+use super::{
+    Established, Faults, Settings, Zone, control,
+    faults::FaultTable,
+    forward::{Generation, Shared, accept},
+};
+
+/// Connections on the control address.
+const CONTROL_CONNECTIONS: usize = 16;
+
+/// What went through the proxy since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Connections forwarded.
+    pub connections: u64,
+    /// Connections open now.
+    pub open: u64,
+    /// Bytes delivered to the target.
+    pub request_bytes: u64,
+    /// Bytes delivered to clients.
+    pub answer_bytes: u64,
+}
+
+impl Counts {
+    pub(crate) fn of(shared: &Shared) -> Self {
+        Self {
+            connections: shared.connections.load(Ordering::Relaxed),
+            open: shared.open.load(Ordering::Relaxed),
+            request_bytes: shared.request_bytes.load(Ordering::Relaxed),
+            answer_bytes: shared.answer_bytes.load(Ordering::Relaxed),
+        }
+    }
+}
+
+/// A running proxy; it stops and cuts its connections when dropped.
+pub struct Handle {
+    addr: SocketAddr,
+    control: Option<SocketAddr>,
+    shared: Arc<Shared>,
+    thread: OwnedThread,
+}
+
+/// Starts a proxy on its own thread.
+pub fn start(settings: Settings) -> io::Result<Handle> {
+    let listener = bind(settings.listen)?;
+    let addr = listener.local_addr()?;
+    let control_listener = settings.control.map(bind).transpose()?;
+    let control = control_listener.as_ref().map(|listener| listener.local_addr()).transpose()?;
+    let table = FaultTable { all: settings.faults, ..FaultTable::default() };
+    let shared = Arc::new(Shared {
+        target: Mutex::new(settings.target),
+        faults: watch::Sender::new(table),
+        generation: Mutex::new(Generation::new()),
+        connections: AtomicU64::new(0),
+        open: AtomicU64::new(0),
+        request_bytes: AtomicU64::new(0),
+        answer_bytes: AtomicU64::new(0),
+    });
+    let served = shared.clone();
+    let thread =
+        OwnedThread::start("proxy-standin", CancellationToken::new(), move |stop| async move {
+            if let Some(listener) = control_listener {
+                let shared = served.clone();
+                let handler = move |call| control::handle(shared.clone(), call);
+                ntex::rt::spawn(async move {
+                    let _ = http::serve(listener, stop, CONTROL_CONNECTIONS, handler).await;
+                });
+            }
+            // An error here ends the stand-in; its clients see refused connections.
+            let _ = accept(listener, served).await;
+        })?;
+    Ok(Handle { addr, control, shared, thread })
+}
+
+impl Handle {
+    /// Returns the address that it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns the address of the switches over HTTP.
+    pub fn control_addr(&self) -> Option<SocketAddr> {
+        self.control
+    }
+
+    /// Sends new connections to another target, for instance a restarted node.
+    pub fn set_target(&self, target: SocketAddr) {
+        *self.shared.target.lock() = target;
+    }
+
+    /// Replaces the faults of connections whose zone has none of its own.
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.set_faults(faults);
+    }
+
+    /// Replaces the faults of connections from one availability zone; nothing
+    /// gives the zone the common faults again.
+    pub fn set_zone_faults(&self, zone: Zone, faults: Option<Faults>) {
+        self.shared.set_zone_faults(zone, faults);
+    }
+
+    /// Closes every open connection; new ones work.
+    pub fn cut_established(&self) {
+        self.shared.treat_established(Established::Cut);
+    }
+
+    /// Lets every open connection go silent for good; new ones work.
+    pub fn silence_established(&self) {
+        self.shared.treat_established(Established::Silence);
+    }
+
+    /// Refuses new connections and closes open ones.
+    pub fn cut(&self) {
+        self.set_faults(Faults { refuse: true, ..Faults::default() });
+        self.cut_established();
+    }
+
+    /// Ends every fault; connections that went silent stay so.
+    pub fn heal(&self) {
+        self.shared.faults.send_replace(FaultTable::default());
+    }
+
+    /// Returns what went through.
+    pub fn counts(&self) -> Counts {
+        Counts::of(&self.shared)
+    }
+
+    /// Waits until the thread ends, for use as a process of its own.
+    pub fn join(mut self) {
+        self.thread.join();
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/backend.rs
@@ -0,0 +1,105 @@
+//! The backend server stand-in runs, fails, crashes and accounts for requests.
+
+use std::time::{Duration, Instant};
+
+use savorykeel_standins::{
+    backend::{self, Answer, Behaviour, Hint, LoadFailures, RouteBehaviour, Settings},
+    caller::{CallError, Client, Request},
+};
+
+fn start(settings: Settings) -> (backend::Handle, Client) {
+    (backend::start(settings).unwrap(), Client::start().unwrap())
+}
+
+fn gate() -> Settings {
+    Settings::new("gate", "v1").named("gate-a")
+}
+
+/// Waits for a condition, long enough for a busy machine.
+fn eventually(condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + Duration::from_secs(30);
+    while !condition() {
+        assert!(Instant::now() < deadline, "the condition didn't come to hold");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn answer_belongs_to_its_request() {
+    let (server, client) = start(gate());
+    let req = Request::post("/gate/open", "door 7").tag("t1").header("X-Answer-Padding", "100000");
+    let reply = client.call(server.addr(), req).unwrap();
+    let answer: Answer = reply.json().unwrap();
+    assert_eq!(answer.tag.as_deref(), Some("t1"));
+    assert_eq!(answer.body_hash, Answer::hash_of(b"door 7"));
+    assert_eq!((answer.version.as_str(), answer.padding.len()), ("v1", 100_000));
+    let runs = server.ledger();
+    assert_eq!((runs.len(), runs[0].tag.as_deref(), runs[0].status), (1, Some("t1"), Some(200)));
+}
+
+#[test]
+fn failures_by_route_and_by_load() {
+    let bad_route =
+        RouteBehaviour { path: "/gate/log".into(), failure_rate: 1.0, extra_latency_ms: 0 };
+    let under_load = Some(LoadFailures { above: 1, rate: 1.0 });
+    let behaviour =
+        Behaviour { latency_ms: 100, routes: vec![bad_route], under_load, ..Behaviour::default() };
+    let (server, client) = start(gate().behaving(behaviour));
+    let status = |path: &str| client.call(server.addr(), Request::get(path)).unwrap().status;
+    assert_eq!(status("/gate/open"), 200);
+    assert_eq!(status("/gate/log/1"), 500);
+    let first = client.send(server.addr(), Request::get("/gate/open"));
+    eventually(|| server.running() == 1);
+    assert_eq!(status("/gate/open"), 500);
+    assert_eq!(first.wait().unwrap().status, 200);
+}
+
+#[test]
+fn requests_above_the_slots_wait_and_then_shed() {
+    let behaviour = Behaviour { latency_ms: 200, ..Behaviour::default() };
+    let mut settings = gate().behaving(behaviour);
+    (settings.slots, settings.waiting) = (1, 1);
+    let (server, client) = start(settings);
+    let calls: Vec<_> = (0..4).map(|_| client.send(server.addr(), Request::get("/gate"))).collect();
+    let mut statuses: Vec<u16> =
+        calls.into_iter().map(|call| call.wait().unwrap().status).collect();
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 200, 503, 503]);
+    assert_eq!((server.counts().started, server.counts().shed), (2, 2));
+}
+
+#[test]
+fn marked_request_crashes_and_the_server_comes_back() {
+    let mut settings = gate();
+    settings.restart_ms = 10;
+    let (server, client) = start(settings);
+    let cut = client.call(server.addr(), Request::get("/gate").header("X-Crash", "1"));
+    assert!(matches!(cut, Err(CallError::Cut(_))), "{cut:?}");
+    eventually(|| client.call(server.addr(), Request::get("/gate")).is_ok());
+    assert_eq!(server.counts().crashes, 1);
+}
+
+#[test]
+fn hints_mislead() {
+    let behaviour =
+        Behaviour { health: Hint::AlwaysGood, load: Hint::AlwaysBad, ..Behaviour::default() };
+    let (server, client) = start(gate().behaving(behaviour));
+    server.drain();
+    assert_eq!(client.call(server.addr(), Request::get("/health")).unwrap().status, 200);
+    let load = client.call(server.addr(), Request::get("/load")).unwrap().text();
+    assert!(load.contains("\"running\":20"), "{load}");
+    assert!(server.ledger().is_empty());
+}
+
+#[test]
+fn announcement_is_repeated_until_it_leaves() {
+    // A backend server stands in for the node: it answers 200 and keeps a ledger.
+    let (node, _client) = start(Settings::new("node", "v1"));
+    let mut settings = gate().beside(node.addr());
+    settings.lease_ms = 60;
+    let server = backend::start(settings).unwrap();
+    eventually(|| server.counts().announcements >= 3);
+    server.leave();
+    eventually(|| node.ledger().last().is_some_and(|run| run.method == "DELETE"));
+    assert!(node.ledger().iter().all(|run| run.path == "/savorykeel/v1/announcement"));
+}
