--- a/crates/core/flags/mod.rs
+++ b/crates/core/flags/mod.rs
@@ -9,6 +9,8 @@
 
 pub use check::{CheckFlags, CheckTarget};
 
+use crate::standin::StandinCommand;
+
 /// Distributes configuration through a service mesh without a control plane of
 /// its own.
 #[derive(FromArgs, Debug)]
@@ -27,6 +29,8 @@
 pub enum Command {
     /// Checks a settings or a configuration file.
     Check(CheckFlags),
+    /// Runs a stand-in.
+    Standin(StandinCommand),
 }
 
 /// What the command line asks for.
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod exit;
 mod flags;
+mod standin;
 
 use std::{env, process::ExitCode};
 
