--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands: each takes its flags and says how it ended.
 
 mod check;
+mod node;
 
 use crate::{exit::Exit, flags::Command, standin};
 
@@ -8,6 +9,7 @@
 pub fn run(command: Command) -> Exit {
     let result = match command {
         Command::Check(flags) => check::run(flags),
+        Command::Node(flags) => node::run(flags),
         Command::Standin(command) => standin::run(command).map(|()| Exit::Done),
     };
     result.unwrap_or_else(|e| {
--- a/crates/core/flags/mod.rs
+++ b/crates/core/flags/mod.rs
@@ -2,12 +2,14 @@
 //! its checks.
 
 mod check;
+mod node;
 
 use std::ffi::OsString;
 
 use argh::FromArgs;
 
 pub use check::{CheckFlags, CheckTarget};
+pub use node::NodeFlags;
 
 use crate::standin::StandinCommand;
 
@@ -29,6 +31,8 @@
 pub enum Command {
     /// Checks a settings or a configuration file.
     Check(CheckFlags),
+    /// Runs a node.
+    Node(NodeFlags),
     /// Runs a stand-in.
     Standin(StandinCommand),
 }
