Add the test harness: node processes, fleets and journals

Tests of failures need real processes behind proxies. A node listens on 127.0.Z.N, so that a proxy tells its zone by the source.

--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -1,3 +1,4 @@
 //! Feature tests by theme.
 
 mod binary;
+mod harness;
--- /dev/null
+++ b/tests/harness/command.rs
@@ -0,0 +1,45 @@
+//! Runs of a command of the binary that end by themselves.
+
+use std::{
+    io::Write,
+    process::{Command, Output, Stdio},
+};
+
+use super::process::BINARY;
+
+/// How a command ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// Exit code; nothing when a signal ended it.
+    pub code: Option<i32>,
+    /// Standard output as text.
+    pub stdout: String,
+    /// Standard error as text.
+    pub stderr: String,
+}
+
+impl From<Output> for Ended {
+    fn from(output: Output) -> Self {
+        Self {
+            code: output.status.code(),
+            stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
+            stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
+        }
+    }
+}
+
+/// Runs the binary with arguments and a text on its standard input.
+pub fn savorykeel(args: &[&str], stdin: &str) -> Ended {
+    let mut child = Command::new(BINARY)
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the command starts");
+    let mut pipe = child.stdin.take().expect("standard input is piped");
+    // The command may end before it reads all of it.
+    let _ = pipe.write_all(stdin.as_bytes());
+    drop(pipe);
+    child.wait_with_output().expect("the command ends").into()
+}
--- /dev/null
+++ b/tests/harness/deployment.rs
@@ -0,0 +1,112 @@
+//! The two deployments of today, by services, instances and zones.
+
+use std::collections::BTreeMap;
+
+use savorykeel_policy::config::raw::{
+    RawConfiguration, RawLimits, RawMatch, RawObjective, RawRoute, RawService,
+};
+
+/// A service with its instances.
+#[derive(Debug, Clone)]
+pub struct ServiceSpec {
+    /// Name.
+    pub name: String,
+    /// Number of instances, spread over the zones in turn.
+    pub instances: usize,
+    /// Version that its backend servers run.
+    pub version: String,
+    /// Whether the service has a route `/<name>/change` that isn't idempotent.
+    pub has_changes: bool,
+}
+
+impl ServiceSpec {
+    /// A service whose backend servers run version `v1`.
+    pub fn new(name: &str, instances: usize, has_changes: bool) -> Self {
+        Self { name: name.into(), instances, version: "v1".into(), has_changes }
+    }
+}
+
+/// Services over availability zones.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    /// Number of availability zones.
+    pub zones: u8,
+    /// Services.
+    pub services: Vec<ServiceSpec>,
+    /// Slots of each backend server.
+    pub slots: usize,
+}
+
+impl Deployment {
+    /// A small one: two services of two instances over two zones.
+    pub fn small() -> Self {
+        let services =
+            vec![ServiceSpec::new("gate", 2, true), ServiceSpec::new("history", 2, false)];
+        Self { zones: 2, services, slots: 20 }
+    }
+
+    /// Thyrofonia: 14 instances over three zones.
+    pub fn thyrofonia() -> Self {
+        let services = vec![
+            ServiceSpec::new("history", 5, false),
+            ServiceSpec::new("enroll", 3, true),
+            ServiceSpec::new("gate", 3, true),
+            ServiceSpec::new("ring", 3, false),
+        ];
+        Self { zones: 3, services, slots: 20 }
+    }
+
+    /// Abay: 17 instances over four zones.
+    pub fn abay() -> Self {
+        let services = vec![
+            ServiceSpec::new("pricebook", 5, false),
+            ServiceSpec::new("orders", 4, true),
+            ServiceSpec::new("payments", 4, true),
+            ServiceSpec::new("dispatch", 4, false),
+        ];
+        Self { zones: 4, services, slots: 10 }
+    }
+
+    /// Returns a configuration with an idempotent route `/<name>` for each
+    /// service and, before it, `/<name>/change` where the service has changes.
+    pub fn configuration(&self) -> RawConfiguration {
+        let services = self.services.iter().map(|spec| (spec.name.clone(), service(spec)));
+        let routes = self.services.iter().flat_map(routes);
+        RawConfiguration {
+            format: 1,
+            services: services.collect::<BTreeMap<_, _>>(),
+            routes: routes.collect(),
+            limits: RawLimits::default(),
+        }
+    }
+}
+
+fn service(spec: &ServiceSpec) -> RawService {
+    RawService { version: spec.version.clone(), by: None, objective: RawObjective::default() }
+}
+
+fn routes(spec: &ServiceSpec) -> Vec<RawRoute> {
+    let change = spec.has_changes.then(|| {
+        route(
+            &format!("{}-change", spec.name),
+            &spec.name,
+            &format!("/{}/change", spec.name),
+            false,
+        )
+    });
+    let all = route(&spec.name, &spec.name, &format!("/{}", spec.name), true);
+    change.into_iter().chain([all]).collect()
+}
+
+/// A route with the usual limits.
+pub fn route(name: &str, service: &str, path: &str, idempotent: bool) -> RawRoute {
+    RawRoute {
+        name: name.into(),
+        matches: RawMatch { path: path.into(), ..RawMatch::default() },
+        service: service.into(),
+        idempotent,
+        urgent: false,
+        timeout_ms: 10_000,
+        body_limit_bytes: 1 << 20,
+    }
+}
--- /dev/null
+++ b/tests/harness/fleet.rs
@@ -0,0 +1,306 @@
+//! A whole mesh: log service, nodes as processes, backend servers beside them.
+
+use std::{net::SocketAddr, path::Path};
+
+use savorykeel_node::settings::RawSettings;
+use savorykeel_policy::config::raw::RawConfiguration;
+use savorykeel_standins::{
+    backend::{self, Run},
+    caller::Client,
+    log, proxy,
+};
+use tempfile::TempDir;
+
+use super::{
+    deployment::{Deployment, ServiceSpec},
+    process::NodeProcess,
+    publish::publish,
+    settings::{Place, node_settings},
+    wait::eventually,
+};
+
+/// Address of a proxy's target before the node behind it listens.
+const NOWHERE: SocketAddr =
+    SocketAddr::V4(std::net::SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 1));
+
+/// How a fleet is built.
+pub struct Options {
+    /// Settings of the log service.
+    pub log: log::Settings,
+    /// Whether each node is reached by others through a proxy of its own.
+    pub peer_proxies: bool,
+    /// Whether the nodes of each zone reach the log through a proxy.
+    pub log_proxies: bool,
+    /// Changes a node's settings before it starts.
+    pub adjust_node: Box<dyn Fn(&mut RawSettings)>,
+    /// Changes a backend server's settings before it starts.
+    pub adjust_backend: Box<dyn Fn(&mut backend::Settings)>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            log: log::Settings::default(),
+            peer_proxies: false,
+            log_proxies: false,
+            adjust_node: Box::new(|_| ()),
+            adjust_backend: Box::new(|_| ()),
+        }
+    }
+}
+
+/// One instance: a node and the backend server beside it.
+///
+/// Fields are dropped in order: the backend server ends before its node.
+pub struct Member {
+    /// Where it stands.
+    pub place: Place,
+    /// The backend server, while there is one.
+    pub backend: Option<backend::Handle>,
+    /// The node, while there is one.
+    pub node: Option<NodeProcess>,
+    /// The proxy through which other nodes reach it, if any.
+    pub proxy: Option<proxy::Handle>,
+    settings: RawSettings,
+    backend_settings: backend::Settings,
+    /// Runs of backend servers that are gone.
+    past_runs: Vec<Run>,
+}
+
+impl Member {
+    /// Returns the node.
+    #[track_caller]
+    pub fn node(&self) -> &NodeProcess {
+        self.node.as_ref().expect("the node runs")
+    }
+
+    /// Returns the node, to be killed or waited for.
+    #[track_caller]
+    pub fn node_mut(&mut self) -> &mut NodeProcess {
+        self.node.as_mut().expect("the node runs")
+    }
+
+    /// Returns the backend server.
+    #[track_caller]
+    pub fn backend(&self) -> &backend::Handle {
+        self.backend.as_ref().expect("the backend server runs")
+    }
+
+    /// Returns the address for callers.
+    #[track_caller]
+    pub fn callers(&self) -> SocketAddr {
+        self.node().ready().callers
+    }
+
+    /// Returns the address for operators.
+    #[track_caller]
+    pub fn operators(&self) -> SocketAddr {
+        self.node().ready().operators
+    }
+
+    /// Returns the service and version that its backend server runs.
+    pub fn backend_settings(&self) -> &backend::Settings {
+        &self.backend_settings
+    }
+
+    /// Kills node and backend server at once, as when the instance fails.
+    pub fn kill(&mut self) {
+        if let Some(mut node) = self.node.take() {
+            node.kill();
+        }
+        self.stop_backend();
+    }
+
+    /// Ends the backend server at once and keeps its ledger.
+    pub fn stop_backend(&mut self) {
+        if let Some(backend) = self.backend.take() {
+            self.past_runs.extend(backend.ledger());
+        }
+    }
+
+    /// Starts what doesn't run: the node again under its name, and the backend
+    /// server beside it.
+    #[track_caller]
+    pub fn start(&mut self, dir: &Path) {
+        self.start_node(dir);
+        self.start_backend();
+    }
+
+    /// Starts the node, again under its name, when it doesn't run.
+    #[track_caller]
+    pub fn start_node(&mut self, dir: &Path) {
+        if self.node.is_some() {
+            return;
+        }
+        let node = NodeProcess::start(dir, &self.settings);
+        if let Some(proxy) = &self.proxy {
+            proxy.set_target(node.ready().peers);
+        }
+        self.backend_settings.node = Some(node.ready().backend);
+        // A new process listens on other ports, which the backend server's
+        // announcements must follow; it keeps the same address when fixed.
+        self.settings.listen.backend = node.ready().backend.to_string();
+        self.settings.listen.callers = node.ready().callers.to_string();
+        self.settings.listen.operators = node.ready().operators.to_string();
+        self.node = Some(node);
+    }
+
+    /// Starts the backend server when it doesn't run.
+    #[track_caller]
+    pub fn start_backend(&mut self) {
+        if self.backend.is_none() {
+            let started = backend::start(self.backend_settings.clone());
+            self.backend = Some(started.expect("the backend server starts"));
+        }
+    }
+
+    /// Starts another version of the backend server in place of the one that runs.
+    #[track_caller]
+    pub fn replace_backend(&mut self, version: &str, behaviour: backend::Behaviour) {
+        self.stop_backend();
+        version.clone_into(&mut self.backend_settings.version);
+        self.backend_settings.behaviour = behaviour;
+        self.start_backend();
+    }
+
+    /// Returns every run of its backend servers, past ones included.
+    pub fn runs(&self) -> Vec<Run> {
+        let now = self.backend.iter().flat_map(backend::Handle::ledger);
+        self.past_runs.iter().cloned().chain(now).collect()
+    }
+}
+
+/// A running mesh.
+pub struct Fleet {
+    /// Instances in order of the deployment's services.
+    pub members: Vec<Member>,
+    /// Proxies to the log by zone, from zone 1; empty without the option.
+    pub log_proxies: Vec<proxy::Handle>,
+    /// The log service.
+    pub log: log::Handle,
+    /// A client for single requests.
+    pub client: Client,
+    dir: TempDir,
+    options: Options,
+}
+
+impl Fleet {
+    /// Starts a deployment.
+    #[track_caller]
+    pub fn start(deployment: &Deployment, options: Options) -> Self {
+        let mut fleet = Self::empty(deployment.zones, options);
+        for spec in &deployment.services {
+            for i in 0..spec.instances {
+                let zone = (i % usize::from(deployment.zones)) as u8 + 1;
+                fleet.add(spec, zone, deployment.slots);
+            }
+        }
+        fleet
+    }
+
+    /// Starts a log service without any node.
+    #[track_caller]
+    pub fn empty(zones: u8, options: Options) -> Self {
+        let log = log::start(options.log.clone()).expect("the log service starts");
+        let proxy_count = if options.log_proxies { zones } else { 0 };
+        let log_proxies = (0..proxy_count)
+            .map(|_| proxy::start(proxy::Settings::to(log.addr())).expect("a proxy starts"))
+            .collect();
+        Self {
+            members: Vec::new(),
+            log_proxies,
+            log,
+            client: Client::start().expect("the client starts"),
+            dir: TempDir::new().expect("a temporary directory is made"),
+            options,
+        }
+    }
+
+    /// Starts one more instance and returns its place in `members`.
+    #[track_caller]
+    pub fn add(&mut self, spec: &ServiceSpec, zone: u8, slots: usize) -> usize {
+        let in_zone = self.members.iter().filter(|member| member.place.zone == zone).count();
+        let number = u8::try_from(in_zone + 1).expect("a zone has at most 254 nodes");
+        let instance = format!("{}-z{zone}-{number}", spec.name);
+        let place = Place { instance, zone, number };
+        let proxy = self.options.peer_proxies.then(|| {
+            let listen = SocketAddr::from((place.ip(), 0));
+            let settings = proxy::Settings { listen, ..proxy::Settings::to(NOWHERE) };
+            proxy::start(settings).expect("a proxy starts")
+        });
+        let advertised = proxy.as_ref().map(proxy::Handle::addr);
+        let mut settings = node_settings(self.dir.path(), &place, &self.log_url(zone), advertised);
+        (self.options.adjust_node)(&mut settings);
+        let mut backend_settings =
+            backend::Settings::new(&spec.name, &spec.version).named(&place.instance);
+        backend_settings.slots = slots;
+        (self.options.adjust_backend)(&mut backend_settings);
+        let (node, backend, past_runs) = (None, None, Vec::new());
+        let mut member =
+            Member { place, backend, node, proxy, settings, backend_settings, past_runs };
+        member.start(self.dir.path());
+        self.members.push(member);
+        self.members.len() - 1
+    }
+
+    fn log_url(&self, zone: u8) -> String {
+        let proxy = self.log_proxies.get(usize::from(zone) - 1);
+        let addr = proxy.map_or(self.log.addr(), proxy::Handle::addr);
+        format!("http://{addr}")
+    }
+
+    /// Returns the directory with settings, logs and journals.
+    pub fn dir(&self) -> &Path {
+        self.dir.path()
+    }
+
+    /// Starts what doesn't run of one member.
+    #[track_caller]
+    pub fn restart(&mut self, member: usize) {
+        self.members[member].start(self.dir.path());
+    }
+
+    /// Publishes straight into the log and returns the publish id.
+    pub fn publish(&self, base: u64, configuration: &RawConfiguration) -> String {
+        publish(&self.log, base, configuration)
+    }
+
+    /// Waits until every running node applied a version.
+    #[track_caller]
+    pub fn wait_version(&self, version: u64) {
+        for node in self.members.iter().filter_map(|member| member.node.as_ref()) {
+            eventually(&format!("{} applies version {version}", node.ready().instance), || {
+                node.journal().iter().any(|applied| applied.version >= version)
+            });
+        }
+    }
+
+    /// Waits until a `GET` on a path is answered through every running node.
+    #[track_caller]
+    pub fn wait_answered(&self, path: &str) {
+        for node in self.members.iter().filter_map(|member| member.node.as_ref()) {
+            let (addr, what) =
+                (node.ready().callers, format!("{} answers {path}", node.ready().instance));
+            eventually(&what, || {
+                let req = savorykeel_standins::caller::Request::get(path);
+                self.client.call(addr, req).is_ok_and(|reply| reply.status == 200)
+            });
+        }
+    }
+
+    /// Returns the addresses for callers of every running node.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        let nodes = self.members.iter().filter_map(|member| member.node.as_ref());
+        nodes.map(|node| node.ready().callers).collect()
+    }
+
+    /// Returns the members whose backend servers run a service.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Member> {
+        self.members.iter().filter(move |member| member.backend_settings.service == service)
+    }
+
+    /// Returns every run of every backend server, past ones included.
+    pub fn runs(&self) -> Vec<Run> {
+        self.members.iter().flat_map(Member::runs).collect()
+    }
+}
--- /dev/null
+++ b/tests/harness/journal.rs
@@ -0,0 +1,28 @@
+//! A node's journal of the configuration versions that it applied.
+
+use std::{fs, path::Path};
+
+use serde::Deserialize;
+
+/// One line of the journal; a node may write more fields than these.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Applied {
+    /// The version.
+    pub version: u64,
+}
+
+/// Reads the journal; it is empty until the node applies its first version.
+pub fn read(file: &Path) -> Vec<Applied> {
+    let text = fs::read_to_string(file).unwrap_or_default();
+    // A line without its end is still being written.
+    let whole = text.split_inclusive('\n').filter(|line| line.ends_with('\n'));
+    whole.map(|line| serde_json::from_str(line).expect("a journal line is JSON")).collect()
+}
+
+/// Panics when a version is older than one before it.
+#[track_caller]
+pub fn assert_never_backwards(applied: &[Applied]) {
+    for pair in applied.windows(2) {
+        assert!(pair[0].version <= pair[1].version, "went back: {applied:?}");
+    }
+}
--- /dev/null
+++ b/tests/harness/mod.rs
@@ -0,0 +1,20 @@
+//! Starts real `savorykeel` processes with stand-ins around them.
+//!
+//! A test builds a [`fleet::Fleet`] (or single [`process::NodeProcess`]es), calls
+//! it with [`savorykeel_standins::caller`], and waits with [`wait::eventually`].
+//! Everything that a test starts ends when its handle is dropped.
+//!
+//! Each node listens on 127.0.Z.N, where Z is the number of its availability
+//! zone, so that a proxy tells the zone of a connection by its source address.
+
+// Each test uses a part of the harness.
+#![allow(dead_code)]
+
+pub mod command;
+pub mod deployment;
+pub mod fleet;
+pub mod journal;
+pub mod process;
+pub mod publish;
+pub mod settings;
+pub mod wait;
--- /dev/null
+++ b/tests/harness/process.rs
@@ -0,0 +1,164 @@
+//! A `savorykeel node` process.
+
+use std::{
+    fs::{self, File},
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, ChildStdout, Command, ExitStatus, Stdio},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use savorykeel_node::settings::RawSettings;
+use serde::Deserialize;
+
+use super::{
+    journal::{self, Applied},
+    settings,
+    wait::eventually_some,
+};
+
+/// Path of the binary under test.
+pub const BINARY: &str = env!("CARGO_BIN_EXE_savorykeel");
+
+/// The line by which a node tells that it listens.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Ready {
+    /// Name of the instance.
+    pub instance: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for the backend server on the same instance.
+    pub backend: SocketAddr,
+    /// Address for other nodes.
+    pub peers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+}
+
+/// A running node; dropping it kills the process.
+pub struct NodeProcess {
+    child: Child,
+    // Kept open, so that the node may write to it.
+    _stdout: BufReader<ChildStdout>,
+    ready: Ready,
+    dir: PathBuf,
+}
+
+impl NodeProcess {
+    /// Starts a node and waits for its ready line.
+    ///
+    /// Its settings, log and journal are in `dir`, under the instance's name. A
+    /// node started again under the same name goes on with the same journal.
+    #[track_caller]
+    pub fn start(dir: &Path, settings: &RawSettings) -> Self {
+        let instance = &settings.instance;
+        fs::write(settings::token_file(dir), settings::TOKEN).expect("the token file is written");
+        let file = dir.join(format!("{instance}.json"));
+        let json = serde_json::to_vec_pretty(settings).expect("settings are JSON");
+        fs::write(&file, json).expect("the settings file is written");
+        let log = File::options().create(true).append(true).open(log_file(dir, instance));
+        let mut child = Command::new(BINARY)
+            .arg("node")
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log.expect("the log file is opened"))
+            .spawn()
+            .expect("the node starts");
+        let mut stdout = BufReader::new(child.stdout.take().expect("standard output is piped"));
+        let mut line = String::new();
+        // Ends without a line when the process ends.
+        stdout.read_line(&mut line).expect("the ready line is read");
+        let Ok(ready) = serde_json::from_str(&line) else {
+            let _ = child.kill();
+            let log = fs::read_to_string(log_file(dir, instance)).unwrap_or_default();
+            panic!("{instance} printed {line:?} in place of a ready line; its log:\n{log}");
+        };
+        Self { child, _stdout: stdout, ready, dir: dir.to_owned() }
+    }
+
+    /// Returns the addresses that the node listens on.
+    pub fn ready(&self) -> &Ready {
+        &self.ready
+    }
+
+    /// Returns the process's id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the configuration versions that the node applied.
+    pub fn journal(&self) -> Vec<Applied> {
+        journal::read(&settings::journal_file(&self.dir, &self.ready.instance))
+    }
+
+    /// Returns what the node wrote to its log.
+    pub fn log(&self) -> String {
+        fs::read_to_string(log_file(&self.dir, &self.ready.instance)).unwrap_or_default()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id().try_into().expect("a process id fits"));
+        kill(pid, signal).expect("the signal is sent");
+    }
+
+    /// Asks for a graceful shutdown.
+    pub fn term(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Pauses the process.
+    pub fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Tells whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("the process can be waited for").is_none()
+    }
+
+    /// Waits until the process ends by itself.
+    #[track_caller]
+    pub fn wait_exit(&mut self) -> ExitStatus {
+        eventually_some("the node ends", || {
+            self.child.try_wait().expect("the process can be waited for")
+        })
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            let log = self.log();
+            let tail = log.len().saturating_sub(LOG_TAIL_BYTES);
+            let tail = (tail..=log.len()).find(|i| log.is_char_boundary(*i)).unwrap_or(0);
+            eprintln!("--- end of the log of {}:\n{}", self.ready.instance, &log[tail..]);
+        }
+        self.kill();
+    }
+}
+
+/// Bytes of a node's log that are shown when a test fails.
+const LOG_TAIL_BYTES: usize = 3_000;
+
+fn log_file(dir: &Path, instance: &str) -> PathBuf {
+    dir.join(format!("{instance}.log"))
+}
--- /dev/null
+++ b/tests/harness/settings.rs
@@ -0,0 +1,72 @@
+//! Settings of a node under test.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+};
+
+use savorykeel_node::settings::{RawAdvertise, RawLimits, RawListen, RawOperators, RawSettings};
+
+/// Bearer token of operators in tests.
+pub const TOKEN: &str = "test-token";
+
+/// Where a node under test stands.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Name of the instance.
+    pub instance: String,
+    /// Number of the availability zone, from 1.
+    pub zone: u8,
+    /// Number of the node in the zone, from 1.
+    pub number: u8,
+}
+
+impl Place {
+    /// Returns the IP number that the node listens on.
+    pub fn ip(&self) -> Ipv4Addr {
+        Ipv4Addr::new(127, 0, self.zone, self.number)
+    }
+
+    /// Returns the name of the availability zone.
+    pub fn zone_name(&self) -> String {
+        format!("zone-{}", self.zone)
+    }
+}
+
+/// Returns the file that a node's journal goes to.
+pub fn journal_file(dir: &Path, instance: &str) -> PathBuf {
+    dir.join(format!("{instance}.journal"))
+}
+
+/// Returns the file with the operators' bearer token.
+pub fn token_file(dir: &Path) -> PathBuf {
+    dir.join("token")
+}
+
+/// Settings of a node that takes free ports; a test may change them further.
+pub fn node_settings(
+    dir: &Path,
+    place: &Place,
+    log_service: &str,
+    advertised: Option<SocketAddr>,
+) -> RawSettings {
+    let any_port = || SocketAddr::from((place.ip(), 0)).to_string();
+    RawSettings {
+        instance: place.instance.clone(),
+        zone: place.zone_name(),
+        region: "region-1".into(),
+        listen: RawListen {
+            callers: any_port(),
+            backend: any_port(),
+            peers: any_port(),
+            operators: any_port(),
+        },
+        advertise: RawAdvertise { peers: advertised.map(|addr| addr.to_string()) },
+        log_service: log_service.to_owned(),
+        metrics: None,
+        operators: RawOperators { token_file: Some(token_file(dir)) },
+        journal_file: Some(journal_file(dir, &place.instance)),
+        workers: 1,
+        limits: RawLimits::default(),
+    }
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,3 +1,4 @@
 //! Integration tests over real processes.
 
 mod feature;
+mod harness;
