--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -2,3 +2,5 @@
 
 mod binary;
 mod harness;
+mod check_configuration;
+mod cli_usage;
