--- a/crates/core/flags/mod.rs
+++ b/crates/core/flags/mod.rs
@@ -11,6 +11,8 @@
 pub use check::{CheckFlags, CheckTarget};
 pub use node::NodeFlags;
 
+use crate::standin::StandinCommand;
+
 /// Distributes configuration through a service mesh without a control plane of
 /// its own.
 #[derive(FromArgs, Debug)]
@@ -31,6 +33,8 @@
     Check(CheckFlags),
     /// Runs a node.
     Node(NodeFlags),
+    /// Runs a stand-in.
+    Standin(StandinCommand),
 }
 
 /// What the command line asks for.
