--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -1,6 +1,6 @@
 //! Feature tests by theme.
 
 mod binary;
-mod harness;
 mod check_configuration;
 mod cli_usage;
+mod harness;
