--- /dev/null
+++ b/crates/policy/src/calls/admission.rs
@@ -0,0 +1,303 @@
+//! Admission at the node beside the backend server.
+//!
+//! At most as many requests run as the backend server has slots. A short queue
+//! takes the rest; what can't be served before its deadline is shed at once,
+//! while the caller can still go elsewhere. Urgent requests go first, and callers
+//! take turns, so that one of them can't starve the others. See
+//! `docs/design/0006-load.md`.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::{code::Code, time::Tick};
+
+/// Starts in a row that urgent requests may take while others wait.
+const URGENT_STARTS_IN_A_ROW: u32 = 8;
+
+/// Queued requests for each slot.
+const QUEUE_PER_SLOT: usize = 2;
+
+/// Least length of the queue.
+const MIN_QUEUE: usize = 8;
+
+/// Weight of the newest run in the average run time.
+const RUN_TIME_WEIGHT: f64 = 0.1;
+
+/// Identifies a queued request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(u64);
+
+/// A request that asks for a slot.
+#[derive(Debug, Clone)]
+pub struct Applicant {
+    /// Name of the caller, for fairness.
+    pub caller: Arc<str>,
+    /// Whether it goes before others.
+    pub urgent: bool,
+    /// Moment at which its caller stops waiting.
+    pub deadline: Tick,
+}
+
+/// What becomes of an applicant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It has a slot and must be released.
+    Start,
+    /// It waits; its ticket is named by a later [`Release`].
+    Wait(Ticket),
+    /// It doesn't run.
+    Shed(Code),
+}
+
+/// Queued requests whose wait ended.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Release {
+    /// Requests that have a slot now and must be released.
+    pub started: Vec<Ticket>,
+    /// Requests that don't run.
+    pub shed: Vec<(Ticket, Code)>,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    ticket: Ticket,
+    deadline: Tick,
+}
+
+/// Queue of one class in which callers take turns.
+#[derive(Debug, Default)]
+struct FairQueue {
+    by_caller: HashMap<Arc<str>, VecDeque<Waiter>>,
+    /// Callers with queued requests, the next to be served first.
+    turns: VecDeque<Arc<str>>,
+    len: usize,
+}
+
+impl FairQueue {
+    fn push(&mut self, caller: &Arc<str>, waiter: Waiter) {
+        let queue = self.by_caller.entry(caller.clone()).or_default();
+        if queue.is_empty() {
+            self.turns.push_back(caller.clone());
+        }
+        queue.push_back(waiter);
+        self.len += 1;
+    }
+
+    fn pop(&mut self) -> Option<Waiter> {
+        let caller = self.turns.pop_front()?;
+        let queue = self.by_caller.get_mut(&caller)?;
+        let waiter = queue.pop_front()?;
+        self.len -= 1;
+        if queue.is_empty() {
+            self.by_caller.remove(&caller);
+        } else {
+            self.turns.push_back(caller);
+        }
+        Some(waiter)
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> bool {
+        let found = self.by_caller.iter().find_map(|(caller, queue)| {
+            let i = queue.iter().position(|waiter| waiter.ticket == ticket)?;
+            Some((caller.clone(), i))
+        });
+        let Some((caller, i)) = found else { return false };
+        self.remove_at(&caller, i);
+        true
+    }
+
+    fn remove_at(&mut self, caller: &Arc<str>, i: usize) -> Option<Waiter> {
+        let queue = self.by_caller.get_mut(caller)?;
+        let waiter = queue.remove(i)?;
+        self.len -= 1;
+        if queue.is_empty() {
+            self.by_caller.remove(caller);
+            self.turns.retain(|turn| turn != caller);
+        }
+        Some(waiter)
+    }
+
+    /// Returns the caller with the longest queue, ties broken by name.
+    fn longest(&self) -> Option<(Arc<str>, usize)> {
+        let key =
+            |(caller, queue): &(&Arc<str>, &VecDeque<Waiter>)| (queue.len(), (*caller).clone());
+        self.by_caller.iter().max_by_key(key).map(|(caller, queue)| (caller.clone(), queue.len()))
+    }
+
+    fn len_of(&self, caller: &Arc<str>) -> usize {
+        self.by_caller.get(caller).map_or(0, VecDeque::len)
+    }
+
+    fn drain_expired(&mut self, now: Tick, out: &mut Vec<Ticket>) {
+        for queue in self.by_caller.values_mut() {
+            queue.retain(|waiter| {
+                let expired = waiter.deadline <= now;
+                if expired {
+                    out.push(waiter.ticket);
+                }
+                !expired
+            });
+        }
+        self.by_caller.retain(|_, queue| !queue.is_empty());
+        self.turns.retain(|caller| self.by_caller.contains_key(caller));
+        self.len = self.by_caller.values().map(VecDeque::len).sum();
+    }
+}
+
+/// Slots of one backend server and the queue before them.
+#[derive(Debug)]
+pub struct AdmissionQueue {
+    slots: u32,
+    running: u32,
+    urgent: FairQueue,
+    normal: FairQueue,
+    next_ticket: u64,
+    urgent_starts: u32,
+    /// Average time that a request holds a slot, in milliseconds.
+    run_time_ms: f64,
+}
+
+impl AdmissionQueue {
+    /// Creates the queue of a backend server with `slots` slots.
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots,
+            running: 0,
+            urgent: FairQueue::default(),
+            normal: FairQueue::default(),
+            next_ticket: 0,
+            urgent_starts: 0,
+            run_time_ms: 0.0,
+        }
+    }
+
+    /// Returns the number of running requests.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns the number of queued requests.
+    pub fn queued(&self) -> usize {
+        self.urgent.len + self.normal.len
+    }
+
+    /// Returns the number of slots.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Changes the number of slots; more slots start queued requests.
+    pub fn set_slots(&mut self, slots: u32, now: Tick) -> Release {
+        self.slots = slots;
+        self.start_queued(now)
+    }
+
+    /// Decides on a request.
+    ///
+    /// Queued requests that have to make room for it are added to `release`.
+    pub fn offer(&mut self, applicant: &Applicant, now: Tick, release: &mut Release) -> Verdict {
+        if applicant.deadline <= now {
+            return Verdict::Shed(Code::DeadlineBeforeStart);
+        }
+        if self.running < self.slots && self.queued() == 0 {
+            self.running += 1;
+            return Verdict::Start;
+        }
+        if !self.can_start_in_time(applicant, now) {
+            return Verdict::Shed(Code::Overloaded);
+        }
+        if self.queued() >= self.queue_limit() && !self.make_room(applicant, release) {
+            return Verdict::Shed(Code::Overloaded);
+        }
+        Verdict::Wait(self.enqueue(applicant))
+    }
+
+    /// Gives a slot back after a run of `run_time` and starts queued requests.
+    pub fn release(&mut self, run_time: Duration, now: Tick) -> Release {
+        self.running = self.running.saturating_sub(1);
+        let run_time_ms = run_time.as_secs_f64() * 1_000.0;
+        self.run_time_ms += RUN_TIME_WEIGHT * (run_time_ms - self.run_time_ms);
+        self.start_queued(now)
+    }
+
+    /// Removes a queued request whose caller gave up; tells whether it was queued.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        self.urgent.remove(ticket) || self.normal.remove(ticket)
+    }
+
+    /// Sheds queued requests that are past their deadline.
+    pub fn expire(&mut self, now: Tick) -> Release {
+        let mut expired = Vec::new();
+        self.urgent.drain_expired(now, &mut expired);
+        self.normal.drain_expired(now, &mut expired);
+        let shed = expired.into_iter().map(|ticket| (ticket, Code::DeadlineBeforeStart)).collect();
+        Release { started: Vec::new(), shed }
+    }
+
+    fn queue_limit(&self) -> usize {
+        (self.slots as usize * QUEUE_PER_SLOT).max(MIN_QUEUE)
+    }
+
+    /// Tells whether a request is likely to end before its deadline.
+    fn can_start_in_time(&self, applicant: &Applicant, now: Tick) -> bool {
+        let ahead = if applicant.urgent { self.urgent.len } else { self.queued() };
+        let rounds = (ahead + 1) as f64 / f64::from(self.slots.max(1));
+        let needed_ms = (rounds + 1.0) * self.run_time_ms;
+        applicant.deadline.since(now).as_secs_f64() * 1_000.0 > needed_ms
+    }
+
+    /// Sheds the newest queued request of the caller that has most of them.
+    ///
+    /// A caller can't push out another one's request unless that one has more
+    /// requests queued, and only urgent requests push out urgent ones.
+    fn make_room(&mut self, applicant: &Applicant, release: &mut Release) -> bool {
+        let own = self.normal.len_of(&applicant.caller);
+        let victim = match self.normal.longest() {
+            Some((caller, len)) if applicant.urgent || len > own + 1 => {
+                self.normal.remove_at(&caller, len - 1)
+            }
+            _ if applicant.urgent => self.urgent_victim(applicant),
+            _ => None,
+        };
+        let Some(victim) = victim else { return false };
+        release.shed.push((victim.ticket, Code::Overloaded));
+        true
+    }
+
+    fn urgent_victim(&mut self, applicant: &Applicant) -> Option<Waiter> {
+        let own = self.urgent.len_of(&applicant.caller);
+        let (caller, len) = self.urgent.longest()?;
+        if len > own + 1 { self.urgent.remove_at(&caller, len - 1) } else { None }
+    }
+
+    fn enqueue(&mut self, applicant: &Applicant) -> Ticket {
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        let queue = if applicant.urgent { &mut self.urgent } else { &mut self.normal };
+        queue.push(&applicant.caller, Waiter { ticket, deadline: applicant.deadline });
+        ticket
+    }
+
+    fn start_queued(&mut self, now: Tick) -> Release {
+        let mut release = self.expire(now);
+        while self.running < self.slots {
+            let Some(waiter) = self.next_waiter() else { break };
+            self.running += 1;
+            release.started.push(waiter.ticket);
+        }
+        release
+    }
+
+    fn next_waiter(&mut self) -> Option<Waiter> {
+        let takes_urgent = self.normal.len == 0 || self.urgent_starts < URGENT_STARTS_IN_A_ROW;
+        if takes_urgent && let Some(waiter) = self.urgent.pop() {
+            self.urgent_starts += 1;
+            return Some(waiter);
+        }
+        self.urgent_starts = 0;
+        self.normal.pop().or_else(|| self.urgent.pop())
+    }
+}
--- /dev/null
+++ b/crates/policy/src/calls/ledger.rs
@@ -0,0 +1,223 @@
+//! One replica's claims of idempotency keys.
+//!
+//! A claim says which attempt may run the request of a key and where it was
+//! sent. It is granted before the request is sent and keeps the answer after.
+//! Claims are never pushed out by newer ones: a full replica grants no more. See
+//! `docs/design/0005-ledger.md`.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ids::RequestId, time::Tick};
+
+use super::{ledger_view::LedgerKey, quarantine::Fingerprint};
+
+/// Where an attempt was sent, so that anyone can settle it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Aim {
+    /// Address of the node beside the backend server.
+    pub addr: SocketAddr,
+    /// Life of that node.
+    pub life: u64,
+    /// Id of the attempt.
+    pub request: RequestId,
+}
+
+/// The right of one attempt to run the request of a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Rank among the claims of the key; a higher one replaces a lower one.
+    pub number: u32,
+    /// Request that the key stands for.
+    pub fingerprint: Fingerprint,
+    /// Where the attempt was sent.
+    pub aim: Aim,
+}
+
+/// A replica's reply to a claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimReply {
+    /// The claim stands at this replica.
+    Granted,
+    /// Another claim stands.
+    Held {
+        /// The claim that stands.
+        claim: Claim,
+        /// The answer to its request, if it is kept here.
+        answer: Option<Arc<[u8]>>,
+    },
+    /// The replica can't answer for the key now.
+    NotReady,
+}
+
+/// Bounds of a [`ClaimStore`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClaimLimits {
+    /// Largest number of claims.
+    pub claims: usize,
+    /// Largest total size of kept answers in bytes.
+    pub bytes: usize,
+    /// How long a claim is kept after it was granted.
+    pub keep: Duration,
+}
+
+impl Default for ClaimLimits {
+    fn default() -> Self {
+        Self { claims: 200_000, bytes: 32 << 20, keep: Duration::from_secs(600) }
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    claim: Claim,
+    answer: Option<Arc<[u8]>>,
+    at: Tick,
+}
+
+/// Claims that one replica keeps.
+#[derive(Debug)]
+pub struct ClaimStore {
+    limits: ClaimLimits,
+    entries: BTreeMap<LedgerKey, Entry>,
+    /// Keys in the order in which they were last claimed.
+    by_age: VecDeque<(Tick, LedgerKey)>,
+    /// Keys in the order in which their answer came.
+    answers: VecDeque<LedgerKey>,
+    kept_bytes: usize,
+}
+
+impl ClaimStore {
+    /// Creates an empty store.
+    pub fn new(limits: ClaimLimits) -> Self {
+        Self {
+            limits,
+            entries: BTreeMap::new(),
+            by_age: VecDeque::new(),
+            answers: VecDeque::new(),
+            kept_bytes: 0,
+        }
+    }
+
+    /// Grants a claim, or says what stands in its way.
+    ///
+    /// The first claim of each number wins. A claim that was answered stands.
+    pub fn claim(&mut self, key: LedgerKey, claim: Claim, now: Tick) -> ClaimReply {
+        self.expire(now);
+        if let Some(entry) = self.entries.get(&key) {
+            let is_same = entry.claim == claim;
+            let may_replace = entry.answer.is_none()
+                && entry.claim.fingerprint == claim.fingerprint
+                && entry.claim.number < claim.number;
+            if !is_same && !may_replace {
+                return ClaimReply::Held { claim: entry.claim, answer: entry.answer.clone() };
+            }
+        } else if self.entries.len() >= self.limits.claims {
+            return ClaimReply::NotReady;
+        }
+        self.put(key, claim, now);
+        ClaimReply::Granted
+    }
+
+    /// Takes a claim back whose attempt didn't run.
+    pub fn release(&mut self, key: LedgerKey, claim: &Claim) {
+        if self.entries.get(&key).is_some_and(|entry| entry.claim == *claim) {
+            self.remove(key);
+        }
+    }
+
+    /// Keeps the answer of a claim, and the claim itself if it isn't known.
+    pub fn finish(&mut self, key: LedgerKey, claim: Claim, answer: Arc<[u8]>, now: Tick) {
+        self.expire(now);
+        let is_older = |entry: &Entry| entry.claim != claim && entry.claim.number < claim.number;
+        match self.entries.get(&key) {
+            Some(entry) if entry.claim == claim => {}
+            Some(entry) if !is_older(entry) => return,
+            _ => self.put(key, claim, now),
+        }
+        self.keep_answer(key, answer);
+    }
+
+    /// Takes in a claim from another replica.
+    pub fn merge(&mut self, key: LedgerKey, claim: Claim, now: Tick) {
+        let is_newer = |entry: &Entry| entry.claim.number < claim.number && entry.answer.is_none();
+        if self.entries.get(&key).is_none_or(is_newer) {
+            self.put(key, claim, now);
+        }
+    }
+
+    /// Returns claims in the order of their keys, from the one after `after`.
+    pub fn page(&self, after: Option<LedgerKey>, limit: usize) -> Vec<(LedgerKey, Claim)> {
+        use std::ops::Bound;
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let range = self.entries.range((start, Bound::Unbounded));
+        range.take(limit).map(|(key, entry)| (*key, entry.claim)).collect()
+    }
+
+    /// Returns the number of claims.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether there are no claims.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the total size of the kept answers in bytes.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
+    /// Forgets claims that are past their time.
+    pub fn expire(&mut self, now: Tick) {
+        while let Some(&(at, key)) = self.by_age.front() {
+            if now.since(at) <= self.limits.keep {
+                break;
+            }
+            self.by_age.pop_front();
+            if self.entries.get(&key).is_some_and(|entry| entry.at == at) {
+                self.remove(key);
+            }
+        }
+    }
+
+    fn put(&mut self, key: LedgerKey, claim: Claim, now: Tick) {
+        self.remove(key);
+        self.entries.insert(key, Entry { claim, answer: None, at: now });
+        self.by_age.push_back((now, key));
+    }
+
+    fn remove(&mut self, key: LedgerKey) {
+        if let Some(Entry { answer: Some(answer), .. }) = self.entries.remove(&key) {
+            self.kept_bytes -= answer.len();
+        }
+    }
+
+    fn keep_answer(&mut self, key: LedgerKey, answer: Arc<[u8]>) {
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        if entry.answer.is_some() {
+            return;
+        }
+        self.kept_bytes += answer.len();
+        entry.answer = Some(answer);
+        self.answers.push_back(key);
+        while self.kept_bytes > self.limits.bytes {
+            let Some(oldest) = self.answers.pop_front() else { break };
+            self.drop_answer(oldest);
+        }
+    }
+
+    /// Drops an answer; its claim stays and is settled where it ran.
+    fn drop_answer(&mut self, key: LedgerKey) {
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        if let Some(answer) = entry.answer.take() {
+            self.kept_bytes -= answer.len();
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/calls/ledger_view.rs
@@ -0,0 +1,138 @@
+//! Which members of a service keep the claims of an idempotency key.
+//!
+//! Each key has a few replicas, drawn by rendezvous hash over the service's
+//! group and spread over availability zones. See `docs/design/0005-ledger.md`.
+
+use std::{collections::HashSet, net::SocketAddr};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
+
+use crate::ids::{InstanceName, ZoneName};
+
+/// Replicas of each key.
+pub const REPLICAS: usize = 3;
+
+/// Hash of service, route and idempotency key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct LedgerKey(pub u128);
+
+impl LedgerKey {
+    /// Computes the key under which a request is claimed.
+    pub fn of(service: &str, route: &str, idempotency_key: &[u8]) -> Self {
+        let mut hasher = Xxh3::new();
+        for part in [service.as_bytes(), route.as_bytes(), idempotency_key] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.digest128())
+    }
+}
+
+/// One life of one member.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Identity {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Incarnation of its node.
+    pub incarnation: u64,
+}
+
+/// A member of a service's group.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LedgerMember {
+    /// Which life of which member it is.
+    pub identity: Identity,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Address at which other nodes reach it.
+    pub addr: SocketAddr,
+}
+
+/// The members of a service's group, ordered by identity.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct LedgerView {
+    members: Vec<LedgerMember>,
+}
+
+impl LedgerView {
+    /// Creates a view of a group.
+    pub fn new(mut members: Vec<LedgerMember>) -> Self {
+        members.sort();
+        members.dedup_by(|a, b| a.identity.instance == b.identity.instance);
+        Self { members }
+    }
+
+    /// Returns the members in order.
+    pub fn members(&self) -> &[LedgerMember] {
+        &self.members
+    }
+
+    /// Tells whether a life of a member is in the view.
+    pub fn contains(&self, identity: &Identity) -> bool {
+        self.members.iter().any(|member| member.identity == *identity)
+    }
+
+    /// Returns a digest of the members' identities.
+    pub fn digest(&self) -> u64 {
+        digest(self.members.iter())
+    }
+
+    /// Returns the replicas of a key, the first choice first.
+    ///
+    /// Replicas are taken from different availability zones as far as there are
+    /// enough. The incarnation doesn't count, so that a restart moves no key.
+    pub fn replicas(&self, key: LedgerKey) -> Vec<&LedgerMember> {
+        let mut ranked: Vec<&LedgerMember> = self.members.iter().collect();
+        ranked.sort_by_cached_key(|member| std::cmp::Reverse(score(&member.identity, key)));
+        let mut zones = HashSet::new();
+        let (mut chosen, rest): (Vec<_>, Vec<_>) =
+            ranked.into_iter().partition(|member| zones.insert(&member.zone));
+        chosen.extend(rest);
+        chosen.truncate(REPLICAS);
+        chosen
+    }
+
+    /// Returns a digest of the replicas of a key.
+    pub fn replica_digest(&self, key: LedgerKey) -> u64 {
+        digest(self.replicas(key).into_iter())
+    }
+
+    /// Returns the view without the members that `is_left_out` names.
+    pub fn without(&self, is_left_out: impl Fn(&Identity) -> bool) -> Self {
+        let kept = self.members.iter().filter(|member| !is_left_out(&member.identity));
+        Self { members: kept.cloned().collect() }
+    }
+
+    /// Tells whether an instance is in the view, whichever its life.
+    pub fn names(&self, instance: &InstanceName) -> bool {
+        self.members.iter().any(|member| member.identity.instance == *instance)
+    }
+}
+
+/// Returns how many of `replicas` replicas have to grant a claim.
+pub fn quorum(replicas: usize) -> usize {
+    replicas / 2 + 1
+}
+
+/// Returns how many of `replicas` replicas have to be heard so that no claim
+/// which a quorum granted is missed.
+pub fn read_quorum(replicas: usize) -> usize {
+    (replicas + 1).saturating_sub(quorum(replicas))
+}
+
+fn score(identity: &Identity, key: LedgerKey) -> (u64, InstanceName) {
+    let seed = (key.0 as u64) ^ ((key.0 >> 64) as u64);
+    let hash = xxh3_64_with_seed(identity.instance.as_str().as_bytes(), seed);
+    (hash, identity.instance.clone())
+}
+
+fn digest<'a>(members: impl Iterator<Item = &'a LedgerMember>) -> u64 {
+    let mut hasher = Xxh3::new();
+    for member in members {
+        hasher.update(member.identity.instance.as_str().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(&member.identity.incarnation.to_le_bytes());
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/policy/src/calls/settle.rs
@@ -0,0 +1,262 @@
+//! What became of each request, as the node beside the backend server knows it.
+//!
+//! An entry node that loses a connection asks here before it tells its caller
+//! anything. Two horizons keep the answers exact although the store is bounded:
+//! one for requests that were forgotten and one for fences that were forgotten.
+//! See `docs/design/0004-settle.md`.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ids::RequestId, time::Tick};
+
+/// A moment in one life of a node, by that node's own clock.
+///
+/// Other nodes hand it back unread, so that no two clocks are compared.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct NodeStamp {
+    /// Random number drawn when the node started.
+    pub life: u64,
+    /// Milliseconds since the node started.
+    pub tick: u64,
+}
+
+/// Bounds of a [`SettleStore`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SettleLimits {
+    /// Largest number of ended requests.
+    pub entries: usize,
+    /// Largest number of fences.
+    pub fences: usize,
+    /// Largest total size of kept answers in bytes.
+    pub bytes: usize,
+    /// How long an ended request or a fence is kept.
+    pub keep: Duration,
+}
+
+impl Default for SettleLimits {
+    fn default() -> Self {
+        Self { entries: 65_536, fences: 65_536, bytes: 32 << 20, keep: Duration::from_secs(120) }
+    }
+}
+
+/// Whether a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It is new and may run.
+    Admit,
+    /// Its entry node was told that it never runs.
+    Fenced,
+    /// It is too old to tell whether its entry node was told that it never runs.
+    Stale,
+    /// It was aimed at another life of this node.
+    OtherLife,
+    /// A request with the same id was admitted before.
+    Duplicate,
+}
+
+/// What became of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fate<A> {
+    /// It ended with this answer.
+    Ended(A),
+    /// It ended and its answer is no longer kept.
+    AnswerGone,
+    /// It is queued or running.
+    Running,
+    /// It isn't known and from now on never runs.
+    ///
+    /// This proves that it never ran only if it is younger than `evicted_age`.
+    Fenced {
+        /// Least age of the requests that were forgotten, if any were.
+        evicted_age: Option<Duration>,
+    },
+    /// It was aimed at another life of this node, of which nothing is known.
+    OtherLife,
+}
+
+/// Tells whether a fence proves that a request never ran.
+///
+/// `age` is the time since the request was sent, read by the entry node after
+/// the reply came. Reading it late errs towards "unknown".
+pub fn fence_is_proof(age: Duration, evicted_age: Option<Duration>) -> bool {
+    evicted_age.is_none_or(|evicted| age < evicted)
+}
+
+#[derive(Debug)]
+enum State<A> {
+    Running,
+    Ended { answer: A, bytes: usize },
+    AnswerGone,
+    Fenced,
+}
+
+#[derive(Debug)]
+struct Entry<A> {
+    begun: Tick,
+    state: State<A>,
+}
+
+/// Bounded memory of requests and fences in one life of a node.
+#[derive(Debug)]
+pub struct SettleStore<A> {
+    life: u64,
+    limits: SettleLimits,
+    entries: HashMap<RequestId, Entry<A>>,
+    /// Ended requests, the first to end first.
+    ended: VecDeque<(Tick, RequestId)>,
+    /// Requests whose answer is kept, the first to end first.
+    answers: VecDeque<RequestId>,
+    /// Fences, the oldest first.
+    fences: VecDeque<(Tick, RequestId)>,
+    kept_bytes: usize,
+    /// Start of the youngest request that was forgotten.
+    forgotten_request: Option<Tick>,
+    /// Time of the youngest fence that was forgotten.
+    forgotten_fence: Option<Tick>,
+}
+
+impl<A: Clone> SettleStore<A> {
+    /// Creates an empty store for one life of a node.
+    pub fn new(life: u64, limits: SettleLimits) -> Self {
+        Self {
+            life,
+            limits,
+            entries: HashMap::new(),
+            ended: VecDeque::new(),
+            answers: VecDeque::new(),
+            fences: VecDeque::new(),
+            kept_bytes: 0,
+            forgotten_request: None,
+            forgotten_fence: None,
+        }
+    }
+
+    /// Returns the stamp that entry nodes hand back with their calls.
+    pub fn stamp(&self, now: Tick) -> NodeStamp {
+        NodeStamp { life: self.life, tick: now.0 }
+    }
+
+    /// Takes a request in, or refuses it.
+    ///
+    /// `aim` is the newest stamp of this node that the entry node had heard when
+    /// it sent the request, hence no later than the sending.
+    pub fn begin(&mut self, id: RequestId, aim: NodeStamp, now: Tick) -> Admission {
+        if aim.life != self.life {
+            return Admission::OtherLife;
+        }
+        self.expire(now);
+        match self.entries.get(&id).map(|entry| &entry.state) {
+            Some(State::Fenced) => return Admission::Fenced,
+            Some(_) => return Admission::Duplicate,
+            None => {}
+        }
+        if self.forgotten_fence.is_some_and(|fence| aim.tick <= fence.0) {
+            return Admission::Stale;
+        }
+        self.entries.insert(id, Entry { begun: now, state: State::Running });
+        Admission::Admit
+    }
+
+    /// Records how an admitted request ended; `bytes` is the size of its answer.
+    pub fn finish(&mut self, id: RequestId, answer: A, bytes: usize, now: Tick) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        if !matches!(entry.state, State::Running) {
+            return;
+        }
+        entry.state = State::Ended { answer, bytes };
+        self.kept_bytes += bytes;
+        self.ended.push_back((now, id));
+        self.answers.push_back(id);
+        self.expire(now);
+    }
+
+    /// Tells what became of a request and fences it if it isn't known.
+    pub fn settle(&mut self, id: RequestId, life: u64, now: Tick) -> Fate<A> {
+        if life != self.life {
+            return Fate::OtherLife;
+        }
+        self.expire(now);
+        match self.entries.get(&id).map(|entry| &entry.state) {
+            Some(State::Running) => return Fate::Running,
+            Some(State::Ended { answer, .. }) => return Fate::Ended(answer.clone()),
+            Some(State::AnswerGone) => return Fate::AnswerGone,
+            Some(State::Fenced) => {}
+            None => self.fence(id, now),
+        }
+        Fate::Fenced { evicted_age: self.evicted_age(now) }
+    }
+
+    /// Returns the number of requests and fences that are held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the total size of the kept answers in bytes.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
+    /// Forgets what is past its time or above the bounds.
+    pub fn expire(&mut self, now: Tick) {
+        while self.kept_bytes > self.limits.bytes {
+            let Some(id) = self.answers.pop_front() else { break };
+            self.drop_answer(id);
+        }
+        while self.must_forget(&self.ended, self.limits.entries, now) {
+            let Some((_, id)) = self.ended.pop_front() else { break };
+            self.forget_request(id);
+        }
+        while self.must_forget(&self.fences, self.limits.fences, now) {
+            let Some((at, id)) = self.fences.pop_front() else { break };
+            self.entries.remove(&id);
+            self.forgotten_fence = self.forgotten_fence.max(Some(at));
+        }
+    }
+
+    fn must_forget(&self, queue: &VecDeque<(Tick, RequestId)>, limit: usize, now: Tick) -> bool {
+        let Some((at, _)) = queue.front() else { return false };
+        queue.len() > limit || now.since(*at) > self.limits.keep
+    }
+
+    fn fence(&mut self, id: RequestId, now: Tick) {
+        self.entries.insert(id, Entry { begun: now, state: State::Fenced });
+        self.fences.push_back((now, id));
+        self.expire(now);
+    }
+
+    fn drop_answer(&mut self, id: RequestId) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        if let State::Ended { bytes, .. } = entry.state {
+            self.kept_bytes -= bytes;
+            entry.state = State::AnswerGone;
+        }
+    }
+
+    fn forget_request(&mut self, id: RequestId) {
+        self.drop_answer(id);
+        if let Some(entry) = self.entries.remove(&id) {
+            self.forgotten_request = self.forgotten_request.max(Some(entry.begun));
+        }
+        if self.answers.front() == Some(&id) {
+            self.answers.pop_front();
+        }
+    }
+
+    /// Returns a bound below the age of every request that was forgotten.
+    ///
+    /// Ticks are cut to whole milliseconds, hence the millisecond less.
+    fn evicted_age(&self, now: Tick) -> Option<Duration> {
+        let begun = self.forgotten_request?;
+        Some(now.since(begun).saturating_sub(Duration::from_millis(1)))
+    }
+}
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -79,12 +79,12 @@
     KeyMismatch = 111,
     /// The chosen node is fenced against the request: it never saw it.
     Fenced = 112,
-    /// A request with the same idempotency key is still running.
-    KeyBusy = 113,
     /// The retry budget is used up.
     RetryBudgetExhausted = 114,
     /// The caller cancelled before the request was started.
     Cancelled = 115,
+    /// Too many calls are below one another.
+    TooDeep = 116,
     /// The connection to the backend server ended after the request was sent.
     BackendConnectionLost = 200,
     /// The deadline passed while the request was running.
@@ -97,6 +97,8 @@
     LedgerUncertain = 204,
     /// The backend server's answer can't be parsed or is too large.
     BadBackendAnswer = 205,
+    /// A request with the same idempotency key is still running.
+    KeyBusy = 206,
     /// The publish was derived from a version that is no longer in force.
     PublishConflict = 300,
     /// The configuration breaks a rule.
@@ -136,6 +138,7 @@
             Code::HeadersTooLarge => 431,
             Code::KeyMismatch => 422,
             Code::KeyBusy | Code::PublishConflict => 409,
+            Code::TooDeep => 508,
             Code::PublishRefused => 422,
             Code::Unauthorized => 401,
             Code::PublishPending => 202,
--- /dev/null
+++ b/crates/policy/tests/calls_ledger.rs
@@ -0,0 +1,295 @@
+//! A key runs at most once while its group changes and messages get lost.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use savorykeel_policy::{
+    calls::{
+        ledger::{Aim, Claim, ClaimLimits, ClaimReply, ClaimStore},
+        ledger_quorum::{Step, conclude},
+        ledger_sync::{Origin, SyncTracker},
+        ledger_view::{Identity, LedgerKey, LedgerMember, LedgerView, quorum, read_quorum},
+        quarantine::Fingerprint,
+    },
+    ids::{InstanceName, RequestId, ZoneName},
+    time::Tick,
+};
+
+const KEEP: Duration = Duration::from_secs(600);
+
+fn member(i: usize, incarnation: u64) -> LedgerMember {
+    LedgerMember {
+        identity: Identity {
+            instance: InstanceName::try_from(format!("i{i}")).unwrap(),
+            incarnation,
+        },
+        zone: ZoneName::try_from(format!("z{}", i % 3)).unwrap(),
+        addr: ([127, 0, 0, 1], 9000).into(),
+    }
+}
+
+fn claim(number: u32, request: u128) -> Claim {
+    let aim = Aim { addr: ([127, 0, 0, 1], 9000).into(), life: 1, request: RequestId(request) };
+    Claim { number, fingerprint: Fingerprint(5), aim }
+}
+
+fn held(claim: Claim) -> Option<ClaimReply> {
+    Some(ClaimReply::Held { claim, answer: None })
+}
+
+#[test]
+fn replicas_are_spread_over_zones_and_a_restart_moves_no_key() {
+    let view = LedgerView::new((0..9).map(|i| member(i, 1)).collect());
+    let restarted = LedgerView::new((0..9).map(|i| member(i, 2)).collect());
+    for key in (0..200).map(LedgerKey) {
+        let replicas = view.replicas(key);
+        let zones: std::collections::HashSet<_> = replicas.iter().map(|m| &m.zone).collect();
+        assert_eq!(zones.len(), 3);
+        let names = |view: &LedgerView| {
+            view.replicas(key).iter().map(|m| m.identity.instance.clone()).collect::<Vec<_>>()
+        };
+        assert_eq!(names(&view), names(&restarted));
+        assert_ne!(view.replica_digest(key), restarted.replica_digest(key));
+    }
+}
+
+#[yare::parameterized(one = { 1 }, two = { 2 }, three = { 3 })]
+fn quorums_meet(replicas: usize) {
+    assert!(2 * quorum(replicas) > replicas);
+    assert!(quorum(replicas) + read_quorum(replicas) > replicas);
+}
+
+#[test]
+fn conclusions_from_replies() {
+    let own = claim(1, 1);
+    let other = claim(1, 2);
+    let granted = Some(ClaimReply::Granted);
+    let not_ready = Some(ClaimReply::NotReady);
+    assert_eq!(conclude(&own, &[granted.clone(), granted.clone(), None]), Step::Run);
+    assert_eq!(conclude(&own, &[granted.clone(), None, not_ready]), Step::Uncertain);
+    assert_eq!(conclude(&own, &[granted.clone(), held(other), None]), Step::Settle(other));
+    let third = claim(1, 3);
+    assert_eq!(conclude(&own, &[held(other), held(third), None]), Step::Uncertain);
+    assert_eq!(conclude(&own, &[held(other), held(third), held(other)]), Step::Settle(other));
+    let answer: Arc<[u8]> = Arc::from(&b"open"[..]);
+    let answered = Some(ClaimReply::Held { claim: other, answer: Some(answer.clone()) });
+    assert_eq!(conclude(&own, &[None, answered, None]), Step::Answered(answer));
+    let different = Claim { fingerprint: Fingerprint(6), ..other };
+    assert_eq!(conclude(&own, &[granted, held(different), None]), Step::Mismatch);
+}
+
+#[test]
+fn a_claim_stands_until_it_is_released_or_outranked() {
+    let mut store = ClaimStore::new(ClaimLimits::default());
+    let key = LedgerKey(1);
+    assert_eq!(store.claim(key, claim(1, 1), Tick(0)), ClaimReply::Granted);
+    assert_eq!(Some(store.claim(key, claim(1, 2), Tick(0))), held(claim(1, 1)));
+    assert_eq!(store.claim(key, claim(2, 2), Tick(0)), ClaimReply::Granted);
+    store.release(key, &claim(1, 1));
+    assert_eq!(store.len(), 1, "an outranked claim releases nothing");
+    store.finish(key, claim(2, 2), Arc::from(&b"open"[..]), Tick(0));
+    let reply = store.claim(key, claim(3, 3), Tick(0));
+    assert!(matches!(reply, ClaimReply::Held { answer: Some(_), .. }), "an answer stands");
+}
+
+#[test]
+fn a_full_replica_grants_no_more_and_forgets_nothing_early() {
+    let limits = ClaimLimits { claims: 2, bytes: 4, keep: Duration::from_secs(1) };
+    let mut store = ClaimStore::new(limits);
+    for key in [1, 2] {
+        store.claim(LedgerKey(key), claim(1, 1), Tick(0));
+        store.finish(LedgerKey(key), claim(1, 1), Arc::from(&b"open"[..]), Tick(0));
+    }
+    assert_eq!(store.kept_bytes(), 4, "the older answer is dropped, its claim stays");
+    assert_eq!(store.claim(LedgerKey(3), claim(1, 1), Tick(1)), ClaimReply::NotReady);
+    assert_eq!(store.claim(LedgerKey(3), claim(1, 1), Tick(1_002)), ClaimReply::Granted);
+    assert_eq!(store.len(), 1);
+}
+
+#[test]
+fn a_member_that_starts_again_answers_after_it_heard_both_others() {
+    let now = Tick(0);
+    let view = LedgerView::new(vec![member(0, 2), member(1, 1), member(2, 1)]);
+    let before = LedgerView::new((0..3).map(|i| member(i, 1)).collect());
+    let mut restarted = SyncTracker::new(member(0, 2), Origin::Joiner, KEEP, now);
+    restarted.adopt(view.clone(), now);
+    for i in [1, 2] {
+        assert!(!restarted.covers(LedgerKey(1), now));
+        let mut other = SyncTracker::new(member(i, 1), Origin::Founder, KEEP, now);
+        other.adopt(before.clone(), now);
+        other.adopt(view.clone(), now);
+        restarted.fetched(&other.handover());
+    }
+    assert!(restarted.covers(LedgerKey(1), now));
+}
+
+#[test]
+fn after_a_total_loss_no_key_is_answered_for_until_claims_have_expired() {
+    let mut alone = SyncTracker::new(member(0, 2), Origin::Joiner, KEEP, Tick(0));
+    assert!(!alone.covers(LedgerKey(1), Tick(0)));
+    assert!(alone.covers(LedgerKey(1), Tick(600_001)));
+}
+
+struct Node {
+    store: ClaimStore,
+    sync: SyncTracker,
+}
+
+struct Late {
+    to: Identity,
+    key: LedgerKey,
+    claim: Claim,
+    digest: u64,
+}
+
+/// A group whose members come, go and start again, with late messages.
+struct Group {
+    rng: StdRng,
+    nodes: HashMap<Identity, Node>,
+    members: Vec<LedgerMember>,
+    late: Vec<Late>,
+    runs: HashMap<LedgerKey, u32>,
+    next: u64,
+    checks_sync: bool,
+}
+
+impl Group {
+    fn new(seed: u64, checks_sync: bool) -> Self {
+        let mut group = Self {
+            rng: StdRng::seed_from_u64(seed),
+            nodes: HashMap::new(),
+            members: Vec::new(),
+            late: Vec::new(),
+            runs: HashMap::new(),
+            next: 1,
+            checks_sync,
+        };
+        group.start(0, Origin::Founder);
+        for i in 1..5 {
+            group.start(i, Origin::Joiner);
+        }
+        group
+    }
+
+    fn start(&mut self, i: usize, origin: Origin) {
+        self.next += 1;
+        let member = member(i, self.next);
+        self.members.retain(|m| m.identity.instance != member.identity.instance);
+        self.members.push(member.clone());
+        let sync = SyncTracker::new(member.clone(), origin, KEEP, Tick(0));
+        let store = ClaimStore::new(ClaimLimits::default());
+        self.nodes.insert(member.identity, Node { store, sync });
+    }
+
+    fn any(&mut self) -> Identity {
+        let i = self.rng.random_range(0..self.members.len());
+        self.members[i].identity.clone()
+    }
+
+    fn step(&mut self) {
+        match self.rng.random_range(0..100) {
+            0 => {
+                let i = self.rng.random_range(0..8);
+                self.start(i, Origin::Joiner);
+            }
+            1 if self.members.len() > 3 => {
+                let i = self.rng.random_range(0..self.members.len());
+                self.members.remove(i);
+            }
+            2..20 => {
+                let (who, view) = (self.any(), LedgerView::new(self.members.clone()));
+                self.nodes.get_mut(&who).unwrap().sync.adopt(view, Tick(0));
+            }
+            20..50 => self.fetch(),
+            50..60 => self.deliver_late(),
+            _ => self.send(),
+        }
+    }
+
+    fn fetch(&mut self) {
+        let who = self.any();
+        let wanted = self.nodes[&who].sync.wanted();
+        let digest = self.nodes[&who].sync.view().digest();
+        for from in wanted {
+            let Some(other) = self.nodes.get(&from.identity) else { continue };
+            let is_alive = self.members.contains(&from);
+            if !is_alive || other.sync.view().digest() != digest {
+                continue;
+            }
+            let (claims, handover) = (other.store.page(None, 10_000), other.sync.handover());
+            let node = self.nodes.get_mut(&who).unwrap();
+            for (key, claim) in claims {
+                node.store.merge(key, claim, Tick(0));
+            }
+            node.sync.fetched(&handover);
+        }
+    }
+
+    fn claim_at(&mut self, late: &Late) -> Option<ClaimReply> {
+        let is_alive = self.members.iter().any(|m| m.identity == late.to);
+        let node = self.nodes.get_mut(&late.to).filter(|_| is_alive)?;
+        let is_covered = node.sync.covers(late.key, Tick(0)) || !self.checks_sync;
+        if node.sync.view().replica_digest(late.key) != late.digest || !is_covered {
+            return Some(ClaimReply::NotReady);
+        }
+        Some(node.store.claim(late.key, late.claim, Tick(0)))
+    }
+
+    fn deliver_late(&mut self) {
+        if self.late.is_empty() {
+            return;
+        }
+        let i = self.rng.random_range(0..self.late.len());
+        let late = self.late.swap_remove(i);
+        self.claim_at(&late);
+    }
+
+    fn send(&mut self) {
+        let who = self.any();
+        let key = LedgerKey(self.rng.random_range(0..40));
+        self.next += 1;
+        let claim = claim(1, u128::from(self.next));
+        let view = self.nodes[&who].sync.view().clone();
+        let digest = view.replica_digest(key);
+        let mut replies = Vec::new();
+        for to in view.replicas(key) {
+            let late = Late { to: to.identity.clone(), key, claim, digest };
+            if self.rng.random_bool(0.2) {
+                self.late.push(late);
+                replies.push(None);
+            } else {
+                let reply = self.claim_at(&late);
+                replies.push(reply.filter(|_| self.rng.random_bool(0.9)));
+            }
+        }
+        if conclude(&claim, &replies) == Step::Run {
+            *self.runs.entry(key).or_default() += 1;
+        }
+    }
+}
+
+fn run_groups(checks_sync: bool) -> (usize, usize) {
+    let (mut runs, mut doubled) = (0, 0);
+    for seed in 0..60 {
+        let mut group = Group::new(seed, checks_sync);
+        for _ in 0..2_000 {
+            group.step();
+        }
+        runs += group.runs.len();
+        doubled += group.runs.values().filter(|count| **count > 1).count();
+    }
+    (runs, doubled)
+}
+
+#[test]
+fn no_key_runs_twice_while_the_group_changes() {
+    let (runs, doubled) = run_groups(true);
+    assert_eq!(doubled, 0, "of {runs} keys that ran");
+    assert!(runs > 400, "only {runs} keys ran");
+}
+
+#[test]
+fn the_check_finds_keys_that_run_twice_without_handover() {
+    let (runs, doubled) = run_groups(false);
+    assert!(doubled > 0, "none of {runs} keys ran twice");
+}
--- /dev/null
+++ b/crates/policy/tests/calls_load.rs
@@ -0,0 +1,231 @@
+//! Admission, choice of the backend server, retries and deadlines.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use savorykeel_policy::{
+    calls::{
+        admission::{AdmissionQueue, Applicant, Release, Ticket, Verdict},
+        balance::{Balancer, CallEnd, Candidate},
+        deadline::{next_depth, next_hop, time_left},
+        retry::RetryBudget,
+    },
+    code::Code,
+    ids::InstanceName,
+    time::Tick,
+};
+
+fn applicant(caller: &str, urgent: bool, deadline: u64) -> Applicant {
+    Applicant { caller: Arc::from(caller), urgent, deadline: Tick(deadline) }
+}
+
+fn wait(queue: &mut AdmissionQueue, applicant: &Applicant, release: &mut Release) -> Ticket {
+    match queue.offer(applicant, Tick(0), release) {
+        Verdict::Wait(ticket) => ticket,
+        other => panic!("expected to wait, got {other:?}"),
+    }
+}
+
+#[test]
+fn slots_are_never_exceeded() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut queue = AdmissionQueue::new(5);
+    let mut running = 0;
+    for step in 0..20_000u64 {
+        let now = Tick(step);
+        if running > 0 && rng.random_bool(0.4) {
+            let release = queue.release(Duration::from_millis(10), now);
+            running = running - 1 + release.started.len();
+        } else {
+            let caller = format!("caller-{}", rng.random_range(0..4));
+            let deadline = step + rng.random_range(0..100);
+            let applicant = applicant(&caller, rng.random_bool(0.3), deadline);
+            let mut release = Release::default();
+            if queue.offer(&applicant, now, &mut release) == Verdict::Start {
+                running += 1;
+            }
+        }
+        assert!(running <= 5 && queue.running() as usize == running);
+    }
+}
+
+#[test]
+fn urgent_requests_go_first_but_leave_a_share() {
+    let mut queue = AdmissionQueue::new(100);
+    let mut release = Release::default();
+    for _ in 0..100 {
+        queue.offer(&applicant("a", false, 10_000), Tick(0), &mut release);
+    }
+    let normal = wait(&mut queue, &applicant("a", false, 10_000), &mut release);
+    let urgent: Vec<Ticket> =
+        (0..20).map(|_| wait(&mut queue, &applicant("b", true, 10_000), &mut release)).collect();
+    let started: Vec<Ticket> =
+        (0..12).flat_map(|_| queue.release(Duration::from_millis(1), Tick(1)).started).collect();
+    assert_eq!(started[0], urgent[0]);
+    let place = started.iter().position(|ticket| *ticket == normal);
+    assert_eq!(place, Some(8), "one normal request runs after eight urgent ones");
+}
+
+#[test]
+fn a_caller_cannot_starve_another() {
+    let mut queue = AdmissionQueue::new(1);
+    let mut release = Release::default();
+    for _ in 0..9 {
+        queue.offer(&applicant("greedy", false, 10_000), Tick(0), &mut release);
+    }
+    let modest = wait(&mut queue, &applicant("modest", false, 10_000), &mut release);
+    assert_eq!(release.shed.len(), 1, "the full queue sheds the greedy caller's newest");
+    queue.release(Duration::from_millis(1), Tick(1));
+    let second = queue.release(Duration::from_millis(1), Tick(1));
+    assert_eq!(second.started, [modest], "callers take turns");
+}
+
+#[test]
+fn requests_that_cannot_end_in_time_are_shed_at_once() {
+    let mut queue = AdmissionQueue::new(1);
+    let mut release = Release::default();
+    queue.offer(&applicant("a", false, 10_000), Tick(0), &mut release);
+    for _ in 0..100 {
+        queue.release(Duration::from_millis(100), Tick(0));
+        queue.offer(&applicant("a", false, 10_000), Tick(0), &mut release);
+    }
+    let verdict = queue.offer(&applicant("a", false, 150), Tick(0), &mut release);
+    assert_eq!(verdict, Verdict::Shed(Code::Overloaded));
+    let verdict = queue.offer(&applicant("a", false, 0), Tick(0), &mut release);
+    assert_eq!(verdict, Verdict::Shed(Code::DeadlineBeforeStart));
+}
+
+#[test]
+fn expired_and_cancelled_requests_never_start() {
+    let mut queue = AdmissionQueue::new(1);
+    let mut release = Release::default();
+    queue.offer(&applicant("a", false, 10_000), Tick(0), &mut release);
+    let expired = wait(&mut queue, &applicant("a", false, 50), &mut release);
+    let cancelled = wait(&mut queue, &applicant("b", false, 10_000), &mut release);
+    assert!(queue.cancel(cancelled));
+    assert!(!queue.cancel(cancelled));
+    let release = queue.release(Duration::from_millis(1), Tick(60));
+    assert_eq!(release.shed, [(expired, Code::DeadlineBeforeStart)]);
+    assert!(release.started.is_empty());
+}
+
+fn candidates(n: usize, local: impl Fn(usize) -> bool) -> Vec<Candidate> {
+    let candidate = |i: usize| Candidate {
+        instance: InstanceName::try_from(format!("i{i}")).unwrap(),
+        incarnation: 1,
+        is_local: local(i),
+        slots: 10,
+        suspect: false,
+    };
+    (0..n).map(candidate).collect()
+}
+
+#[test]
+fn a_slow_backend_server_gets_a_small_share() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut balancer = Balancer::default();
+    let group = candidates(5, |_| true);
+    let mut counts = [0u32; 5];
+    for step in 0..5_000 {
+        let i = balancer.choose(&group, &[], Tick(step), &mut rng).unwrap();
+        counts[i] += 1;
+        let latency = Duration::from_millis(if i == 0 { 200 } else { 10 });
+        balancer.end(&group[i].instance, CallEnd::Answered, latency, Tick(step));
+    }
+    assert!(counts[0] < 500, "the slow one got {} of 5000", counts[0]);
+}
+
+#[test]
+fn the_availability_zone_is_preferred_until_it_is_loaded() {
+    let mut rng = StdRng::seed_from_u64(4);
+    let mut balancer = Balancer::default();
+    let group = candidates(4, |i| i < 2);
+    let chosen: Vec<usize> =
+        (0..40).map(|_| balancer.choose(&group, &[], Tick(0), &mut rng).unwrap()).collect();
+    assert!(chosen[..8].iter().all(|i| *i < 2), "idle: the own zone only");
+    assert!(chosen[20..].iter().any(|i| *i >= 2), "loaded: other zones too");
+}
+
+#[test]
+fn failing_backend_servers_are_ejected_but_never_most_of_them() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut balancer = Balancer::default();
+    let group = candidates(4, |_| true);
+    let mut fail = |balancer: &mut Balancer, bad: usize| {
+        for _ in 0..400 {
+            let i = balancer.choose(&group, &[], Tick(1), &mut rng).unwrap();
+            let end = if i < bad { CallEnd::Failed } else { CallEnd::Answered };
+            balancer.end(&group[i].instance, end, Duration::from_millis(5), Tick(1));
+        }
+        let mut counts = [0u32; 4];
+        for _ in 0..200 {
+            let i = balancer.choose(&group, &[], Tick(1), &mut rng).unwrap();
+            counts[i] += 1;
+            balancer.end(&group[i].instance, CallEnd::Cancelled, Duration::ZERO, Tick(1));
+        }
+        counts
+    };
+    let counts = fail(&mut balancer, 1);
+    assert_eq!(counts[0], 0, "one of four is ejected");
+    let counts = fail(&mut balancer, 4);
+    assert!(counts.iter().all(|count| *count > 0), "no ejection when all fail");
+}
+
+#[test]
+fn a_new_backend_server_starts_slowly() {
+    let mut rng = StdRng::seed_from_u64(6);
+    let mut balancer = Balancer::default();
+    let group = candidates(5, |_| true);
+    balancer.choose(&group[..4], &[], Tick(0), &mut rng);
+    let mut share = |at: u64| {
+        let mut hits = 0;
+        for _ in 0..1_000 {
+            let i = balancer.choose(&group, &[], Tick(at), &mut rng).unwrap();
+            hits += u32::from(i == 4);
+            balancer.end(&group[i].instance, CallEnd::Cancelled, Duration::ZERO, Tick(at));
+        }
+        hits
+    };
+    let cold = share(5_000);
+    let warm = share(60_000);
+    assert!(cold < 60 && warm > 100, "cold {cold}, warm {warm} of 1000");
+}
+
+#[test]
+fn retries_stay_a_share_of_the_calls() {
+    let mut budget = RetryBudget::new(0.1, Tick(0));
+    let mut retries = 0;
+    for step in 0..10_000u64 {
+        budget.count_call();
+        retries += u32::from(budget.try_spend(Tick(step)));
+    }
+    assert!((1_000..=1_012).contains(&retries), "{retries} retries of 10000 calls in 10 s");
+}
+
+/// A chain in which the last backend server always sheds: only the hop above it
+/// retries, because every other hop gets an answer.
+#[test]
+fn a_deep_chain_retries_at_one_layer_only() {
+    let mut budgets: Vec<RetryBudget> = (0..25).map(|_| RetryBudget::new(0.1, Tick(0))).collect();
+    let mut runs_at_the_end = 0;
+    for call in 0..1_000 {
+        for budget in &mut budgets {
+            budget.count_call();
+        }
+        runs_at_the_end += 1;
+        let last = budgets.last_mut().unwrap();
+        runs_at_the_end += u32::from(last.try_spend(Tick(call)));
+    }
+    assert!(runs_at_the_end <= 1_102, "{runs_at_the_end} tries of 1000 calls");
+}
+
+#[test]
+fn deadlines_shrink_and_depth_is_limited() {
+    let ms = Duration::from_millis;
+    assert_eq!(time_left(ms(5_000), Some(ms(300))), ms(300));
+    assert_eq!(time_left(ms(200), Some(ms(300))), ms(200));
+    assert_eq!(next_hop(ms(300)), Ok(ms(298)));
+    assert_eq!(next_hop(ms(2)), Err(Code::DeadlineBeforeStart));
+    assert_eq!(next_depth(0, 2), Ok(1));
+    assert_eq!(next_depth(2, 2), Err(Code::TooDeep));
+}
--- /dev/null
+++ b/crates/policy/tests/calls_settle.rs
@@ -0,0 +1,130 @@
+//! The settle store keeps its answers exact although it forgets.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use savorykeel_policy::{
+    calls::settle::{Admission, Fate, NodeStamp, SettleLimits, SettleStore, fence_is_proof},
+    ids::RequestId,
+    time::Tick,
+};
+
+const LIFE: u64 = 7;
+
+fn store(limits: SettleLimits) -> SettleStore<&'static str> {
+    SettleStore::new(LIFE, limits)
+}
+
+fn aim(tick: u64) -> NodeStamp {
+    NodeStamp { life: LIFE, tick }
+}
+
+#[test]
+fn kept_answer_is_returned_and_runs_once() {
+    let mut store = store(SettleLimits::default());
+    assert_eq!(store.begin(RequestId(1), aim(0), Tick(1)), Admission::Admit);
+    assert_eq!(store.settle(RequestId(1), LIFE, Tick(2)), Fate::Running);
+    store.finish(RequestId(1), "open", 4, Tick(3));
+    assert_eq!(store.settle(RequestId(1), LIFE, Tick(4)), Fate::Ended("open"));
+    assert_eq!(store.begin(RequestId(1), aim(4), Tick(5)), Admission::Duplicate);
+}
+
+#[test]
+fn late_arrival_after_a_fence_does_not_run() {
+    let mut store = store(SettleLimits::default());
+    let fate = store.settle(RequestId(1), LIFE, Tick(10));
+    assert_eq!(fate, Fate::Fenced { evicted_age: None });
+    assert_eq!(store.begin(RequestId(1), aim(5), Tick(11)), Admission::Fenced);
+}
+
+#[test]
+fn late_arrival_after_a_forgotten_fence_does_not_run() {
+    let limits = SettleLimits { keep: Duration::from_millis(100), ..SettleLimits::default() };
+    let mut store = store(limits);
+    store.settle(RequestId(1), LIFE, Tick(10));
+    assert_eq!(store.begin(RequestId(1), aim(10), Tick(500)), Admission::Stale);
+    assert_eq!(store.begin(RequestId(1), aim(11), Tick(500)), Admission::Admit);
+}
+
+#[test]
+fn another_life_proves_nothing_and_runs_nothing() {
+    let mut store = store(SettleLimits::default());
+    assert_eq!(store.settle(RequestId(1), LIFE + 1, Tick(1)), Fate::OtherLife);
+    let stale = NodeStamp { life: LIFE + 1, tick: 0 };
+    assert_eq!(store.begin(RequestId(1), stale, Tick(1)), Admission::OtherLife);
+}
+
+#[test]
+fn forgotten_request_is_never_proven_not_run() {
+    let limits = SettleLimits { entries: 1, ..SettleLimits::default() };
+    let mut store = store(limits);
+    for (id, at) in [(1, 100), (2, 200)] {
+        store.begin(RequestId(id), aim(at), Tick(at));
+        store.finish(RequestId(id), "open", 4, Tick(at + 1));
+    }
+    let Fate::Fenced { evicted_age } = store.settle(RequestId(1), LIFE, Tick(300)) else {
+        panic!("the store must have forgotten request 1");
+    };
+    assert!(!fence_is_proof(Duration::from_millis(200), evicted_age), "as old as request 1");
+    assert!(fence_is_proof(Duration::from_millis(150), evicted_age), "younger than request 1");
+}
+
+#[test]
+fn answers_above_the_byte_limit_are_dropped_oldest_first() {
+    let limits = SettleLimits { bytes: 8, ..SettleLimits::default() };
+    let mut store = store(limits);
+    for id in 1..=3 {
+        store.begin(RequestId(id), aim(0), Tick(1));
+        store.finish(RequestId(id), "open", 4, Tick(2));
+    }
+    assert_eq!(store.kept_bytes(), 8);
+    assert_eq!(store.settle(RequestId(1), LIFE, Tick(3)), Fate::AnswerGone);
+    assert_eq!(store.settle(RequestId(3), LIFE, Tick(3)), Fate::Ended("open"));
+}
+
+/// Sends once, delays, settles and forgets at random: a request that was proven not
+/// run must not run, and one that ran must not be proven not run.
+#[test]
+fn random_orders_never_break_a_proof() {
+    let limits =
+        SettleLimits { entries: 6, fences: 4, bytes: 64, keep: Duration::from_millis(400) };
+    for seed in 0..300 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut store = store(limits);
+        let mut now = 1_000u64;
+        let mut sent: Vec<(RequestId, u64)> = Vec::new();
+        let mut on_the_way: Vec<(RequestId, NodeStamp)> = Vec::new();
+        let mut ran = std::collections::HashSet::new();
+        let mut proven = std::collections::HashSet::new();
+        for step in 0..400u128 {
+            now += rng.random_range(0..20);
+            match rng.random_range(0..3) {
+                0 => {
+                    sent.push((RequestId(step), now));
+                    on_the_way.push((RequestId(step), aim(now - rng.random_range(0..30))));
+                }
+                1 if !on_the_way.is_empty() => {
+                    let i = rng.random_range(0..on_the_way.len());
+                    let (id, stamp) = on_the_way.swap_remove(i);
+                    if store.begin(id, stamp, Tick(now)) == Admission::Admit {
+                        assert!(!proven.contains(&id), "seed {seed}: {id} ran after a proof");
+                        assert!(ran.insert(id), "seed {seed}: {id} ran twice");
+                        store.finish(id, "open", 4, Tick(now + rng.random_range(0..3)));
+                    }
+                }
+                _ if !sent.is_empty() => {
+                    let (id, at) = sent[rng.random_range(0..sent.len())];
+                    let fate = store.settle(id, LIFE, Tick(now));
+                    let Fate::Fenced { evicted_age } = fate else { continue };
+                    if fence_is_proof(Duration::from_millis(now - at), evicted_age) {
+                        assert!(!ran.contains(&id), "seed {seed}: {id} ran before the proof");
+                        proven.insert(id);
+                    }
+                }
+                _ => {}
+            }
+            assert!(store.len() <= limits.entries + limits.fences);
+        }
+        assert!(!proven.is_empty() && !ran.is_empty(), "seed {seed} shows nothing");
+    }
+}
