Count forwarded bytes before they are written

Cause: the receiver may see the bytes and read the count before the writing task runs again; under load forwards_both_ways_and_counts saw 0 of 4 bytes. Change: the count goes up before the write. Conclusion: the test was right and stays as it is.

--- a/crates/standins/src/proxy/forward.rs
+++ b/crates/standins/src/proxy/forward.rs
@@ -198,10 +198,12 @@
         if generation.silence.is_cancelled() {
             std::future::pending::<()>().await;
         }
+        // Counted before the write: a reader may act on the bytes, and then look
+        // at the count, before this task runs again.
+        direction.counter(shared).fetch_add(chunk.bytes.len() as u64, Ordering::Relaxed);
         if tx.write_all(&chunk.bytes).await.is_err() {
             return;
         }
-        direction.counter(shared).fetch_add(chunk.bytes.len() as u64, Ordering::Relaxed);
     }
     let _ = tx.shutdown().await;
 }
