Fold publish records, merge membership and plan distribution as pure functions

Nothing decided which configuration is in force or which nodes exist. policy::config gains the publish record (refused and unknown format apart), the fold with bounded memory, deltas and checkpoints with digests; policy::membership gains the merge, the table with bucket digests, the rings and the failure rule; policy::distribution gains duties by rendezvous hash, the floor, presence and the messages between nodes.

--- a/crates/policy/src/config/mod.rs
+++ b/crates/policy/src/config/mod.rs
@@ -2,6 +2,10 @@
 //!
 //! The fields are described for operators in `docs/CONFIGURATION.md`.
 
+pub mod checkpoint;
+pub mod delta;
+pub mod fold;
 pub mod model;
 pub mod raw;
+pub mod record;
 mod rfc3339;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod calls;
 pub mod code;
 pub mod config;
+pub mod distribution;
 pub mod ids;
 pub mod membership;
 pub mod moves;
--- /dev/null
+++ b/crates/policy/tests/membership_merge.rs
@@ -0,0 +1,314 @@
+//! The merge of membership statements.
+
+use std::{net::SocketAddr, time::Duration};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
+use savorykeel_policy::{
+    config::fold::Position,
+    distribution::{
+        duty::rank,
+        floor::{Answerers, Floors, Recovery},
+        message::Speaker,
+    },
+    ids::{ConfigVersion, InstanceName, RegionName, ServiceName, ZoneName},
+    membership::{
+        entry::{BackendRecord, Liveness, NodeRecord, Stamp},
+        failure::{Conclusion, conclude},
+        members::{BUCKETS, Change, Members, SUSPICION, TOMBSTONE_KEPT, UNREACHABLE_KEPT},
+        merge::Entry,
+        rings::Neighbours,
+    },
+    time::Tick,
+};
+
+fn name(n: usize) -> InstanceName {
+    InstanceName::try_from(format!("node-{n}")).unwrap()
+}
+
+fn record(n: usize, incarnation: u64, sequence: u64) -> NodeRecord {
+    NodeRecord {
+        instance: name(n),
+        stamp: Stamp { incarnation, sequence },
+        zone: ZoneName::try_from(format!("zone-{}", n % 4)).unwrap(),
+        region: RegionName::try_from("region").unwrap(),
+        peer_addr: SocketAddr::from(([127, 0, (n % 4) as u8, 1], 1_000 + n as u16)),
+        leaving: sequence % 5 == 4,
+        backend: sequence.is_multiple_of(2).then(|| BackendRecord {
+            service: ServiceName::try_from("gate").unwrap(),
+            version: "v1".try_into().unwrap(),
+            slots: sequence as u32,
+            draining: false,
+        }),
+        applied: ConfigVersion(0),
+    }
+}
+
+fn random_entry(rng: &mut StdRng, n: usize) -> Entry {
+    let liveness = [Liveness::Alive, Liveness::Suspect, Liveness::Unreachable, Liveness::Gone];
+    let record = record(n, rng.random_range(1..4), rng.random_range(0..4));
+    Entry::alive(record).seen_as(liveness[rng.random_range(0..4)])
+}
+
+/// An entry of a second process that wrongly carries the same name.
+fn conflicting_entry(rng: &mut StdRng, n: usize) -> Entry {
+    let mut entry = random_entry(rng, n);
+    let mut record = NodeRecord::clone(&entry.record);
+    record.peer_addr.set_port(rng.random_range(1..4));
+    entry.record = record.into();
+    entry
+}
+
+#[test]
+fn merge_is_a_semilattice() {
+    for seed in 0..5_000 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut entry = || conflicting_entry(&mut rng, 1);
+        let (a, b, c) = (entry(), entry(), entry());
+        let merge = |a: &Entry, b: &Entry| a.clone().merge(b.clone());
+        assert_eq!(merge(&a, &b), merge(&b, &a), "seed {seed}");
+        assert_eq!(merge(&merge(&a, &b), &c), merge(&a, &merge(&b, &c)), "seed {seed}");
+        assert_eq!(merge(&a, &a), a, "seed {seed}");
+        assert!(merge(&a, &b).rank() >= a.rank(), "seed {seed}");
+        assert_eq!(merge(&merge(&a, &b), &a), merge(&a, &b), "seed {seed}");
+    }
+}
+
+fn members() -> Members {
+    Members::new(record(0, 1, 0), Tick(0))
+}
+
+fn others(members: &Members) -> Vec<Entry> {
+    members.entries().filter(|entry| entry.record.instance != name(0)).cloned().collect()
+}
+
+#[test]
+fn tables_agree_whatever_the_order_and_repetition() {
+    for seed in 0..300 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let entries: Vec<Entry> = (0..60)
+            .map(|_| {
+                let n = rng.random_range(1..12);
+                conflicting_entry(&mut rng, n)
+            })
+            .collect();
+        let mut shuffled = [entries.clone(), entries.clone()].concat();
+        shuffled.shuffle(&mut rng);
+        let (mut a, mut b) = (members(), members());
+        for entry in entries {
+            a.merge(entry, Tick(0));
+        }
+        for entry in shuffled {
+            b.merge(entry, Tick(5));
+        }
+        assert_eq!(others(&a), others(&b), "seed {seed}");
+        assert_eq!(a.digests(), b.digests(), "seed {seed}");
+    }
+}
+
+#[test]
+fn no_merge_takes_a_node_back() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut table = members();
+    for _ in 0..20_000 {
+        let n = rng.random_range(1..6);
+        let before = table.get(&name(n)).map(Entry::rank);
+        let entry = random_entry(&mut rng, n);
+        let is_newer = before.is_none_or(|before| entry.rank() > before);
+        let change = table.merge(entry, Tick(0));
+        assert_eq!(change == Change::Other, is_newer);
+        assert!(table.get(&name(n)).map(Entry::rank) >= before);
+    }
+}
+
+#[test]
+fn comparison_makes_two_tables_equal() {
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (mut a, mut b) = (members(), members());
+        for n in 1..200 {
+            for table in [&mut a, &mut b] {
+                if rng.random_bool(0.8) {
+                    table.merge(random_entry(&mut rng, n), Tick(0));
+                }
+            }
+        }
+        let differing: Vec<u8> =
+            (0..BUCKETS).filter(|i| a.digests()[*i] != b.digests()[*i]).map(|i| i as u8).collect();
+        let statements = b.statements_in(|i| differing.contains(&(i as u8)));
+        let comparison = a.compare(&differing, &statements);
+        for wanted in &comparison.wanted {
+            a.merge(b.get(wanted).unwrap().clone(), Tick(0));
+        }
+        for offered in &comparison.offered {
+            b.merge(a.get(offered).unwrap().clone(), Tick(0));
+        }
+        assert_eq!(a.digest(), b.digest(), "seed {seed}");
+        let alive = |table: &Members| -> Vec<Entry> {
+            table.entries().filter(|e| e.liveness != Liveness::Gone).cloned().collect()
+        };
+        assert_eq!(alive(&a), alive(&b), "seed {seed}");
+    }
+}
+
+#[test]
+fn node_refutes_what_others_hold_of_it() {
+    let mut table = members();
+    let said = Entry::alive(record(0, 1, 0)).seen_as(Liveness::Unreachable);
+    assert_eq!(table.merge(said.clone(), Tick(1)), Change::Refuted);
+    assert_eq!(table.own().liveness, Liveness::Alive);
+    assert!(table.own().rank() > said.rank());
+    let earlier_life = Entry::alive(record(0, 9, 3));
+    assert_eq!(table.merge(earlier_life.clone(), Tick(1)), Change::Refuted);
+    assert!(table.own().record.stamp.incarnation > 9);
+    assert_eq!(table.merge(earlier_life, Tick(1)), Change::None);
+}
+
+#[test]
+fn silence_ends_in_unreachable_and_only_long_silence_in_gone() {
+    let mut table = members();
+    table.merge(Entry::alive(record(1, 1, 0)), Tick(0));
+    assert!(table.judge(&name(1), Liveness::Suspect, Tick(0)));
+    assert!(table.expire(Tick(0) + (SUSPICION - Duration::from_millis(1))).is_empty());
+    assert_eq!(table.expire(Tick(0) + SUSPICION), vec![name(1)]);
+    assert_eq!(table.get(&name(1)).unwrap().liveness, Liveness::Unreachable);
+    let an_hour = Tick(0) + Duration::from_secs(3_600);
+    assert!(table.expire(an_hour).is_empty());
+    let given_up = Tick(0) + SUSPICION + UNREACHABLE_KEPT;
+    assert_eq!(table.expire(given_up), vec![name(1)]);
+    assert_eq!(table.merge(Entry::alive(record(1, 1, 0)), given_up), Change::None);
+    table.expire(given_up + TOMBSTONE_KEPT);
+    assert!(table.get(&name(1)).is_none());
+}
+
+#[test]
+fn refuted_suspicion_does_not_age() {
+    let mut table = members();
+    table.merge(Entry::alive(record(1, 1, 0)), Tick(0));
+    table.judge(&name(1), Liveness::Suspect, Tick(0));
+    table.merge(Entry::alive(record(1, 1, 1)), Tick(10));
+    assert!(table.expire(Tick(0) + SUSPICION * 3).is_empty());
+    assert_eq!(table.get(&name(1)).unwrap().liveness, Liveness::Alive);
+}
+
+fn fleet(size: usize) -> Members {
+    let mut table = members();
+    for n in 1..size {
+        table.merge(Entry::alive(record(n, 1, 0)), Tick(0));
+    }
+    table
+}
+
+#[test]
+fn every_node_is_watched_by_those_that_it_expects() {
+    let table = fleet(60);
+    let neighbours: Vec<Neighbours> = (0..60).map(|n| Neighbours::of(&name(n), &table)).collect();
+    for n in 0..60 {
+        for watched in &neighbours[n].watched {
+            let other = (0..60).find(|m| name(*m) == watched.instance).unwrap();
+            let is_watcher = neighbours[other].watchers.iter().any(|w| w.instance == name(n));
+            assert!(is_watcher, "node {other} doesn't know that node {n} watches it");
+        }
+        assert!(!neighbours[n].watched.is_empty());
+    }
+}
+
+#[test]
+fn news_reaches_every_node_in_few_steps() {
+    for size in [2, 3, 25, 400] {
+        let table = fleet(size);
+        let mut reached = std::collections::BTreeSet::from([name(0)]);
+        let mut steps = 0;
+        while reached.len() < size {
+            let next: Vec<InstanceName> = reached
+                .iter()
+                .flat_map(|n| Neighbours::of(n, &table).all())
+                .map(|contact| contact.instance)
+                .collect();
+            let before = reached.len();
+            reached.extend(next);
+            assert!(reached.len() > before, "{size} nodes aren't connected");
+            steps += 1;
+        }
+        assert!(steps <= 6, "{steps} steps for {size} nodes");
+    }
+}
+
+#[test]
+fn duty_passes_to_the_next_in_rank() {
+    let mut table = fleet(40);
+    let zone = ZoneName::try_from("zone-1").unwrap();
+    let in_zone: Vec<usize> = (0..40).filter(|n| n % 4 == 1).collect();
+    let rank_of = |table: &Members, n: usize| rank(table, &zone, &name(n));
+    let first = *in_zone.iter().find(|n| rank_of(&table, **n) == Some(0)).unwrap();
+    let second = *in_zone.iter().find(|n| rank_of(&table, **n) == Some(1)).unwrap();
+    table.judge(&name(first), Liveness::Suspect, Tick(0));
+    assert_eq!(rank_of(&table, first), None);
+    assert_eq!(rank_of(&table, second), Some(0));
+}
+
+#[test]
+fn report_after_the_probe_clears_a_node() {
+    let ms = Duration::from_millis;
+    let reports = [None, Some(ms(900)), Some(ms(100))];
+    assert_eq!(conclude(Tick(1_000), Tick(1_500), reports), Conclusion::ReachedByOthers);
+    let reports = [None, Some(ms(600))];
+    assert_eq!(conclude(Tick(1_000), Tick(1_500), reports), Conclusion::Suspect);
+    assert_eq!(conclude(Tick(1_000), Tick(1_500), []), Conclusion::Suspect);
+}
+
+fn speaker(n: usize, position: u64, recovered: bool) -> Speaker {
+    let record = record(n, 1, 0);
+    Speaker {
+        instance: record.instance,
+        zone: record.zone,
+        addr: record.peer_addr,
+        position: Position(position),
+        members: 0,
+        recovered,
+        current_ago: None,
+    }
+}
+
+#[test]
+fn restarted_node_serves_only_at_its_floor() {
+    let answerers = Answerers { nodes: 10, zones: 3 };
+    let mut recovery = Recovery::default();
+    assert!(!recovery.is_complete(Position(100), answerers));
+    recovery.answered(&speaker(1, 5, true), Position(9));
+    recovery.answered(&speaker(2, 6, true), Position(0));
+    assert!(!recovery.is_complete(Position(9), answerers), "two answers don't do");
+    recovery.answered(&speaker(3, 6, true), Position(0));
+    assert!(!recovery.is_complete(Position(8), answerers));
+    assert!(recovery.is_complete(Position(9), answerers));
+}
+
+#[test]
+fn answers_from_one_zone_or_from_starting_nodes_do_not_complete_a_start() {
+    let answerers = Answerers { nodes: 10, zones: 2 };
+    let mut one_zone = Recovery::default();
+    for n in [1, 5, 9] {
+        one_zone.answered(&speaker(n, 6, true), Position(0));
+    }
+    assert!(!one_zone.is_complete(Position(6), answerers));
+    let mut starting = Recovery::default();
+    for n in 1..8 {
+        starting.answered(&speaker(n, 0, false), Position(0));
+    }
+    assert!(!starting.is_complete(Position(0), answerers));
+    starting.confirmed(Position(4));
+    assert!(!starting.is_complete(Position(3), answerers));
+    assert!(starting.is_complete(Position(4), answerers));
+}
+
+#[test]
+fn remembered_position_never_falls() {
+    let mut floors = Floors::default();
+    let mut highest = 0;
+    let mut rng = StdRng::seed_from_u64(11);
+    for _ in 0..1_000 {
+        let position = rng.random_range(0..500);
+        highest = highest.max(position);
+        floors.note(&name(1), Position(position));
+        assert_eq!(floors.of(&name(1)), Position(highest));
+    }
+}
