Run the control loops of a node

Control links are their own RpcLinks with rare heartbeats. A test over four processes publishes and calls.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,53 +1,70 @@
-//! Configuration and membership: the state that the call path reads.
+//! The control side of a node: configuration, membership and recovery.
 //!
-//! Nothing is distributed yet: a node that starts answers
-//! [`savorykeel_policy::code::Code::NoConfiguration`].
+//! [`run`] drives it on one thread; [`state::ControlState`] is what the other
+//! threads read. The reasons are in `docs/design/0002-configuration.md` and
+//! `docs/design/0003-membership.md`.
 
-use std::{net::SocketAddr, sync::Arc};
+mod checkpoints;
+mod context;
+mod duty;
+mod event;
+mod exchange;
+mod gossip;
+mod handle;
+mod heard;
+pub mod journal;
+mod maintain;
+mod presence;
+mod probe;
+mod reader;
+mod start;
+pub mod state;
 
-use savorykeel_adapters::peer::LinkSettings;
-use savorykeel_policy::{membership::entry::BackendRecord, table::Table};
-use savorykeel_ports::clock::Clock;
-use slog::Logger;
-use tokio_util::sync::CancellationToken;
-
-use crate::settings::Settings;
-
-/// State of the control loops, shared by all threads of a node.
-pub(crate) struct ControlState {}
-
-impl ControlState {
-    /// Starts without configuration and members.
-    pub(crate) fn new(_: &Settings, _: Clock, _: SocketAddr, _: Logger) -> Self {
-        Self {}
-    }
+pub use context::{ControlContext, ControlMode, ControlTimes};
+pub use start::start;
 
-    /// Returns the table in force.
-    pub(crate) fn table(&self) -> Option<Arc<Table>> {
-        None
-    }
-
-    /// Records what the backend server beside the node says of itself.
-    pub(crate) fn set_backend(&self, _: Option<BackendRecord>) {}
+use std::{rc::Rc, time::Duration};
 
-    /// Announces that the node leaves.
-    pub(crate) fn begin_leaving(&self) {}
-}
+use futures_util::future::join_all;
+use savorykeel_policy::distribution::message::MessageBody;
+use savorykeel_ports::{log::LogService, peer::PeerLinks};
+use tokio_util::sync::CancellationToken;
 
-/// What the control loops run with.
-pub(crate) struct ControlContext {}
+/// Longest time that a stopping node waits for its neighbours to take its last word.
+const FAREWELL: Duration = Duration::from_millis(300);
 
-impl ControlContext {
-    /// Joins the state with how links are opened.
-    pub(crate) fn new(_: Arc<ControlState>, _: LinkSettings) -> Self {
-        Self {}
+/// Runs the control loops until `cancel` is cancelled, then tells the neighbours
+/// that this node is gone.
+pub async fn run<L, P>(cx: ControlContext<L, P>, cancel: CancellationToken)
+where
+    L: LogService + 'static,
+    P: PeerLinks + 'static,
+{
+    let cx = Rc::new(cx);
+    let loops = async {
+        tokio::join!(
+            reader::read_on(&cx),
+            gossip::spread(cx.clone()),
+            presence::keep_known(cx.clone()),
+            presence::recover(cx.clone()),
+            probe::watch(cx.clone()),
+            maintain::age(cx.clone()),
+            maintain::revive(cx.clone()),
+            maintain::clean_up(cx.clone()),
+            checkpoints::write(cx.clone()),
+        );
+    };
+    tokio::select! {
+        () = loops => {}
+        () = cancel.cancelled() => {}
     }
+    say_farewell(&cx).await;
 }
 
-/// Runs the control loops until `cancel` is cancelled.
-pub(crate) async fn run(_: ControlContext, _: CancellationToken) {}
-
-/// Answers a control message of another node.
-pub(crate) fn handle(_: &ControlState, _: &[u8]) -> Vec<u8> {
-    Vec::new()
+async fn say_farewell<L, P: PeerLinks>(cx: &ControlContext<L, P>) {
+    cx.state.declare_gone();
+    let entries = cx.state.entries_of(std::slice::from_ref(&cx.state.identity.instance));
+    let neighbours = cx.neighbours().all();
+    let tell = |addr| cx.exchange(addr, MessageBody::News { entries: entries.clone() }, FAREWELL);
+    join_all(neighbours.iter().map(|neighbour| tell(neighbour.addr))).await;
 }
--- /dev/null
+++ b/crates/node/src/control/start.rs
@@ -0,0 +1,74 @@
+//! Connects the control loops to the log service and to other nodes.
+
+use std::{net::IpAddr, rc::Rc, sync::Arc, time::Duration};
+
+use ntex::time::sleep;
+use savorykeel_adapters::{
+    log::HttpLog,
+    peer::{LinkSettings, RpcLinks},
+};
+use slog::error;
+use tokio_util::sync::CancellationToken;
+
+use crate::settings::ControlSettings;
+
+use super::{
+    context::{ControlContext, ControlTimes},
+    reader::to_millis,
+    run,
+    state::ControlState,
+};
+
+/// Time between heartbeats on a control link. Probes watch these links, so
+/// heartbeats only find links on which nothing else is sent.
+const HEARTBEAT: Duration = Duration::from_secs(15);
+
+/// Time after which an unanswered heartbeat means a silent control link.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Longest time to open a control link.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after which a log client that can't be made is tried again.
+const CLIENT_RETRY: Duration = Duration::from_secs(1);
+
+/// Runs the control loops of a node until `cancel` is cancelled.
+pub async fn start(
+    state: Arc<ControlState>,
+    settings: ControlSettings,
+    log_service: Arc<str>,
+    source: IpAddr,
+    cancel: CancellationToken,
+) {
+    let log = loop {
+        match HttpLog::new(log_service.clone()).await {
+            Ok(log) => break log,
+            Err(e) => error!(state.logger, "no client for the log service"; "problem" => %e),
+        }
+        sleep(to_millis(CLIENT_RETRY)).await;
+    };
+    let links = RpcLinks::new(link_settings(source), cancel.child_token());
+    let for_reset = links.clone();
+    let cx = ControlContext {
+        state,
+        log,
+        links,
+        reset_link: Rc::new(move |addr| for_reset.retain(|other| *other != addr)),
+        mode: settings.mode,
+        times: ControlTimes {
+            checkpoint: settings.checkpoint,
+            presence: settings.presence,
+            ..ControlTimes::default()
+        },
+    };
+    run(cx, cancel).await;
+}
+
+fn link_settings(source: IpAddr) -> LinkSettings {
+    LinkSettings {
+        source,
+        connect_timeout: CONNECT_TIMEOUT,
+        heartbeat_interval: HEARTBEAT,
+        heartbeat_timeout: SILENCE,
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,7 @@
 //! The savorykeel node: the call path and the control loops over the ports.
 
 mod calls;
-mod control;
+pub mod control;
 mod http;
 mod run;
 pub mod settings;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -15,7 +15,7 @@
 use ntex::{
     SharedCfg,
     http::{HttpService, HttpServiceConfig, Request},
-    rt::{DefaultRuntime, System},
+    rt::{DefaultRuntime, JoinHandle, System},
     server::Server,
     time::{Seconds, sleep},
 };
@@ -26,10 +26,13 @@
 
 use crate::{
     calls::{announce, entry},
-    control::{self, ControlContext, ControlState},
+    control::{
+        self,
+        state::{ControlState, Identity},
+    },
     settings::Settings,
     state::NodeState,
-    worker::{Worker, WorkerSeed, link_settings},
+    worker::{Worker, WorkerSeed},
 };
 
 /// Time between two looks at whether the calls in flight have ended.
@@ -144,29 +147,38 @@
     on_ready: impl FnOnce(&Addresses),
 ) -> Result<Ending, NodeError> {
     let addresses = listeners.addresses(&settings)?;
-    let state = new_state(settings, log, &addresses);
+    let state = new_state(settings, log, &addresses)?;
     let cancel = CancellationToken::new();
     let (accepted_tx, accepted_rx) = async_channel::unbounded();
     let seed = WorkerSeed { state: state.clone(), accepted: accepted_rx, cancel: cancel.clone() };
     let servers = start_servers(&seed, &listeners)?;
     spawn_peer_acceptor(listeners.peers, accepted_tx, cancel.clone())?;
     spawn_lease_watch(state.clone(), cancel.clone());
-    spawn_control(&state, &cancel);
+    let control_cancel = CancellationToken::new();
+    let control = spawn_control(&state, &control_cancel);
     info!(state.log, "node started"; "callers" => %addresses.callers, "peers" => %addresses.peers);
     on_ready(&addresses);
     stop.cancelled().await;
     let ending = leave(&state).await;
     servers.stop(true).await;
+    control_cancel.cancel();
+    let _ = control.await;
     cancel.cancel();
     info!(state.log, "node stopped");
     Ok(ending)
 }
 
-fn new_state(settings: Settings, log: Logger, addresses: &Addresses) -> Arc<NodeState> {
+fn new_state(settings: Settings, log: Logger, addresses: &Addresses) -> io::Result<Arc<NodeState>> {
     let clock = Clock::default();
-    let peer_addr = settings.advertise_peers.unwrap_or(addresses.peers);
-    let control = Arc::new(ControlState::new(&settings, clock, peer_addr, log.clone()));
-    Arc::new(NodeState {
+    let identity = Identity {
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        peer_addr: settings.advertise_peers.unwrap_or(addresses.peers),
+    };
+    let journal_file = settings.journal_file.as_deref();
+    let control = ControlState::new(identity, clock, log.clone(), journal_file)?;
+    Ok(Arc::new(NodeState {
         settings,
         clock,
         log,
@@ -175,7 +187,7 @@
         leaving: AtomicBool::new(false),
         entered: AtomicU32::new(0),
         serving: AtomicU32::new(0),
-    })
+    }))
 }
 
 fn start_servers(seed: &WorkerSeed, listeners: &Listeners) -> io::Result<Server> {
@@ -256,9 +268,12 @@
     .detach();
 }
 
-fn spawn_control(state: &Arc<NodeState>, cancel: &CancellationToken) {
-    let context = ControlContext::new(state.control.clone(), link_settings(state));
-    ntex::rt::spawn(control::run(context, cancel.clone())).detach();
+fn spawn_control(state: &Arc<NodeState>, cancel: &CancellationToken) -> JoinHandle<()> {
+    let source = state.settings.listen.peers.ip();
+    let control = state.settings.control;
+    let log_service = state.settings.log_service.clone();
+    let shared = state.control.clone();
+    ntex::rt::spawn(control::start(shared, control, log_service, source, cancel.clone()))
 }
 
 /// Announces that the node leaves and waits until its calls have ended.
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -17,6 +17,7 @@
 const KEPT_ANSWERS: RangeInclusive<usize> = 1..=10_000_000;
 const KEPT_BYTES: RangeInclusive<usize> = 1_024..=1 << 30;
 const SHORT_MILLIS: RangeInclusive<u128> = 10..=60_000;
+const PERIOD_MILLIS: RangeInclusive<u128> = 100..=3_600_000;
 const LONG_MILLIS: RangeInclusive<u128> = 0..=3_600_000;
 
 /// Collects refusals, so that an operator reads all of them at once.
@@ -100,6 +101,8 @@
     let metrics = raw.metrics.as_ref().map(|metrics| check_metrics(checker, metrics));
     checker.number("workers", raw.workers, &WORKERS);
     let limits = check_limits(checker, &raw.limits);
+    checker.millis("control.checkpoint_ms", raw.control.checkpoint, &PERIOD_MILLIS);
+    checker.millis("control.presence_ms", raw.control.presence, &PERIOD_MILLIS);
     let listen = listen?;
     if listen.peers.ip().is_unspecified() && advertised.is_none() {
         checker.refuse(
@@ -121,6 +124,7 @@
         token_file: raw.operators.token_file,
         journal_file: raw.journal_file,
         workers: raw.workers,
+        control: raw.control,
         limits,
     })
 }
--- a/crates/node/src/settings/checked.rs
+++ b/crates/node/src/settings/checked.rs
@@ -4,6 +4,8 @@
 
 use savorykeel_policy::ids::{InstanceName, RegionName, ZoneName};
 
+use super::ControlSettings;
+
 /// The whole settings of a node, checked.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -29,6 +31,8 @@
     pub journal_file: Option<PathBuf>,
     /// Number of worker threads.
     pub workers: usize,
+    /// How configuration and membership are kept up.
+    pub control: ControlSettings,
     /// Limits of this node.
     pub limits: Limits,
 }
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -9,7 +9,9 @@
 
 pub use checked::{Limits, Listen, MetricsSettings, Settings};
 pub use load::{SettingsError, parse, read};
-pub use raw::{RawAdvertise, RawLimits, RawListen, RawMetrics, RawOperators, RawSettings};
+pub use raw::{
+    ControlSettings, RawAdvertise, RawLimits, RawListen, RawMetrics, RawOperators, RawSettings,
+};
 
 use savorykeel_policy::config::model::Refusal;
 
--- a/crates/node/src/settings/raw.rs
+++ b/crates/node/src/settings/raw.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
+use crate::control::ControlMode;
+
 /// The whole settings file.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -34,11 +36,43 @@
     /// Number of worker threads.
     #[serde(default = "default_workers")]
     pub workers: usize,
+    /// How configuration and membership are kept up.
+    #[serde(default)]
+    pub control: ControlSettings,
     /// Limits of this node.
     #[serde(default)]
     pub limits: RawLimits,
 }
 
+/// How configuration and membership are kept up; each field has a default.
+#[serde_as]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ControlSettings {
+    /// How configuration reaches the node.
+    pub mode: ControlMode,
+    /// Time for which a checkpoint is good; it has to be shorter than the log
+    /// service keeps records.
+    #[serde(rename = "checkpoint_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub checkpoint: Duration,
+    /// Time after which a presence record is appended anew; it has to be shorter
+    /// than the log service keeps records.
+    #[serde(rename = "presence_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub presence: Duration,
+}
+
+impl Default for ControlSettings {
+    fn default() -> Self {
+        Self {
+            mode: ControlMode::default(),
+            checkpoint: Duration::from_secs(300),
+            presence: Duration::from_secs(60),
+        }
+    }
+}
+
 /// Addresses on which the node listens, each as `ip:port`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,7 +12,7 @@
 use savorykeel_ports::clock::Clock;
 use slog::Logger;
 
-use crate::{calls::announce::Announcement, control::ControlState, settings::Settings};
+use crate::{calls::announce::Announcement, control::state::ControlState, settings::Settings};
 
 /// State of one node, shared by its worker threads.
 pub(crate) struct NodeState {
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -18,7 +18,7 @@
 use slog::debug;
 use tokio_util::sync::CancellationToken;
 
-use crate::{calls::serve, control, state::NodeState};
+use crate::{calls::serve, state::NodeState};
 
 thread_local! {
     static WORKER: OnceCell<Rc<Worker>> = const { OnceCell::new() };
@@ -92,7 +92,7 @@
 }
 
 /// Returns how this node opens links.
-pub(crate) fn link_settings(state: &NodeState) -> LinkSettings {
+fn link_settings(state: &NodeState) -> LinkSettings {
     let limits = &state.settings.limits;
     LinkSettings {
         source: state.settings.listen.peers.ip(),
@@ -125,7 +125,7 @@
         cancel: Rc::new(move |id| serve::cancel(&for_cancel, id)),
         control: Rc::new(move |body| {
             let state = for_control.state.clone();
-            Box::pin(async move { control::handle(&state.control, &body) })
+            Box::pin(async move { state.control.handle(&body) })
         }),
         ledger: Rc::new(move |_| Box::pin(async { Vec::new() })),
     }
--- /dev/null
+++ b/tests/feature/config_spread.rs
@@ -0,0 +1,16 @@
+//! An accepted configuration comes into force on every node.
+
+use crate::harness::{
+    deployment::Deployment,
+    fleet::{Fleet, Options},
+};
+
+#[test]
+fn publish_is_applied_by_every_node_and_carries_calls() {
+    let deployment = Deployment::small();
+    let fleet = Fleet::start(&deployment, Options::default());
+    fleet.publish(0, &deployment.configuration());
+    fleet.wait_version(1);
+    fleet.wait_answered("/gate");
+    fleet.wait_answered("/history");
+}
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -3,4 +3,5 @@
 mod binary;
 mod check_configuration;
 mod cli_usage;
+mod config_spread;
 mod harness;
--- a/tests/harness/settings.rs
+++ b/tests/harness/settings.rs
@@ -5,7 +5,9 @@
     path::{Path, PathBuf},
 };
 
-use savorykeel_node::settings::{RawAdvertise, RawLimits, RawListen, RawOperators, RawSettings};
+use savorykeel_node::settings::{
+    ControlSettings, RawAdvertise, RawLimits, RawListen, RawOperators, RawSettings,
+};
 
 /// Bearer token of operators in tests.
 pub const TOKEN: &str = "test-token";
@@ -67,6 +69,7 @@
         operators: RawOperators { token_file: Some(token_file(dir)) },
         journal_file: Some(journal_file(dir, &place.instance)),
         workers: 1,
+        control: ControlSettings::default(),
         limits: RawLimits::default(),
     }
 }
