Keep outcomes exact over lost connections, re-sends and crashes

Cause: the thin node told "settle failed" for every lost connection, ran a re-sent request again, knew no slots and chose backend servers blindly. Change: the call path asks the node beside the backend server what became of an attempt, over a new connection, and retries only what is proven not run; keyed requests are claimed at a quorum of three replicas first, which fetch each other's claims when their group changes; admission, balancing, retry budget, deadlines, depth limit, cancellation and quarantine are wired in. A heartbeat returns the stamp that settle needs. In modules of others: NodeState holds CallState, RawSettings gains limits.key_kept_ms and the switches under testing, which are refused unless testing.breaks_promises is true.

--- a/crates/adapters/src/peer/decode.rs
+++ b/crates/adapters/src/peer/decode.rs
@@ -4,6 +4,7 @@
 
 use capnp::Error;
 use savorykeel_policy::{
+    calls::settle::NodeStamp,
     code::Code,
     ids::{RequestId, RouteName, ServiceName},
 };
@@ -20,8 +21,7 @@
 pub(super) fn read_call(from: call::Reader<'_>) -> Result<PeerCall, Error> {
     let attempt = Attempt {
         id: request_id(from.get_id_high(), from.get_id_low()),
-        incarnation: from.get_incarnation(),
-        age: Duration::from_millis(from.get_age_ms().into()),
+        aim: NodeStamp { life: from.get_aim_life(), tick: from.get_aim_tick() },
     };
     Ok(PeerCall {
         attempt,
--- /dev/null
+++ b/crates/node/src/calls/crashes.rs
@@ -0,0 +1,90 @@
+//! Notices crashes of the backend server and tells the service's group.
+
+use std::{rc::Rc, sync::atomic::Ordering, time::Duration};
+
+use parking_lot::Mutex;
+use savorykeel_policy::{
+    calls::{
+        ledger_message::LedgerMessage,
+        quarantine::{CrashId, Fingerprint, Standing},
+    },
+    time::Tick,
+};
+use slog::warn;
+
+use crate::{state::NodeState, worker::Worker};
+
+use super::group;
+
+/// Time within which lost connections count as one crash.
+const ONE_CRASH: Duration = Duration::from_millis(200);
+
+/// The newest crash of the backend server.
+#[derive(Debug, Default)]
+pub(crate) struct NewestCrash(Mutex<Option<(CrashId, Tick)>>);
+
+impl NewestCrash {
+    /// Returns the crash that a connection lost now belongs to.
+    fn at(&self, state: &NodeState, now: Tick) -> CrashId {
+        let mut newest = self.0.lock();
+        match &mut *newest {
+            Some((crash, at)) if now.since(*at) < ONE_CRASH => {
+                *at = now;
+                *crash
+            }
+            _ => {
+                let number = state.calls.crashes.fetch_add(1, Ordering::Relaxed);
+                let crash = CrashId { life: state.calls.life, number };
+                *newest = Some((crash, now));
+                crash
+            }
+        }
+    }
+}
+
+/// A request that is at the backend server.
+pub(crate) struct Running {
+    fingerprint: Fingerprint,
+    was_suspect: bool,
+}
+
+impl Running {
+    /// Notes that a request is handed to the backend server.
+    pub(crate) fn enter(state: &NodeState, fingerprint: Fingerprint) -> Self {
+        let standing = state.calls.quarantine.lock().standing(fingerprint, state.now());
+        Self { fingerprint, was_suspect: standing == Standing::Suspect }
+    }
+
+    /// Notes that the backend server answered; a suspect is cleared everywhere.
+    pub(crate) fn ended_well(self, worker: &Rc<Worker>) {
+        if !self.was_suspect {
+            return;
+        }
+        worker.state.calls.quarantine.lock().ended_well(self.fingerprint);
+        tell_group(worker, LedgerMessage::Cleared { fingerprint: self.fingerprint });
+    }
+
+    /// Notes that the connection ended before an answer came.
+    pub(crate) fn lost_connection(self, worker: &Rc<Worker>) {
+        let state = &worker.state;
+        let now = state.now();
+        let crash = state.calls.newest_crash.at(state, now);
+        state.calls.quarantine.lock().crashed(self.fingerprint, crash, now);
+        warn!(state.log, "connection to the backend server was lost with a request";
+            "crash" => crash.number, "was_suspect" => self.was_suspect);
+        let running = vec![self.fingerprint];
+        tell_group(worker, LedgerMessage::Crashed { crash, running });
+    }
+}
+
+/// Sends a message to the other members of this node's service.
+fn tell_group(worker: &Rc<Worker>, message: LedgerMessage) {
+    let Some(service) = worker.state.service() else { return };
+    let view = group::view(&worker.state, &service);
+    let own = &worker.state.settings.instance;
+    for member in view.members().iter().filter(|member| member.identity.instance != *own) {
+        let (worker, addr, message) = (worker.clone(), member.addr, message.clone());
+        ntex::rt::spawn(async move { super::ledger_client::send(&worker, addr, &message).await })
+            .detach();
+    }
+}
--- /dev/null
+++ b/crates/node/src/calls/journey.rs
@@ -0,0 +1,63 @@
+//! One request on its way through its entry node.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use savorykeel_policy::{
+    calls::{ledger_view::LedgerKey, quarantine::Fingerprint},
+    config::model::Route,
+    table::Table,
+};
+use savorykeel_ports::peer::HttpRequest;
+
+/// Name of the header with the caller's key.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// A request with the table that it uses from start to end.
+pub(crate) struct Journey {
+    /// Table that all decisions are made by.
+    pub(crate) table: Arc<Table>,
+    /// Route that took the request.
+    pub(crate) route: Arc<Route>,
+    /// The request.
+    pub(crate) request: HttpRequest,
+    /// Name of the caller for fair queueing.
+    pub(crate) caller: String,
+    /// Number of calls above this one.
+    pub(crate) depth: u32,
+    /// When the caller stops waiting.
+    pub(crate) deadline: Instant,
+}
+
+/// What the ledger knows a request by.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Keyed {
+    /// Key of the request.
+    pub(crate) key: LedgerKey,
+    /// Request that the key stands for.
+    pub(crate) fingerprint: Fingerprint,
+}
+
+impl Journey {
+    /// Returns the time until the deadline.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns what the ledger knows the request by.
+    ///
+    /// Requests that may run twice, or that carry no key, aren't in the ledger.
+    pub(crate) fn keyed(&self) -> Option<Keyed> {
+        if self.route.idempotent {
+            return None;
+        }
+        let key = self.request.headers.iter().find(|header| header.name == KEY_HEADER)?;
+        let (service, req) = (&self.route.service, &self.request);
+        Some(Keyed {
+            key: LedgerKey::of(service.as_str(), self.route.name.as_str(), &key.value),
+            fingerprint: Fingerprint::of(service, &req.method, &req.target, &req.body),
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/calls/ledger.rs
@@ -0,0 +1,181 @@
+//! This node's part in the ledger of its service.
+
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use savorykeel_policy::{
+    calls::{
+        ledger::{ClaimLimits, ClaimReply, ClaimStore},
+        ledger_message::{CLAIMS_PER_PAGE, LedgerMessage, LedgerReply},
+        ledger_sync::{Handover, Origin, SyncTracker},
+        ledger_view::{Identity, LedgerKey, LedgerMember, LedgerView},
+    },
+    ids::ServiceName,
+    time::Tick,
+};
+
+use crate::state::NodeState;
+
+use super::group;
+
+/// Claims and the group, once the node knows which service it belongs to.
+struct Replica {
+    store: ClaimStore,
+    sync: Option<SyncTracker>,
+    service: Option<ServiceName>,
+}
+
+/// This node as a replica.
+pub(crate) struct LedgerState {
+    replica: Mutex<Replica>,
+    keep: Duration,
+}
+
+impl LedgerState {
+    /// Creates a replica without a group.
+    ///
+    /// Claims are kept for `keep`, which must be the same on all nodes.
+    pub(crate) fn new(keep: Duration, bytes: usize) -> Self {
+        let limits = ClaimLimits { keep, bytes, ..ClaimLimits::default() };
+        Self {
+            replica: Mutex::new(Replica {
+                store: ClaimStore::new(limits),
+                sync: None,
+                service: None,
+            }),
+            keep,
+        }
+    }
+
+    /// Joins the group of this node's service.
+    pub(crate) fn join(&self, service: ServiceName, own: LedgerMember, origin: Origin, now: Tick) {
+        let mut replica = self.replica.lock();
+        replica.sync = Some(SyncTracker::new(own, origin, self.keep, now));
+        replica.service = Some(service);
+    }
+
+    /// Returns the service whose group this node joined.
+    pub(crate) fn service(&self) -> Option<ServiceName> {
+        self.replica.lock().service.clone()
+    }
+
+    /// Tells whether the node joined its group as this member.
+    pub(crate) fn is_member(&self, own: &Identity) -> bool {
+        self.replica.lock().sync.as_ref().is_some_and(|sync| sync.own() == own)
+    }
+
+    /// Tells whether the node has joined a group.
+    pub(crate) fn has_joined(&self) -> bool {
+        self.replica.lock().sync.is_some()
+    }
+
+    /// Takes in the group as it looks now; returns whose claims are wanted.
+    pub(crate) fn adopt(&self, view: &LedgerView, now: Tick) -> Vec<LedgerMember> {
+        let mut replica = self.replica.lock();
+        let Some(sync) = &mut replica.sync else { return Vec::new() };
+        sync.adopt(view.clone(), now);
+        sync.wanted()
+    }
+
+    /// Takes in claims of another member.
+    pub(crate) fn merge(
+        &self,
+        claims: Vec<(LedgerKey, savorykeel_policy::calls::ledger::Claim)>,
+        now: Tick,
+    ) {
+        let mut replica = self.replica.lock();
+        for (key, claim) in claims {
+            replica.store.merge(key, claim, now);
+        }
+    }
+
+    /// Takes note that all claims of another member were taken in.
+    pub(crate) fn fetched(&self, handover: &Handover) {
+        if let Some(sync) = &mut self.replica.lock().sync {
+            sync.fetched(handover);
+        }
+    }
+
+    /// Returns the digest of the group.
+    pub(crate) fn view_digest(&self) -> Option<u64> {
+        self.replica.lock().sync.as_ref().map(|sync| sync.view().digest())
+    }
+
+    /// Forgets claims that are past their time.
+    pub(crate) fn expire(&self, now: Tick) {
+        self.replica.lock().store.expire(now);
+    }
+}
+
+/// Answers a ledger message.
+pub(crate) fn handle(state: &NodeState, message: LedgerMessage) -> LedgerReply {
+    let now = state.now();
+    refresh(state, now);
+    let mut replica = state.calls.ledger.replica.lock();
+    match message {
+        LedgerMessage::Claim { key, claim, replicas } => {
+            let is_ready = replica.is_ready(key, replicas, now);
+            LedgerReply::Claim(match is_ready {
+                true => replica.store.claim(key, claim, now),
+                false => ClaimReply::NotReady,
+            })
+        }
+        LedgerMessage::Release { key, claim } => {
+            replica.store.release(key, &claim);
+            LedgerReply::Done
+        }
+        LedgerMessage::Finish { key, claim, answer } => {
+            replica.store.finish(key, claim, answer, now);
+            LedgerReply::Done
+        }
+        LedgerMessage::Fetch { view, after } => replica.page(view, after),
+        LedgerMessage::Crashed { crash, running } => {
+            drop(replica);
+            let mut quarantine = state.calls.quarantine.lock();
+            for fingerprint in running {
+                quarantine.crashed(fingerprint, crash, now);
+            }
+            LedgerReply::Done
+        }
+        LedgerMessage::Cleared { fingerprint } => {
+            drop(replica);
+            state.calls.quarantine.lock().ended_well(fingerprint);
+            LedgerReply::Done
+        }
+    }
+}
+
+/// Answers a ledger message as it comes over a link.
+pub(crate) fn handle_bytes(state: &NodeState, body: &[u8]) -> Vec<u8> {
+    let reply = match postcard::from_bytes(body) {
+        Ok(message) => handle(state, message),
+        // A node of another release may send what this one can't read.
+        Err(_) => LedgerReply::Claim(ClaimReply::NotReady),
+    };
+    postcard::to_stdvec(&reply).unwrap_or_default()
+}
+
+/// Makes the replica see the group as the membership shows it now.
+fn refresh(state: &NodeState, now: Tick) {
+    let Some(service) = state.calls.ledger.service() else { return };
+    let view = group::view(state, &service);
+    state.calls.ledger.adopt(&view, now);
+}
+
+impl Replica {
+    /// Tells whether this replica may answer for a key.
+    fn is_ready(&mut self, key: LedgerKey, replicas: u64, now: Tick) -> bool {
+        let Some(sync) = &mut self.sync else { return false };
+        sync.view().replica_digest(key) == replicas && sync.covers(key, now)
+    }
+
+    fn page(&self, view: u64, after: Option<LedgerKey>) -> LedgerReply {
+        let Some(sync) = &self.sync else { return LedgerReply::ViewDiffers };
+        if sync.view().digest() != view {
+            return LedgerReply::ViewDiffers;
+        }
+        let claims = self.store.page(after, CLAIMS_PER_PAGE);
+        let is_last = claims.len() < CLAIMS_PER_PAGE;
+        LedgerReply::Claims { claims, handover: is_last.then(|| sync.handover()) }
+    }
+}
--- /dev/null
+++ b/crates/node/src/calls/ledger_client.rs
@@ -0,0 +1,76 @@
+//! Sends ledger messages to members of a service's group.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use savorykeel_policy::calls::{
+    ledger::{Claim, ClaimReply},
+    ledger_message::{LedgerMessage, LedgerReply},
+    ledger_view::{LedgerKey, LedgerMember, LedgerView, quorum},
+};
+use savorykeel_ports::peer::PeerLinks;
+
+use crate::worker::Worker;
+
+use super::{ledger, state::to_millis};
+
+/// Longest time that a member may take to reply.
+const REPLY_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Sends a message to a member and returns its reply, if one comes.
+pub(crate) async fn send(
+    worker: &Rc<Worker>,
+    addr: SocketAddr,
+    message: &LedgerMessage,
+) -> Option<LedgerReply> {
+    if addr == worker.state.control.identity.peer_addr {
+        return Some(ledger::handle(&worker.state, message.clone()));
+    }
+    let body = postcard::to_stdvec(message).ok()?;
+    let exchange = worker.links.ledger(addr, body);
+    let reply = ntex::time::timeout(to_millis(REPLY_LIMIT), exchange).await.ok()?.ok()?;
+    postcard::from_bytes(&reply).ok()
+}
+
+/// Asks the replicas of a key for a claim.
+///
+/// It returns as soon as a quorum granted it; what is missing then is `None`.
+pub(crate) async fn claim(
+    worker: &Rc<Worker>,
+    view: &LedgerView,
+    key: LedgerKey,
+    claim: Claim,
+) -> Vec<Option<ClaimReply>> {
+    let replicas = view.replicas(key);
+    let message = LedgerMessage::Claim { key, claim, replicas: view.replica_digest(key) };
+    let mut replies: Vec<Option<ClaimReply>> = vec![None; replicas.len()];
+    let ask = |i: usize, member: &LedgerMember| {
+        let (worker, addr, message) = (worker.clone(), member.addr, message.clone());
+        async move { (i, send(&worker, addr, &message).await) }
+    };
+    let mut pending: FuturesUnordered<_> =
+        replicas.iter().enumerate().map(|(i, member)| ask(i, member)).collect();
+    while let Some((i, reply)) = pending.next().await {
+        if let Some(LedgerReply::Claim(reply)) = reply {
+            replies[i] = Some(reply);
+        }
+        let granted = replies.iter().filter(|r| **r == Some(ClaimReply::Granted)).count();
+        if granted >= quorum(replicas.len()) {
+            break;
+        }
+    }
+    replies
+}
+
+/// Sends a message to every replica of a key without waiting for replies.
+pub(crate) fn tell_replicas(
+    worker: &Rc<Worker>,
+    view: &LedgerView,
+    key: LedgerKey,
+    message: &LedgerMessage,
+) {
+    for member in view.replicas(key) {
+        let (worker, addr, message) = (worker.clone(), member.addr, message.clone());
+        ntex::rt::spawn(async move { send(&worker, addr, &message).await }).detach();
+    }
+}
--- /dev/null
+++ b/crates/node/src/calls/slots.rs
@@ -0,0 +1,165 @@
+//! The backend server's slots, for tasks that wait for one.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use savorykeel_policy::{
+    calls::admission::{AdmissionQueue, Applicant, Release, Ticket, Verdict},
+    code::Code,
+    time::Tick,
+};
+use tokio::sync::oneshot;
+
+use super::state::to_millis;
+
+type Decision = Result<(), Code>;
+
+struct Inner {
+    queue: AdmissionQueue,
+    waiters: HashMap<Ticket, oneshot::Sender<Decision>>,
+}
+
+impl Inner {
+    /// Tells waiting tasks what was decided about them.
+    fn announce(&mut self, release: Release) {
+        for ticket in release.started {
+            self.decide(ticket, Ok(()));
+        }
+        for (ticket, code) in release.shed {
+            self.decide(ticket, Err(code));
+        }
+    }
+
+    fn decide(&mut self, ticket: Ticket, decision: Decision) {
+        if let Some(tx) = self.waiters.remove(&ticket) {
+            // The receiver can't be gone: its guard removes the ticket first.
+            let _ = tx.send(decision);
+        }
+    }
+}
+
+/// Slots shared by all worker threads.
+#[derive(Clone)]
+pub(crate) struct Slots {
+    inner: Arc<Mutex<Inner>>,
+    now: fn() -> Tick,
+}
+
+impl Slots {
+    /// Creates slots; how many there are is learned with each request.
+    pub(crate) fn new() -> Self {
+        let inner = Inner { queue: AdmissionQueue::new(0), waiters: HashMap::new() };
+        let now = savorykeel_ports::clock::Clock::default().tick;
+        Self { inner: Arc::new(Mutex::new(inner)), now }
+    }
+
+    /// Returns the number of running and queued requests.
+    pub(crate) fn load(&self) -> u32 {
+        let inner = self.inner.lock();
+        inner.queue.running() + inner.queue.queued() as u32
+    }
+
+    /// Waits for one of `slots` slots, at most for `patience`.
+    pub(crate) async fn acquire(
+        &self,
+        applicant: Applicant,
+        slots: u32,
+        patience: Duration,
+    ) -> Result<Slot, Code> {
+        let mut wait = match self.offer(&applicant, slots)? {
+            Offer::Slot(slot) => return Ok(slot),
+            Offer::Wait(wait) => wait,
+        };
+        match ntex::time::timeout(to_millis(patience), &mut wait.rx).await {
+            Ok(Ok(Ok(()))) => {
+                wait.is_decided = true;
+                Ok(Slot::new(self.clone()))
+            }
+            Ok(Ok(Err(code))) => {
+                wait.is_decided = true;
+                Err(code)
+            }
+            Ok(Err(_)) | Err(()) => Err(Code::Overloaded),
+        }
+    }
+
+    fn offer(&self, applicant: &Applicant, slots: u32) -> Result<Offer, Code> {
+        let now = (self.now)();
+        let mut inner = self.inner.lock();
+        if inner.queue.slots() != slots {
+            let release = inner.queue.set_slots(slots, now);
+            inner.announce(release);
+        }
+        let mut release = Release::default();
+        let verdict = inner.queue.offer(applicant, now, &mut release);
+        inner.announce(release);
+        match verdict {
+            Verdict::Start => Ok(Offer::Slot(Slot::new(self.clone()))),
+            Verdict::Shed(code) => Err(code),
+            Verdict::Wait(ticket) => {
+                let (tx, rx) = oneshot::channel();
+                inner.waiters.insert(ticket, tx);
+                Ok(Offer::Wait(Wait { slots: self.clone(), ticket, rx, is_decided: false }))
+            }
+        }
+    }
+
+    fn release(&self, run_time: Duration) {
+        let now = (self.now)();
+        let mut inner = self.inner.lock();
+        let release = inner.queue.release(run_time, now);
+        inner.announce(release);
+    }
+}
+
+enum Offer {
+    Slot(Slot),
+    Wait(Wait),
+}
+
+/// A queued request; it leaves the queue when dropped.
+struct Wait {
+    slots: Slots,
+    ticket: Ticket,
+    rx: oneshot::Receiver<Decision>,
+    is_decided: bool,
+}
+
+impl Drop for Wait {
+    fn drop(&mut self) {
+        if self.is_decided {
+            return;
+        }
+        let was_queued = {
+            let mut inner = self.slots.inner.lock();
+            inner.waiters.remove(&self.ticket);
+            inner.queue.cancel(self.ticket)
+        };
+        // The slot may have been given between the timeout and now.
+        if !was_queued && matches!(self.rx.try_recv(), Ok(Ok(()))) {
+            self.slots.release(Duration::ZERO);
+        }
+    }
+}
+
+/// A slot of the backend server; it is free again when dropped.
+pub(crate) struct Slot {
+    slots: Slots,
+    since: Instant,
+}
+
+impl Slot {
+    fn new(slots: Slots) -> Self {
+        Self { slots, since: Instant::now() }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.slots.release(self.since.elapsed());
+    }
+}
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use savorykeel_policy::{
+    calls::settle::NodeStamp,
     code::Code,
     ids::{RequestId, RouteName, ServiceName},
 };
@@ -42,17 +43,15 @@
 
 /// Identifies one attempt at one life of a node, for the settle protocol.
 ///
-/// The node beside the backend server compares the incarnation with its own and
-/// the age with how far back it remembers, so that what it has forgotten is
-/// never taken for what it never saw.
+/// The stamp is the newest that the entry node had heard of the other node when
+/// it made the attempt, so that what that node has forgotten is never taken for
+/// what it never saw. See `docs/design/0004-settle.md`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Attempt {
     /// Identifies the attempt.
     pub id: RequestId,
-    /// Incarnation of the node that the attempt was aimed at.
-    pub incarnation: u64,
-    /// Time since the entry node made the attempt.
-    pub age: Duration,
+    /// Moment in the life of the node that the attempt is aimed at.
+    pub aim: NodeStamp,
 }
 
 /// A request on its way from the entry node to the node beside the chosen
@@ -95,7 +94,7 @@
     Ended(PeerReply),
     /// It is still queued or running.
     Running,
-    /// It was never seen and, from now on, never runs.
+    /// It never ran and, from now on, never runs.
     Fenced,
     /// The node can't tell: it restarted or no longer remembers that far back.
     Forgotten,
@@ -132,6 +131,9 @@
 /// Links to other nodes.
 #[allow(async_fn_in_trait)]
 pub trait PeerLinks {
+    /// Returns the newest stamp heard of the node at `addr`.
+    async fn stamp(&self, addr: SocketAddr) -> Result<NodeStamp, PeerError>;
+
     /// Hands a call to the node at `addr`.
     async fn call(
         &self,
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -1,6 +1,7 @@
 //! Feature tests by theme.
 
 mod binary;
+mod calls_outcomes;
 mod check_configuration;
 mod cli_usage;
 mod config_spread;
--- a/tests/harness/settings.rs
+++ b/tests/harness/settings.rs
@@ -71,5 +71,6 @@
         workers: 1,
         control: ControlSettings::default(),
         limits: RawLimits::default(),
+        testing: None,
     }
 }
