Record calls by what they mean for the objective and report the burn

Each node keeps sums over 5 minutes, 1 hour, 6 hours and 3 days in slots, by service, route, availability zone and version, in at most 2,048 cells; calls beyond them are counted under their route alone.

--- /dev/null
+++ b/crates/policy/src/burn/mod.rs
@@ -0,0 +1,21 @@
+//! Service-level burn: how fast each service spends its error budget, and why.
+//!
+//! Each node records the calls that entered at it in bounded windows. The
+//! snapshots of all nodes are added up and set against the objectives of the
+//! configuration. The report is described in `docs/operating/burn.md`.
+
+mod cause;
+mod counts;
+mod recorder;
+mod report;
+mod snapshot;
+mod window;
+
+pub use cause::{Cause, Verdict, judge};
+pub use counts::Counts;
+pub use recorder::{CallKey, MAX_CELLS, Recorder};
+pub use report::{
+    BurnReport, CauseShare, GroupBurn, NodesHeard, RouteBurn, ServiceBurn, WindowBurn, report,
+};
+pub use snapshot::{CellSnapshot, SeriesPoint, ServiceSeries, Snapshot};
+pub use window::{SERIES_SLOT, Window};
--- /dev/null
+++ b/crates/policy/src/burn/recorder.rs
@@ -0,0 +1,105 @@
+//! Records the calls that entered at one node.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use strum::IntoEnumIterator;
+
+use crate::{
+    ids::{BackendVersion, RouteName, ServiceName, ZoneName},
+    time::Tick,
+};
+
+use super::{
+    CellSnapshot, Counts, SeriesPoint, ServiceSeries, Snapshot, Verdict, Window, window::Rings,
+};
+
+/// Cells that a node keeps.
+///
+/// Calls beyond them are counted under their service and route alone.
+pub const MAX_CELLS: usize = 2_048;
+
+/// What calls are counted by.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallKey {
+    /// Service that was called.
+    pub service: ServiceName,
+    /// Route that took the request.
+    pub route: RouteName,
+    /// Availability zone of the backend server that was tried last, if any.
+    pub zone: Option<ZoneName>,
+    /// Version of that backend server.
+    pub version: Option<BackendVersion>,
+}
+
+impl CallKey {
+    fn without_backend(&self) -> Self {
+        Self { zone: None, version: None, ..self.clone() }
+    }
+}
+
+/// Records the calls that entered at one node, in bounded memory.
+#[derive(Debug, Default)]
+pub struct Recorder {
+    cells: HashMap<Arc<CallKey>, Rings>,
+}
+
+impl Recorder {
+    /// Adds one call.
+    pub fn record(&mut self, key: &CallKey, now: Tick, verdict: Verdict) {
+        if verdict == Verdict::Ignored {
+            return;
+        }
+        if let Some(rings) = self.cells.get_mut(key) {
+            rings.record(now, verdict);
+            return;
+        }
+        if self.cells.len() >= MAX_CELLS {
+            self.cells.retain(|_, rings| !rings.is_empty(now));
+        }
+        let key = if self.cells.len() < MAX_CELLS { key.clone() } else { key.without_backend() };
+        // The cells without a backend server are few: one for each route.
+        self.cells.entry(Arc::new(key)).or_default().record(now, verdict);
+    }
+
+    /// Returns the sums of all windows that end now.
+    pub fn snapshot(&self, now: Tick) -> Snapshot {
+        let mut cells: Vec<CellSnapshot> =
+            self.cells.iter().map(|(key, rings)| cell_snapshot(key, rings, now)).collect();
+        cells.retain(|cell| cell.windows.iter().any(|counts| counts.total > 0));
+        cells.sort_by_key(CellSnapshot::order);
+        Snapshot { cells, series: self.series(now) }
+    }
+
+    fn series(&self, now: Tick) -> Vec<ServiceSeries> {
+        let mut by_service: BTreeMap<&ServiceName, BTreeMap<u64, Counts>> = BTreeMap::new();
+        for (key, rings) in &self.cells {
+            let points = by_service.entry(&key.service).or_default();
+            for (age, counts) in rings.series(now) {
+                *points.entry(age).or_default() += counts;
+            }
+        }
+        by_service
+            .into_iter()
+            .map(|(service, points)| ServiceSeries {
+                service: service.clone(),
+                points: points
+                    .into_iter()
+                    .map(|(age, counts)| SeriesPoint { age, counts })
+                    .collect(),
+            })
+            .collect()
+    }
+}
+
+fn cell_snapshot(key: &CallKey, rings: &Rings, now: Tick) -> CellSnapshot {
+    CellSnapshot {
+        service: key.service.clone(),
+        route: key.route.clone(),
+        zone: key.zone.clone(),
+        version: key.version.clone(),
+        windows: Window::iter().map(|window| rings.sum(window, now)).collect(),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/burn/report.rs
@@ -0,0 +1,210 @@
+//! Sets recorded calls against the objectives of a configuration.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use strum::IntoEnumIterator;
+
+use crate::{
+    config::model::{Configuration, Objective},
+    ids::{ConfigVersion, RouteName, ServiceName},
+};
+
+use super::{Cause, CellSnapshot, Counts, SeriesPoint, Snapshot, Window};
+
+/// Least budget that a burn rate is divided by.
+///
+/// An objective of 1 has no budget; any failure then shows as a very high rate
+/// in place of an infinite one, which JSON can't state.
+const LEAST_BUDGET: f64 = 1e-6;
+
+/// The burn report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BurnReport {
+    /// Configuration version whose objectives are used.
+    pub configuration: ConfigVersion,
+    /// Nodes whose recorded calls are in the report.
+    pub nodes: NodesHeard,
+    /// Services of the configuration by name.
+    pub services: Vec<ServiceBurn>,
+}
+
+/// Nodes that were asked for their recorded calls.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodesHeard {
+    /// Nodes whose recorded calls are in the report.
+    pub heard: usize,
+    /// Instances that gave no answer.
+    pub silent: Vec<String>,
+}
+
+/// One service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceBurn {
+    /// Name of the service.
+    pub service: ServiceName,
+    /// Share of requests that must be answered without a failure.
+    pub objective_success: f64,
+    /// Share of requests that must be fast.
+    pub objective_fast: f64,
+    /// Time in milliseconds within which an answer counts as fast.
+    pub objective_latency_ms: u64,
+    /// Share of the failures that the objective allows over the longest window
+    /// that occurred; 1 is the whole error budget.
+    pub budget_spent: f64,
+    /// The whole service over each window.
+    pub windows: Vec<WindowBurn>,
+    /// Routes by name.
+    pub routes: Vec<RouteBurn>,
+    /// Availability zones of the backend servers.
+    pub zones: Vec<GroupBurn>,
+    /// Versions of the backend servers.
+    pub versions: Vec<GroupBurn>,
+    /// Course over the last hour.
+    pub series: Vec<SeriesPoint>,
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RouteBurn {
+    /// Name of the route.
+    pub route: RouteName,
+    /// Share of the error budget of the longest window that the route spent.
+    pub budget_spent: f64,
+    /// The route over each window.
+    pub windows: Vec<WindowBurn>,
+}
+
+/// The calls of one availability zone or of one version.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GroupBurn {
+    /// Availability zone or version; none for calls without a backend server.
+    pub name: Option<String>,
+    /// The group over each window.
+    pub windows: Vec<WindowBurn>,
+}
+
+/// Calls over one window, set against the objective.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WindowBurn {
+    /// The window.
+    pub window: Window,
+    /// Calls by what they mean for the objective.
+    pub counts: Counts,
+    /// How many times faster than allowed failures spend the budget; 1 spends
+    /// it exactly.
+    pub failure_burn: f64,
+    /// The same for slow answers.
+    pub slow_burn: f64,
+    /// Share of the bad calls for each cause that occurred.
+    pub causes: Vec<CauseShare>,
+}
+
+/// Share of the bad calls that one cause has.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CauseShare {
+    /// The cause.
+    pub cause: Cause,
+    /// Share, 0 to 1.
+    pub share: f64,
+}
+
+/// Sets the recorded calls of a mesh against the objectives of `configuration`.
+///
+/// Recorded calls of services that the configuration doesn't name any more are
+/// left out, because they have no objective.
+pub fn report(
+    version: ConfigVersion,
+    configuration: &Configuration,
+    snapshot: &Snapshot,
+    nodes: NodesHeard,
+) -> BurnReport {
+    let services = configuration
+        .services
+        .iter()
+        .map(|(name, service)| service_burn(name, &service.objective, snapshot))
+        .collect();
+    BurnReport { configuration: version, nodes, services }
+}
+
+fn service_burn(name: &ServiceName, objective: &Objective, snapshot: &Snapshot) -> ServiceBurn {
+    let cells: Vec<&CellSnapshot> =
+        snapshot.cells.iter().filter(|cell| cell.service == *name).collect();
+    let series = snapshot.series.iter().find(|series| series.service == *name);
+    let routes = grouped(&cells, |cell| cell.route.clone());
+    let zones = grouped(&cells, |cell| cell.zone.as_ref().map(ToString::to_string));
+    let versions = grouped(&cells, |cell| cell.version.as_ref().map(ToString::to_string));
+    let group = |(name, sums): (Option<String>, Vec<Counts>)| GroupBurn {
+        name,
+        windows: windows_burn(&sums, objective),
+    };
+    let route = |(route, sums): (RouteName, Vec<Counts>)| {
+        let windows = windows_burn(&sums, objective);
+        RouteBurn { route, budget_spent: budget_spent(&windows), windows }
+    };
+    let windows = windows_burn(&sum_windows(&cells), objective);
+    ServiceBurn {
+        service: name.clone(),
+        objective_success: objective.success,
+        objective_fast: objective.fast,
+        objective_latency_ms: objective.latency.as_millis() as u64,
+        budget_spent: budget_spent(&windows),
+        windows,
+        routes: routes.into_iter().map(route).collect(),
+        zones: zones.into_iter().map(group).collect(),
+        versions: versions.into_iter().map(group).collect(),
+        series: series.map_or_else(Vec::new, |series| series.points.clone()),
+    }
+}
+
+fn grouped<K: Ord>(
+    cells: &[&CellSnapshot],
+    key: impl Fn(&CellSnapshot) -> K,
+) -> BTreeMap<K, Vec<Counts>> {
+    let mut groups: BTreeMap<K, Vec<&CellSnapshot>> = BTreeMap::new();
+    for cell in cells {
+        groups.entry(key(cell)).or_default().push(cell);
+    }
+    groups.into_iter().map(|(key, cells)| (key, sum_windows(&cells))).collect()
+}
+
+fn sum_windows(cells: &[&CellSnapshot]) -> Vec<Counts> {
+    let mut sums = vec![Counts::default(); Window::iter().count()];
+    for cell in cells {
+        for (sum, counts) in sums.iter_mut().zip(&cell.windows) {
+            *sum += *counts;
+        }
+    }
+    sums
+}
+
+fn budget_spent(windows: &[WindowBurn]) -> f64 {
+    windows.last().map_or(0.0, |longest| longest.failure_burn)
+}
+
+fn windows_burn(sums: &[Counts], objective: &Objective) -> Vec<WindowBurn> {
+    Window::iter().zip(sums).map(|(window, sum)| window_burn(window, *sum, objective)).collect()
+}
+
+fn window_burn(window: Window, counts: Counts, objective: &Objective) -> WindowBurn {
+    let bad = counts.failed() + counts.slow;
+    let causes = Cause::iter()
+        .filter(|cause| counts.by_cause(*cause) > 0)
+        .map(|cause| CauseShare { cause, share: ratio(counts.by_cause(cause), bad) })
+        .collect();
+    WindowBurn {
+        window,
+        counts,
+        failure_burn: burn_rate(counts.failed(), counts.total, objective.success),
+        slow_burn: burn_rate(counts.slow, counts.total, objective.fast),
+        causes,
+    }
+}
+
+fn burn_rate(bad: u64, total: u64, objective: f64) -> f64 {
+    ratio(bad, total) / (1.0 - objective).max(LEAST_BUDGET)
+}
+
+fn ratio(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
+}
--- /dev/null
+++ b/crates/policy/src/burn/window.rs
@@ -0,0 +1,168 @@
+//! Sliding windows made of slots, so that memory is bounded whatever the load.
+
+use std::{collections::VecDeque, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use strum::IntoEnumIterator;
+
+use crate::time::Tick;
+
+use super::{Counts, Verdict};
+
+/// A span of time over which the burn rate is given.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumIter,
+    strum::IntoStaticStr,
+)]
+pub enum Window {
+    /// Shows what goes on now.
+    #[strum(serialize = "5m")]
+    #[serde(rename = "5m")]
+    FiveMinutes,
+    /// Shows whether it lasts.
+    #[strum(serialize = "1h")]
+    #[serde(rename = "1h")]
+    OneHour,
+    /// Shows a slow loss.
+    #[strum(serialize = "6h")]
+    #[serde(rename = "6h")]
+    SixHours,
+    /// The period over which the spent budget is given.
+    #[strum(serialize = "3d")]
+    #[serde(rename = "3d")]
+    ThreeDays,
+}
+
+/// Length of a point of the series in a report.
+pub const SERIES_SLOT: Duration = Duration::from_secs(60);
+
+impl Window {
+    /// Returns the length of the window.
+    pub fn span(self) -> Duration {
+        match self {
+            Window::FiveMinutes => Duration::from_secs(300),
+            Window::OneHour => Duration::from_secs(3_600),
+            Window::SixHours => Duration::from_secs(6 * 3_600),
+            Window::ThreeDays => Duration::from_secs(3 * 86_400),
+        }
+    }
+
+    /// Returns the length of a slot, by which the window moves on.
+    fn slot(self) -> Duration {
+        match self {
+            Window::FiveMinutes => Duration::from_secs(10),
+            Window::OneHour => SERIES_SLOT,
+            Window::SixHours => Duration::from_secs(600),
+            Window::ThreeDays => Duration::from_secs(3_600),
+        }
+    }
+
+    fn slots(self) -> u64 {
+        (self.span().as_millis() / self.slot().as_millis()) as u64
+    }
+}
+
+/// The counts of one slot.
+#[derive(Debug, Clone, Copy)]
+struct Slot {
+    index: u64,
+    counts: Counts,
+}
+
+/// The slots of one window that hold calls.
+#[derive(Debug, Clone)]
+pub(super) struct Ring {
+    window: Window,
+    slots: VecDeque<Slot>,
+}
+
+impl Ring {
+    fn new(window: Window) -> Self {
+        Self { window, slots: VecDeque::new() }
+    }
+
+    fn index(&self, now: Tick) -> u64 {
+        now.0 / self.window.slot().as_millis() as u64
+    }
+
+    fn record(&mut self, now: Tick, verdict: Verdict) {
+        let index = self.index(now);
+        self.expire(index);
+        match self.slots.back_mut() {
+            // A thread may read the clock, wait for the lock and come second.
+            Some(slot) if slot.index >= index => slot.counts.record(verdict),
+            _ => {
+                let mut counts = Counts::default();
+                counts.record(verdict);
+                self.slots.push_back(Slot { index, counts });
+            }
+        }
+    }
+
+    fn expire(&mut self, now_index: u64) {
+        let slots = self.window.slots();
+        while self.slots.front().is_some_and(|slot| slot.index + slots <= now_index) {
+            self.slots.pop_front();
+        }
+    }
+
+    fn live(&self, now: Tick) -> impl Iterator<Item = (u64, Counts)> {
+        let now_index = self.index(now);
+        let slots = self.window.slots();
+        self.slots
+            .iter()
+            .map(move |slot| (now_index.saturating_sub(slot.index), slot.counts))
+            .filter(move |(age, _)| *age < slots)
+    }
+}
+
+/// One ring for each window.
+#[derive(Debug, Clone)]
+pub(super) struct Rings {
+    rings: Vec<Ring>,
+}
+
+impl Default for Rings {
+    fn default() -> Self {
+        Self { rings: Window::iter().map(Ring::new).collect() }
+    }
+}
+
+impl Rings {
+    /// Adds one call to every window.
+    pub(super) fn record(&mut self, now: Tick, verdict: Verdict) {
+        for ring in &mut self.rings {
+            ring.record(now, verdict);
+        }
+    }
+
+    /// Returns the sum over a window that ends now.
+    pub(super) fn sum(&self, window: Window, now: Tick) -> Counts {
+        let mut sum = Counts::default();
+        for (_, counts) in self.rings[window as usize].live(now) {
+            sum += counts;
+        }
+        sum
+    }
+
+    /// Returns the counts of the last hour with their age in series slots.
+    pub(super) fn series(&self, now: Tick) -> impl Iterator<Item = (u64, Counts)> {
+        self.rings[Window::OneHour as usize].live(now)
+    }
+
+    /// Tells whether no window holds a call any more.
+    pub(super) fn is_empty(&self, now: Tick) -> bool {
+        self.rings.iter().all(|ring| ring.live(now).next().is_none())
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Time and randomness are passed in, so that every decision can be replayed
 //! from a seed. The reasons for this split are in `docs/design/0001-layout.md`.
 
+pub mod burn;
 pub mod code;
 pub mod config;
 pub mod ids;
