--- /dev/null
+++ b/crates/node/src/admin/api.rs
@@ -0,0 +1,131 @@
+//! What the operators' API says, as JSON.
+//!
+//! The paths and fields are described in `docs/operating/api.md`.
+
+use savorykeel_policy::{
+    code::Code,
+    config::model::Refusal,
+    ids::{BackendVersion, ConfigVersion, InstanceName, RegionName, ServiceName, ZoneName},
+    membership::entry::Liveness,
+    moves::status::MoveReport,
+};
+use serde::{Deserialize, Serialize};
+
+/// Path of the publishes.
+pub const PUBLISHES_PATH: &str = "/v1/publishes";
+
+/// Path of the status.
+pub const STATUS_PATH: &str = "/v1/status";
+
+/// Path of the burn report.
+pub const BURN_PATH: &str = "/v1/burn";
+
+/// Path of the configuration in force.
+pub const CONFIGURATION_PATH: &str = "/v1/configuration";
+
+/// Answer to a request that failed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ApiError {
+    /// Number of the result code.
+    pub code: u16,
+    /// Name of the result code.
+    pub name: Code,
+    /// What was found and what would do.
+    pub detail: String,
+}
+
+/// What became of a publish.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PublishAnswer {
+    /// Id of the publish.
+    pub id: String,
+    /// Its outcome.
+    #[serde(flatten)]
+    pub outcome: PublishOutcome,
+}
+
+/// Outcome of a publish.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "outcome", rename_all = "kebab-case")]
+pub enum PublishOutcome {
+    /// It is in force or was until a later one took its place.
+    Accepted {
+        /// Version that it got.
+        version: ConfigVersion,
+    },
+    /// It was derived from a version that was no longer in force.
+    Conflict {
+        /// Version that it was derived from.
+        base: ConfigVersion,
+        /// Version that was in force.
+        in_force: ConfigVersion,
+    },
+    /// Its configuration breaks a rule.
+    Refused {
+        /// Each broken rule.
+        reasons: Vec<Refusal>,
+    },
+    /// This node doesn't know it: it is on its way or never reached the log.
+    Pending {
+        /// Why it isn't known.
+        detail: String,
+    },
+}
+
+/// The mesh as one node sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StatusReport {
+    /// Instance that answers.
+    pub instance: InstanceName,
+    /// Configuration version in force on the instance that answers.
+    pub version: ConfigVersion,
+    /// Configuration versions over all members that are reached.
+    pub applied: AppliedSpread,
+    /// Members by instance name.
+    pub members: Vec<MemberStatus>,
+    /// Moves between backend server versions.
+    pub moves: Vec<MoveReport>,
+    /// What an operator must look at.
+    pub alarms: Vec<String>,
+}
+
+/// Configuration versions over all members that are reached.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AppliedSpread {
+    /// Lowest version in force on a member.
+    pub lowest: ConfigVersion,
+    /// Highest version in force on a member.
+    pub highest: ConfigVersion,
+    /// Members below the highest version.
+    pub laggards: Vec<InstanceName>,
+}
+
+/// One member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its region.
+    pub region: RegionName,
+    /// How the node that answers sees it.
+    pub liveness: Liveness,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Configuration version in force on it, as it last said.
+    pub applied: ConfigVersion,
+    /// The backend server on the instance, if one announced itself.
+    pub backend: Option<BackendStatus>,
+}
+
+/// The backend server on an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendStatus {
+    /// Service that it runs.
+    pub service: ServiceName,
+    /// Version of its software.
+    pub version: BackendVersion,
+    /// Whether it drains.
+    pub draining: bool,
+}
--- /dev/null
+++ b/crates/node/src/burn.rs
@@ -0,0 +1,70 @@
+//! Records how calls that entered at this node ended, for the burn report and
+//! for metrics.
+
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use savorykeel_adapters::metrics::{Counter, Tag, Timer};
+use savorykeel_policy::{
+    burn::{CallKey, Recorder, Snapshot, judge},
+    code::Code,
+    config::model::Route,
+    table::{Endpoint, Table},
+};
+
+use crate::state::NodeState;
+
+/// Result code in the metrics of a call that the backend server answered.
+const ANSWERED: &str = "answered";
+
+/// The calls that entered at this node, shared by its worker threads.
+///
+/// Its lock is taken last and held for one record only.
+#[derive(Default)]
+pub(crate) struct BurnState {
+    recorder: Mutex<Recorder>,
+}
+
+/// A call that ended.
+pub(crate) struct EndedCall<'a> {
+    /// Table that the call used.
+    pub(crate) table: &'a Table,
+    /// Route that took the request.
+    pub(crate) route: &'a Route,
+    /// Backend server that was tried last.
+    pub(crate) endpoint: Option<&'a Endpoint>,
+    /// HTTP status of the answer, or the result code in its place.
+    pub(crate) ended: Result<u16, Code>,
+    /// Time from the request's head to the end.
+    pub(crate) took: Duration,
+}
+
+/// Records a call that ended.
+pub(crate) fn observe(state: &NodeState, call: &EndedCall<'_>) {
+    send_metrics(state, call);
+    let Some(service) = call.table.services.get(&call.route.service) else { return };
+    let verdict = judge(call.ended, call.took, &service.service.objective);
+    let key = CallKey {
+        service: call.route.service.clone(),
+        route: call.route.name.clone(),
+        zone: call.endpoint.map(|endpoint| endpoint.zone.clone()),
+        version: call.endpoint.map(|endpoint| endpoint.version.clone()),
+    };
+    state.burn.recorder.lock().record(&key, (state.clock.tick)(), verdict);
+}
+
+/// Returns the sums of all windows that end now.
+pub(crate) fn snapshot(state: &NodeState) -> Snapshot {
+    state.burn.recorder.lock().snapshot((state.clock.tick)())
+}
+
+fn send_metrics(state: &NodeState, call: &EndedCall<'_>) {
+    let code: &'static str = call.ended.err().map_or(ANSWERED, Into::into);
+    let tags = [
+        Tag { key: "service", value: call.route.service.as_str() },
+        Tag { key: "route", value: call.route.name.as_str() },
+        Tag { key: "code", value: code },
+    ];
+    state.metrics.count(Counter::Calls, 1, &tags);
+    state.metrics.time(Timer::CallMs, call.took, &tags[..2]);
+}
--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -1,6 +1,7 @@
 //! The entry side of a call: route, choose a backend server, hand over.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -17,6 +18,7 @@
 use savorykeel_ports::peer::{Attempt, HttpRequest, PeerCall, PeerError, PeerLinks, PeerReply};
 
 use crate::{
+    burn::{self, EndedCall},
     calls::serve,
     http::{
         BodyError, DEADLINE_HEADER, DEPTH_HEADER, HttpResult, answer_response, code_response,
@@ -43,6 +45,8 @@
     caller: String,
     depth: u32,
     deadline: Instant,
+    /// Backend server that was tried last, for the burn report.
+    last_tried: RefCell<Option<Arc<Endpoint>>>,
 }
 
 async fn answer(
@@ -72,8 +76,11 @@
         route,
         caller,
         depth,
+        last_tried: RefCell::default(),
     };
-    match run(worker, &journey).await {
+    let reply = run(worker, &journey).await;
+    observe(worker, &journey, &reply, started.elapsed());
+    match reply {
         PeerReply::Answered(answer) => Ok(answer_response(answer)),
         PeerReply::Failed(code) => {
             let detail = format!("route {}: {code}", journey.route.name);
@@ -82,6 +89,21 @@
     }
 }
 
+fn observe(worker: &Worker, journey: &Journey, reply: &PeerReply, took: Duration) {
+    let endpoint = journey.last_tried.borrow();
+    let call = EndedCall {
+        table: &journey.table,
+        route: &journey.route,
+        endpoint: endpoint.as_deref(),
+        ended: match reply {
+            PeerReply::Answered(answer) => Ok(answer.status),
+            PeerReply::Failed(code) => Err(*code),
+        },
+        took,
+    };
+    burn::observe(&worker.state, &call);
+}
+
 fn body_failure(error: &BodyError, limit: usize) -> Response {
     match error {
         BodyError::TooLarge => {
@@ -100,6 +122,7 @@
         if left.is_zero() {
             return PeerReply::Failed(Code::DeadlineBeforeStart);
         }
+        *journey.last_tried.borrow_mut() = Some(endpoint.clone());
         let call = peer_call(worker, journey, &endpoint, left);
         last = attempt(worker, &endpoint, call).await;
         match &last {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! The savorykeel node: the call path and the control loops over the ports.
 
+mod burn;
 mod calls;
 mod control;
 mod http;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -19,12 +19,14 @@
     server::Server,
     time::{Seconds, sleep},
 };
+use savorykeel_adapters::metrics::{Metrics, MetricsError};
 use savorykeel_ports::clock::Clock;
 use serde::Serialize;
 use slog::{Logger, info, warn};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    burn::BurnState,
     calls::{announce, entry},
     control::{self, ControlContext, ControlState},
     settings::Settings,
@@ -85,6 +87,9 @@
     /// A server can't be started.
     #[error("the node's servers can't be started: {0}")]
     Start(#[from] io::Error),
+    /// Metrics can't be sent.
+    #[error("metrics.statsd: {0}")]
+    Metrics(#[from] MetricsError),
 }
 
 struct Listeners {
@@ -144,7 +149,7 @@
     on_ready: impl FnOnce(&Addresses),
 ) -> Result<Ending, NodeError> {
     let addresses = listeners.addresses(&settings)?;
-    let state = new_state(settings, log, &addresses);
+    let state = new_state(settings, log, &addresses)?;
     let cancel = CancellationToken::new();
     let (accepted_tx, accepted_rx) = async_channel::unbounded();
     let seed = WorkerSeed { state: state.clone(), accepted: accepted_rx, cancel: cancel.clone() };
@@ -162,20 +167,32 @@
     Ok(ending)
 }
 
-fn new_state(settings: Settings, log: Logger, addresses: &Addresses) -> Arc<NodeState> {
+fn new_state(
+    settings: Settings,
+    log: Logger,
+    addresses: &Addresses,
+) -> Result<Arc<NodeState>, NodeError> {
+    let metrics = start_metrics(&settings)?;
     let clock = Clock::default();
     let peer_addr = settings.advertise_peers.unwrap_or(addresses.peers);
     let control = Arc::new(ControlState::new(&settings, clock, peer_addr, log.clone()));
-    Arc::new(NodeState {
+    Ok(Arc::new(NodeState {
         settings,
         clock,
         log,
+        metrics,
+        burn: BurnState::default(),
         control,
         backend: parking_lot::Mutex::default(),
         leaving: AtomicBool::new(false),
         entered: AtomicU32::new(0),
         serving: AtomicU32::new(0),
-    })
+    }))
+}
+
+fn start_metrics(settings: &Settings) -> Result<Metrics, MetricsError> {
+    let Some(metrics) = &settings.metrics else { return Ok(Metrics::disabled()) };
+    Metrics::to_statsd(metrics.statsd, &metrics.prefix, settings.instance.as_str())
 }
 
 fn start_servers(seed: &WorkerSeed, listeners: &Listeners) -> io::Result<Server> {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -9,10 +9,13 @@
 };
 
 use parking_lot::Mutex;
+use savorykeel_adapters::metrics::Metrics;
 use savorykeel_ports::clock::Clock;
 use slog::Logger;
 
-use crate::{calls::announce::Announcement, control::ControlState, settings::Settings};
+use crate::{
+    burn::BurnState, calls::announce::Announcement, control::ControlState, settings::Settings,
+};
 
 /// State of one node, shared by its worker threads.
 pub(crate) struct NodeState {
@@ -22,6 +25,10 @@
     pub(crate) clock: Clock,
     /// Structured log.
     pub(crate) log: Logger,
+    /// Metrics, which go nowhere unless the settings name a server.
+    pub(crate) metrics: Metrics,
+    /// How the calls that entered at this node ended.
+    pub(crate) burn: BurnState,
     /// Configuration and membership.
     pub(crate) control: Arc<ControlState>,
     /// The backend server beside the node, while its lease lasts.
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -2,4 +2,5 @@
 
 mod binary;
 mod check_configuration;
+mod check_docs;
 mod cli_usage;
