Serve status and burn in the operators' API; add status and report commands

Each node answers GET /v1/status and GET /v1/burn on the operators' address. The commands print text or JSON; the burn report can be written as one HTML file.

--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -2,17 +2,34 @@
 
 mod check;
 mod node;
+mod report;
+mod status;
 
-use crate::{exit::Exit, flags::Command};
+use savorykeel_policy::code::Code;
+
+use crate::{client::ClientError, exit::Exit, flags::Command, standin};
 
 /// Runs a command.
 pub fn run(command: Command) -> Exit {
     let result = match command {
         Command::Check(flags) => check::run(flags),
         Command::Node(flags) => node::run(flags),
+        Command::Status(flags) => status::run(flags),
+        Command::Report(flags) => report::run(flags),
+        Command::Standin(command) => standin::run(command).map(|()| Exit::Done),
     };
     result.unwrap_or_else(|e| {
         eprintln!("savorykeel: {e:#}");
         Exit::Failed
     })
 }
+
+/// Prints why the operators' API gave no answer and returns the exit code.
+fn client_failure(error: &ClientError) -> Exit {
+    eprintln!("savorykeel: {error}");
+    match error {
+        ClientError::Unreachable { .. } => Exit::Unreachable,
+        ClientError::Refused(refusal) if refusal.name == Code::Unauthorized => Exit::Unauthorized,
+        ClientError::Refused(_) | ClientError::Malformed { .. } => Exit::Failed,
+    }
+}
--- a/crates/core/flags/mod.rs
+++ b/crates/core/flags/mod.rs
@@ -3,6 +3,8 @@
 
 mod check;
 mod node;
+mod report;
+mod status;
 
 use std::ffi::OsString;
 
@@ -10,6 +12,10 @@
 
 pub use check::{CheckFlags, CheckTarget};
 pub use node::NodeFlags;
+pub use report::{BurnFlags, ReportFlags, ReportKind};
+pub use status::StatusFlags;
+
+use crate::standin::StandinCommand;
 
 /// Distributes configuration through a service mesh without a control plane of
 /// its own.
@@ -31,6 +37,12 @@
     Check(CheckFlags),
     /// Runs a node.
     Node(NodeFlags),
+    /// Shows the mesh.
+    Status(StatusFlags),
+    /// Reports what nodes recorded.
+    Report(ReportFlags),
+    /// Runs a stand-in.
+    Standin(StandinCommand),
 }
 
 /// What the command line asks for.
--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -4,7 +4,7 @@
 
 use savorykeel_policy::{
     code::Code,
-    config::model::Refusal,
+    config::{model::Refusal, raw::RawConfiguration},
     ids::{BackendVersion, ConfigVersion, InstanceName, RegionName, ServiceName, ZoneName},
     membership::entry::Liveness,
     moves::status::MoveReport,
@@ -34,6 +34,20 @@
     pub detail: String,
 }
 
+/// A publish, as it is sent to the API and kept in the log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PublishRequest {
+    /// Number of the record's format.
+    pub format: u32,
+    /// Id of the publish; a record with an id that is known already changes nothing.
+    pub id: String,
+    /// Version from which the configuration was derived.
+    pub base: ConfigVersion,
+    /// The whole configuration.
+    pub configuration: RawConfiguration,
+}
+
 /// What became of a publish.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishAnswer {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -26,6 +26,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    admin,
     burn::BurnState,
     calls::{announce, entry},
     control::{self, ControlContext, ControlState},
@@ -202,7 +203,7 @@
             .set_keepalive_timeout(CALLER_KEEP_ALIVE)
             .set_max_buf_size(limits.header_bytes)
     };
-    let (for_callers, for_backend) = (seed.clone(), seed.clone());
+    let (for_callers, for_backend, for_operators) = (seed.clone(), seed.clone(), seed.clone());
     let server = ntex::server::build()
         .workers(seed.state.settings.workers)
         .maxconn(limits.caller_connections)
@@ -219,8 +220,13 @@
             let worker = Worker::current(&for_backend);
             HttpService::new(move |req: Request| handle_backend(worker.clone(), req))
         })?
+        .listen("operators", listeners.operators.try_clone()?, async move |_| {
+            let worker = Worker::current(&for_operators);
+            HttpService::new(move |req: Request| admin::handle(worker.clone(), req))
+        })?
         .config("callers", SharedCfg::new("callers").add(http_config()))
         .config("backend", SharedCfg::new("backend").add(http_config()))
+        .config("operators", SharedCfg::new("operators").add(http_config()))
         .run();
     Ok(server)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! from a seed. The reasons for this split are in `docs/design/0001-layout.md`.
 
 pub mod burn;
+pub mod calls;
 pub mod code;
 pub mod config;
 pub mod ids;
--- a/tests/feature/check_docs.rs
+++ b/tests/feature/check_docs.rs
@@ -89,6 +89,6 @@
     for row in &in_source {
         assert!(EXIT_CODES.contains(row.as_str()), "{row}");
     }
-    let on_page = EXIT_CODES.lines().filter(|line| line.starts_with(|c| c == '|'));
+    let on_page = EXIT_CODES.lines().filter(|line| line.starts_with('|'));
     assert_eq!(on_page.count(), in_source.len() + 2);
 }
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -4,3 +4,4 @@
 mod check_configuration;
 mod check_docs;
 mod cli_usage;
+mod harness;
