--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,7 +3,7 @@
 pub mod admin;
 mod burn;
 mod calls;
-mod control;
+pub mod control;
 mod http;
 mod run;
 pub mod settings;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -15,7 +15,7 @@
 use ntex::{
     SharedCfg,
     http::{HttpService, HttpServiceConfig, Request},
-    rt::{DefaultRuntime, System},
+    rt::{DefaultRuntime, JoinHandle, System},
     server::Server,
     time::{Seconds, sleep},
 };
@@ -29,10 +29,13 @@
     admin,
     burn::BurnState,
     calls::{announce, entry},
-    control::{self, ControlContext, ControlState},
+    control::{
+        self,
+        state::{ControlState, Identity},
+    },
     settings::Settings,
     state::NodeState,
-    worker::{Worker, WorkerSeed, link_settings},
+    worker::{Worker, WorkerSeed},
 };
 
 /// Time between two looks at whether the calls in flight have ended.
@@ -157,12 +160,15 @@
     let servers = start_servers(&seed, &listeners)?;
     spawn_peer_acceptor(listeners.peers, accepted_tx, cancel.clone())?;
     spawn_lease_watch(state.clone(), cancel.clone());
-    spawn_control(&state, &cancel);
+    let control_cancel = CancellationToken::new();
+    let control = spawn_control(&state, &control_cancel);
     info!(state.log, "node started"; "callers" => %addresses.callers, "peers" => %addresses.peers);
     on_ready(&addresses);
     stop.cancelled().await;
     let ending = leave(&state).await;
     servers.stop(true).await;
+    control_cancel.cancel();
+    let _ = control.await;
     cancel.cancel();
     info!(state.log, "node stopped");
     Ok(ending)
@@ -175,8 +181,14 @@
 ) -> Result<Arc<NodeState>, NodeError> {
     let metrics = start_metrics(&settings)?;
     let clock = Clock::default();
-    let peer_addr = settings.advertise_peers.unwrap_or(addresses.peers);
-    let control = Arc::new(ControlState::new(&settings, clock, peer_addr, log.clone()));
+    let identity = Identity {
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        peer_addr: settings.advertise_peers.unwrap_or(addresses.peers),
+    };
+    let journal_file = settings.journal_file.as_deref();
+    let control = ControlState::new(identity, clock, log.clone(), journal_file)?;
     Ok(Arc::new(NodeState {
         settings,
         clock,
@@ -279,9 +291,12 @@
     .detach();
 }
 
-fn spawn_control(state: &Arc<NodeState>, cancel: &CancellationToken) {
-    let context = ControlContext::new(state.control.clone(), link_settings(state));
-    ntex::rt::spawn(control::run(context, cancel.clone())).detach();
+fn spawn_control(state: &Arc<NodeState>, cancel: &CancellationToken) -> JoinHandle<()> {
+    let source = state.settings.listen.peers.ip();
+    let control = state.settings.control;
+    let log_service = state.settings.log_service.clone();
+    let shared = state.control.clone();
+    ntex::rt::spawn(control::start(shared, control, log_service, source, cancel.clone()))
 }
 
 /// Announces that the node leaves and waits until its calls have ended.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -14,7 +14,8 @@
 use slog::Logger;
 
 use crate::{
-    burn::BurnState, calls::announce::Announcement, control::ControlState, settings::Settings,
+    burn::BurnState, calls::announce::Announcement, control::state::ControlState,
+    settings::Settings,
 };
 
 /// State of one node, shared by its worker threads.
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -4,4 +4,5 @@
 mod check_configuration;
 mod check_docs;
 mod cli_usage;
+mod config_spread;
 mod harness;
