Publish over the operators' API and read what became of it

POST /v1/publishes checks the bearer token, refuses what breaks a rule before it reaches the log, appends and waits until the node's fold knows the outcome. An append whose answer is lost is not reported as failed: the node goes on waiting for the outcome. status asks every member for the version in force and the burn report adds up the recorded calls of all members, over a topic of the control link.

--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -2,9 +2,11 @@
 
 mod check;
 mod node;
+mod publish;
 mod report;
 mod status;
 
+use savorykeel_node::admin::api::PublishOutcome;
 use savorykeel_policy::code::Code;
 
 use crate::{client::ClientError, exit::Exit, flags::Command, standin};
@@ -14,6 +16,7 @@
     let result = match command {
         Command::Check(flags) => check::run(flags),
         Command::Node(flags) => node::run(flags),
+        Command::Publish(flags) => publish::run(flags),
         Command::Status(flags) => status::run(flags),
         Command::Report(flags) => report::run(flags),
         Command::Standin(command) => standin::run(command).map(|()| Exit::Done),
@@ -33,3 +36,26 @@
         ClientError::Refused(_) | ClientError::Malformed { .. } => Exit::Failed,
     }
 }
+
+/// Prints what became of a publish and returns the exit code.
+fn print_publish_outcome(outcome: &PublishOutcome) -> Exit {
+    match outcome {
+        PublishOutcome::Accepted { version } => {
+            println!("accepted as version {version}");
+            Exit::Done
+        }
+        PublishOutcome::Conflict { base, in_force } => {
+            println!("conflict: derived from version {base}, but version {in_force} was in force");
+            Exit::Conflict
+        }
+        PublishOutcome::Refused { reasons } => {
+            println!("refused:");
+            reasons.iter().for_each(|reason| println!("  {reason}"));
+            Exit::Refused
+        }
+        PublishOutcome::Pending { detail } => {
+            println!("not known yet: {detail}");
+            Exit::Pending
+        }
+    }
+}
--- a/crates/core/commands/publish.rs
+++ b/crates/core/commands/publish.rs
@@ -4,10 +4,16 @@
 
 use rand::RngExt;
 use savorykeel_node::admin::api::{
-    PUBLISH_FORMAT, PUBLISHES_PATH, PublishAnswer, PublishOutcome, PublishRequest, STATUS_PATH,
-    StatusReport,
+    CONFIGURATION_PATH, PUBLISHES_PATH, PublishAnswer, PublishOutcome, PublishedConfiguration,
+};
+use savorykeel_policy::{
+    code::Code,
+    config::{
+        raw::RawConfiguration,
+        record::{RECORD_FORMAT, RawPublish},
+    },
+    ids::ConfigVersion,
 };
-use savorykeel_policy::{config::raw::RawConfiguration, ids::ConfigVersion};
 
 use crate::{
     client::{self, ApiClient, ClientError},
@@ -42,7 +48,7 @@
     };
     let id = flags.id.unwrap_or_else(random_id);
     println!("publish {id}, derived from version {base}");
-    let request = PublishRequest { format: PUBLISH_FORMAT, id, base, configuration };
+    let request = RawPublish { format: RECORD_FORMAT, id, base, configuration };
     let wait = Duration::from_millis(flags.wait_ms);
     let path = format!("{PUBLISHES_PATH}?wait_ms={}", flags.wait_ms);
     let answer: Result<PublishAnswer, ClientError> = api.post(&path, &request, wait).await;
@@ -58,9 +64,17 @@
     }
 }
 
+/// Returns the newest version that the node holds; zero before the first publish.
 async fn version_in_force(api: &ApiClient) -> Result<ConfigVersion, ClientError> {
-    let status: StatusReport = api.get(STATUS_PATH, Duration::ZERO).await?;
-    Ok(status.version)
+    let answer: Result<PublishedConfiguration, ClientError> =
+        api.get(CONFIGURATION_PATH, Duration::ZERO).await;
+    match answer {
+        Ok(published) => Ok(published.version),
+        Err(ClientError::Refused(e)) if e.name == Code::NoConfiguration => {
+            Ok(ConfigVersion::default())
+        }
+        Err(e) => Err(e),
+    }
 }
 
 /// Draws an id in the form of a random UUID.
@@ -71,39 +85,20 @@
 }
 
 /// Prints the outcome of a publish and returns the exit code.
-pub(super) fn print_outcome(
-    operators: SocketAddr,
-    request: &PublishRequest,
-    outcome: &PublishOutcome,
-) -> Exit {
-    match outcome {
-        PublishOutcome::Accepted { version } => {
-            println!("accepted as version {version}");
-            Exit::Done
-        }
-        PublishOutcome::Conflict { base, in_force } => {
-            println!("conflict: derived from version {base}, but version {in_force} was in force");
-            Exit::Conflict
-        }
-        PublishOutcome::Refused { reasons } => {
-            println!("refused:");
-            reasons.iter().for_each(|reason| println!("  {reason}"));
-            Exit::Refused
-        }
-        PublishOutcome::Pending { detail } => {
-            println!("{detail}");
-            print_pending(operators, request);
-            Exit::Pending
-        }
+fn print_outcome(operators: SocketAddr, request: &RawPublish, outcome: &PublishOutcome) -> Exit {
+    let exit = super::print_publish_outcome(outcome);
+    if exit == Exit::Pending {
+        print_pending(operators, request);
     }
+    exit
 }
 
-fn print_pending(operators: SocketAddr, request: &PublishRequest) {
-    println!("not known yet; this asks again and may be repeated:");
+fn print_pending(operators: SocketAddr, request: &RawPublish) {
+    println!("this asks again:");
     println!("  savorykeel status --operators {operators} --publish {}", request.id);
-    println!("and this publishes again if it never arrived, and changes nothing if it did:");
+    println!("this publishes again if it never arrived, and changes nothing if it did:");
     println!(
-        "  savorykeel publish --operators {operators} --id {} --base {} --token-file FILE FILE",
+        "  savorykeel publish --operators {operators} --id {} --base {} --token-file TOKEN FILE",
         request.id, request.base
     );
 }
--- a/crates/core/commands/status.rs
+++ b/crates/core/commands/status.rs
@@ -1,9 +1,14 @@
-//! `savorykeel status`: the mesh as one node sees it.
+//! `savorykeel status`: the mesh, a publish or a move as one node sees it.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use savorykeel_node::admin::api::{MemberStatus, STATUS_PATH, StatusReport};
-use savorykeel_policy::moves::status::MoveReport;
+use savorykeel_node::admin::api::{
+    MemberStatus, PUBLISHES_PATH, PublishAnswer, STATUS_PATH, StatusReport,
+};
+use savorykeel_policy::{
+    ids::ConfigVersion,
+    moves::status::{MoveReport, Phase},
+};
 
 use crate::{
     client::{self, ApiClient, ClientError},
@@ -11,23 +16,84 @@
     flags::StatusFlags,
 };
 
-/// Prints the status.
+/// Longest time that the API takes to ask the other nodes.
+const GATHERING: Duration = Duration::from_secs(20);
+
+/// Time between two looks at a move that is waited for.
+const MOVE_POLL: Duration = Duration::from_millis(500);
+
+/// Prints the status of the mesh, of a publish or of a move.
 pub fn run(flags: StatusFlags) -> anyhow::Result<Exit> {
-    let api = ApiClient::new(flags.operators);
-    let answer: Result<StatusReport, ClientError> =
-        client::block_on(async move { api.get(STATUS_PATH, Duration::ZERO).await });
-    let status = match answer {
-        Ok(status) => status,
-        Err(e) => return Ok(super::client_failure(&e)),
-    };
+    let exit = client::block_on(async move {
+        let api = ApiClient::new(flags.operators);
+        let result = match (&flags.publish, flags.wait) {
+            (Some(id), _) => show_publish(&api, id, &flags).await,
+            (None, Some(version)) => wait_for_moves(&api, ConfigVersion(version), &flags).await,
+            (None, None) => show_mesh(&api, &flags).await,
+        };
+        result.unwrap_or_else(|e| super::client_failure(&e))
+    });
+    Ok(exit)
+}
+
+async fn show_publish(api: &ApiClient, id: &str, flags: &StatusFlags) -> Result<Exit, ClientError> {
+    let wait = flags.wait_ms.unwrap_or(0);
+    let path = format!("{PUBLISHES_PATH}/{id}?wait_ms={wait}");
+    let answer: PublishAnswer = api.get(&path, Duration::from_millis(wait)).await?;
+    Ok(super::print_publish_outcome(&answer.outcome))
+}
+
+async fn show_mesh(api: &ApiClient, flags: &StatusFlags) -> Result<Exit, ClientError> {
+    let status: StatusReport = api.get(STATUS_PATH, GATHERING).await?;
     if flags.json {
-        println!("{}", serde_json::to_string_pretty(&status)?);
+        print_json(&status);
     } else {
         print_status(&status);
     }
     Ok(Exit::Done)
 }
 
+/// Waits until the moves that `version` asked for have ended.
+async fn wait_for_moves(
+    api: &ApiClient,
+    version: ConfigVersion,
+    flags: &StatusFlags,
+) -> Result<Exit, ClientError> {
+    let started = Instant::now();
+    loop {
+        let status: StatusReport = api.get(STATUS_PATH, GATHERING).await?;
+        let asked = |report: &&MoveReport| report.asked == version;
+        let moves: Vec<&MoveReport> = status.moves.iter().filter(asked).collect();
+        if let Some(exit) = moves_exit(version, &moves) {
+            moves.into_iter().for_each(print_move);
+            return Ok(exit);
+        }
+        let limit = flags.wait_ms.map(Duration::from_millis);
+        if limit.is_some_and(|limit| started.elapsed() >= limit) {
+            moves.into_iter().for_each(print_move);
+            return Ok(Exit::Pending);
+        }
+        ntex::time::sleep(MOVE_POLL).await;
+    }
+}
+
+/// Returns how the wait ends, or none while a move goes on.
+fn moves_exit(version: ConfigVersion, moves: &[&MoveReport]) -> Option<Exit> {
+    if moves.is_empty() {
+        eprintln!("savorykeel: version {version} has no move that this node knows");
+        return Some(Exit::Failed);
+    }
+    if moves.iter().any(|report| report.phase == Phase::TakenBack) {
+        return Some(Exit::TakenBack);
+    }
+    moves.iter().all(|report| report.phase == Phase::Done).then_some(Exit::Done)
+}
+
+fn print_json(status: &StatusReport) {
+    let text = serde_json::to_string_pretty(status).expect("a status is JSON");
+    println!("{text}");
+}
+
 fn print_status(status: &StatusReport) {
     println!("version {} is in force on {}", status.version, status.instance);
     println!(
@@ -55,13 +121,13 @@
         Some(backend) => format!("{} {}", backend.service, backend.version),
         None => "no backend server".into(),
     };
+    let applied = member.applied.map_or("not told".into(), |version| version.to_string());
     let leaving = if member.leaving { ", leaving" } else { "" };
     println!(
-        "member {:<24} {:<16} {:<12} version {}, {backend}{leaving}",
+        "member {:<24} {:<16} {:<12} version {applied}, {backend}{leaving}",
         member.instance.as_str(),
         member.zone.as_str(),
         member.liveness.to_string(),
-        member.applied
     );
 }
 
--- a/crates/core/configuration.rs
+++ b/crates/core/configuration.rs
@@ -85,14 +85,20 @@
     }
 }
 
-/// Reads a configuration whose checks all pass.
-pub fn read(source: &Source) -> Result<RawConfiguration, ConfigurationError> {
+/// Reads a configuration that has the right fields, whatever their values.
+pub fn read_unchecked(source: &Source) -> Result<RawConfiguration, ConfigurationError> {
     let source_name = source.name();
     let text = match source.text() {
         Ok(text) => text,
         Err(source) => return Err(ConfigurationError::Unreadable { source_name, source }),
     };
-    let raw = parse(&source_name, &text)?;
+    parse(&source_name, &text)
+}
+
+/// Reads a configuration whose checks all pass.
+pub fn read(source: &Source) -> Result<RawConfiguration, ConfigurationError> {
+    let source_name = source.name();
+    let raw = read_unchecked(source)?;
     match Configuration::try_from(raw.clone()) {
         Ok(_) => Ok(raw),
         Err(refusals) => Err(ConfigurationError::Refused { source_name, refusals }),
--- a/crates/core/flags/mod.rs
+++ b/crates/core/flags/mod.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod node;
+mod publish;
 mod report;
 mod status;
 
@@ -12,6 +13,7 @@
 
 pub use check::{CheckFlags, CheckTarget};
 pub use node::NodeFlags;
+pub use publish::PublishFlags;
 pub use report::{BurnFlags, ReportFlags, ReportKind};
 pub use status::StatusFlags;
 
@@ -37,6 +39,8 @@
     Check(CheckFlags),
     /// Runs a node.
     Node(NodeFlags),
+    /// Publishes a configuration.
+    Publish(PublishFlags),
     /// Shows the mesh.
     Status(StatusFlags),
     /// Reports what nodes recorded.
--- a/crates/core/flags/status.rs
+++ b/crates/core/flags/status.rs
@@ -15,4 +15,17 @@
     /// print JSON in place of text
     #[argh(switch)]
     pub json: bool,
+
+    /// tell what became of this publish in place of the whole status
+    #[argh(option, arg_name = "ID")]
+    pub publish: Option<String>,
+
+    /// wait until the moves that this configuration version asked for are done or taken back
+    #[argh(option, arg_name = "VERSION")]
+    pub wait: Option<u64>,
+
+    /// longest time in milliseconds to wait for a publish or a move; not at all when absent
+    /// for a publish, without limit for a move
+    #[argh(option, arg_name = "MS")]
+    pub wait_ms: Option<u64>,
 }
--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -4,8 +4,10 @@
 
 use savorykeel_policy::{
     code::Code,
-    config::{model::Refusal, raw::RawConfiguration},
-    ids::{BackendVersion, ConfigVersion, InstanceName, RegionName, ServiceName, ZoneName},
+    config::{fold, model::Refusal, raw::RawConfiguration},
+    ids::{
+        BackendVersion, ConfigVersion, InstanceName, PublishId, RegionName, ServiceName, ZoneName,
+    },
     membership::entry::Liveness,
     moves::status::MoveReport,
 };
@@ -34,25 +36,11 @@
     pub detail: String,
 }
 
-/// A publish, as it is sent to the API and kept in the log.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct PublishRequest {
-    /// Number of the record's format.
-    pub format: u32,
-    /// Id of the publish; a record with an id that is known already changes nothing.
-    pub id: String,
-    /// Version from which the configuration was derived.
-    pub base: ConfigVersion,
-    /// The whole configuration.
-    pub configuration: RawConfiguration,
-}
-
 /// What became of a publish.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishAnswer {
     /// Id of the publish.
-    pub id: String,
+    pub id: PublishId,
     /// Its outcome.
     #[serde(flatten)]
     pub outcome: PublishOutcome,
@@ -62,21 +50,21 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "outcome", rename_all = "kebab-case")]
 pub enum PublishOutcome {
-    /// It is in force or was until a later one took its place.
+    /// It came into force; a later one may have taken its place since.
     Accepted {
         /// Version that it got.
         version: ConfigVersion,
     },
     /// It was derived from a version that was no longer in force.
     Conflict {
-        /// Version that it was derived from.
+        /// Version from which it was derived.
         base: ConfigVersion,
         /// Version that was in force.
         in_force: ConfigVersion,
     },
-    /// Its configuration breaks a rule.
+    /// Its configuration breaks rules.
     Refused {
-        /// Each broken rule.
+        /// The broken rules.
         reasons: Vec<Refusal>,
     },
     /// This node doesn't know it: it is on its way or never reached the log.
@@ -86,6 +74,37 @@
     },
 }
 
+impl From<fold::PublishOutcome> for PublishOutcome {
+    fn from(outcome: fold::PublishOutcome) -> Self {
+        match outcome {
+            fold::PublishOutcome::Accepted { version } => Self::Accepted { version },
+            fold::PublishOutcome::Conflict { base, in_force } => Self::Conflict { base, in_force },
+            fold::PublishOutcome::Refused { refusals } => Self::Refused { reasons: refusals },
+        }
+    }
+}
+
+impl PublishOutcome {
+    /// Returns the HTTP status that goes with the outcome.
+    pub fn http_status(&self) -> u16 {
+        match self {
+            Self::Accepted { .. } => 200,
+            Self::Conflict { .. } => Code::PublishConflict.http_status(),
+            Self::Refused { .. } => Code::PublishRefused.http_status(),
+            Self::Pending { .. } => Code::PublishPending.http_status(),
+        }
+    }
+}
+
+/// The configuration in force on the node that answers, as it was published.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PublishedConfiguration {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// The whole configuration.
+    pub configuration: RawConfiguration,
+}
+
 /// The mesh as one node sees it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StatusReport {
@@ -93,7 +112,7 @@
     pub instance: InstanceName,
     /// Configuration version in force on the instance that answers.
     pub version: ConfigVersion,
-    /// Configuration versions over all members that are reached.
+    /// Configuration versions over all members that answered.
     pub applied: AppliedSpread,
     /// Members by instance name.
     pub members: Vec<MemberStatus>,
@@ -103,7 +122,7 @@
     pub alarms: Vec<String>,
 }
 
-/// Configuration versions over all members that are reached.
+/// Configuration versions over all members that answered.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AppliedSpread {
     /// Lowest version in force on a member.
@@ -127,8 +146,8 @@
     pub liveness: Liveness,
     /// Whether it is leaving.
     pub leaving: bool,
-    /// Configuration version in force on it, as it last said.
-    pub applied: ConfigVersion,
+    /// Configuration version in force on it; none when it gave no answer.
+    pub applied: Option<ConfigVersion>,
     /// The backend server on the instance, if one announced itself.
     pub backend: Option<BackendStatus>,
 }
--- a/crates/node/src/admin/burn.rs
+++ b/crates/node/src/admin/burn.rs
@@ -1,21 +1,35 @@
 //! The burn report in the operators' API.
 
+use std::sync::Arc;
+
 use ntex::http::{Response, StatusCode};
 use savorykeel_policy::{
-    burn::{NodesHeard, report},
+    burn::{NodesHeard, Snapshot, report},
     code::Code,
 };
 
-use crate::{burn, state::NodeState};
+use crate::state::NodeState;
 
-use super::{error, json};
+use super::{
+    ask::{self, Answer, Question},
+    error, json,
+};
 
-/// Answers with the burn report of the calls that entered at this node.
-pub(super) fn answer(state: &NodeState) -> Response {
+/// Answers with the burn report of the whole mesh.
+pub(super) async fn answer(state: &Arc<NodeState>) -> Response {
     let Some(table) = state.control.table() else {
         return error(Code::NoConfiguration, "this node has not applied a configuration yet");
     };
-    let snapshot = burn::snapshot(state);
-    let nodes = NodesHeard { heard: 1, silent: Vec::new() };
-    json(StatusCode::OK, &report(table.version, &table.configuration, &snapshot, nodes))
+    let mut nodes = NodesHeard::default();
+    let mut snapshots = Vec::new();
+    for told in ask::ask_all(state, Question::Burn).await {
+        match told.answer {
+            Some(Answer::Burn(snapshot)) => snapshots.push(snapshot),
+            _ => nodes.silent.push(told.instance.as_str().to_owned()),
+        }
+    }
+    nodes.heard = snapshots.len();
+    nodes.silent.sort();
+    let sum = Snapshot::sum(snapshots);
+    json(StatusCode::OK, &report(table.version, &table.configuration, &sum, nodes))
 }
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -5,30 +5,58 @@
 //! are described in `docs/operating/api.md`.
 
 pub mod api;
+mod ask;
 mod burn;
+mod publish;
 mod status;
+mod token;
 
-use std::rc::Rc;
+use std::{rc::Rc, sync::Arc};
 
 use ntex::http::{Method, Request, Response, StatusCode};
-use savorykeel_policy::code::Code;
+use savorykeel_policy::{code::Code, distribution::message::Topic};
 use serde::Serialize;
 
-use crate::{http::HttpResult, worker::Worker};
+use crate::{http::HttpResult, state::NodeState, worker::Worker};
 
-use api::ApiError;
+use api::{ApiError, BURN_PATH, CONFIGURATION_PATH, PUBLISHES_PATH, STATUS_PATH};
 
 /// Answers an operator's request.
 pub(crate) async fn handle(worker: Rc<Worker>, req: Request) -> HttpResult {
+    let state = &worker.state;
     let path = req.path().to_owned();
     let response = match (req.method(), path.as_str()) {
-        (&Method::GET, api::STATUS_PATH) => json(StatusCode::OK, &status::report(&worker.state)),
-        (&Method::GET, api::BURN_PATH) => burn::answer(&worker.state),
-        _ => error(Code::NotFound, format!("no {} {path} here", req.method())),
+        (&Method::GET, STATUS_PATH) => json(StatusCode::OK, &status::report(state).await),
+        (&Method::GET, BURN_PATH) => burn::answer(state).await,
+        (&Method::GET, CONFIGURATION_PATH) => configuration(state),
+        (&Method::POST, PUBLISHES_PATH) => publish::publish(state, req).await,
+        (&Method::GET, path) if is_publish(path) => publish::outcome(state, &req).await,
+        (method, _) => error(Code::NotFound, format!("no {method} {path} here")),
     };
     Ok(response)
 }
 
+/// Lets other nodes ask this one on behalf of operators.
+pub(crate) fn answer_other_nodes(state: &Arc<NodeState>) {
+    // A weak reference, because the control state is part of the node's state.
+    let state_ref = Arc::downgrade(state);
+    let handler = move |body: &[u8]| {
+        state_ref.upgrade().map_or_else(Vec::new, |state| ask::handle(&state, body))
+    };
+    state.control.set_topic_handler(Topic::Operators, Arc::new(handler));
+}
+
+fn is_publish(path: &str) -> bool {
+    path.strip_prefix(PUBLISHES_PATH).is_some_and(|rest| rest.starts_with('/'))
+}
+
+fn configuration(state: &NodeState) -> Response {
+    match state.control.published() {
+        Some(published) => json(StatusCode::OK, &published),
+        None => error(Code::NoConfiguration, "this node has not read a configuration yet"),
+    }
+}
+
 fn json(status: StatusCode, body: &impl Serialize) -> Response {
     Response::build(status).json(body)
 }
--- /dev/null
+++ b/crates/node/src/admin/publish.rs
@@ -0,0 +1,127 @@
+//! Publishes in the operators' API.
+
+use std::time::{Duration, Instant};
+
+use ntex::http::{Request, Response, StatusCode};
+use savorykeel_adapters::log::HttpLog;
+use savorykeel_policy::{
+    code::Code,
+    config::record::{MAX_RECORD_BYTES, PublishRecord, RecordError},
+    ids::PublishId,
+};
+use savorykeel_ports::log::{CONFIGURATION_STREAM, LogError, LogService, Offset};
+use slog::{info, warn};
+
+use crate::{
+    http::{BodyError, read_body},
+    state::NodeState,
+};
+
+use super::{
+    api::{PUBLISHES_PATH, PublishAnswer, PublishOutcome},
+    error, json, token,
+};
+
+/// Longest time that a request may wait for an outcome.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// Time between two looks at whether the outcome is known.
+const OUTCOME_POLL: Duration = Duration::from_millis(20);
+
+/// Answers a request to publish.
+///
+/// A publish whose id is known is answered and not appended again, and one that
+/// breaks a rule never reaches the log, because every node would refuse it.
+pub(super) async fn publish(state: &NodeState, mut req: Request) -> Response {
+    if let Err(denied) = token::check(state.settings.token_file.as_deref(), req.headers()) {
+        return error(Code::Unauthorized, denied.to_string());
+    }
+    let wait = wait_of(&req);
+    let payload = req.take_payload();
+    let body = match read_body(payload, MAX_RECORD_BYTES).await {
+        Ok(body) => body,
+        Err(BodyError::TooLarge) => {
+            return error(Code::BodyTooLarge, format!("use at most {MAX_RECORD_BYTES} bytes"));
+        }
+        Err(BodyError::Broken) => return error(Code::BadRequest, "the body ended early"),
+    };
+    let id = match PublishRecord::parse(&body) {
+        Ok(record) => record.id,
+        Err(e) => return refuse(e),
+    };
+    if let Some(outcome) = known(state, &id) {
+        return answer(id, outcome);
+    }
+    let unknown = match append(state, body).await {
+        Ok(offset) => {
+            info!(state.log, "publish appended"; "id" => %id, "offset" => offset.0);
+            "this node has not read the publish from the log yet".into()
+        }
+        // The append may have taken effect, so that its outcome may come yet.
+        Err(e) => {
+            warn!(state.log, "publish not known to be appended"; "id" => %id, "error" => %e);
+            e.to_string()
+        }
+    };
+    wait_for(state, id, wait, unknown).await
+}
+
+/// Answers what became of a publish.
+pub(super) async fn outcome(state: &NodeState, req: &Request) -> Response {
+    let raw = req.path().strip_prefix(PUBLISHES_PATH).unwrap_or("").trim_start_matches('/');
+    match PublishId::try_from(raw) {
+        Ok(id) => {
+            let unknown = "this node has not read such a publish from the log".into();
+            wait_for(state, id, wait_of(req), unknown).await
+        }
+        Err(e) => error(Code::BadRequest, e.to_string()),
+    }
+}
+
+fn refuse(e: RecordError) -> Response {
+    match e {
+        RecordError::Refused { id: Some(id), refusals } => {
+            answer(id, PublishOutcome::Refused { reasons: refusals })
+        }
+        RecordError::Refused { id: None, refusals } => {
+            let reasons: Vec<String> = refusals.iter().map(ToString::to_string).collect();
+            error(Code::BadRequest, reasons.join("; "))
+        }
+        e @ RecordError::UnknownFormat { .. } => error(Code::UnknownFormat, e.to_string()),
+    }
+}
+
+async fn append(state: &NodeState, body: Vec<u8>) -> Result<Offset, LogError> {
+    let log = HttpLog::new(state.settings.log_service.clone()).await?;
+    log.append(CONFIGURATION_STREAM, body).await
+}
+
+fn known(state: &NodeState, id: &PublishId) -> Option<PublishOutcome> {
+    state.control.publish(id).map(|publish| publish.outcome.into())
+}
+
+/// Waits until the outcome is known; `unknown` tells why it may not be.
+async fn wait_for(state: &NodeState, id: PublishId, wait: Duration, unknown: String) -> Response {
+    let started = Instant::now();
+    loop {
+        if let Some(outcome) = known(state, &id) {
+            return answer(id, outcome);
+        }
+        if started.elapsed() >= wait {
+            return answer(id, PublishOutcome::Pending { detail: unknown });
+        }
+        tokio::time::sleep(OUTCOME_POLL).await;
+    }
+}
+
+fn answer(id: PublishId, outcome: PublishOutcome) -> Response {
+    let status = StatusCode::from_u16(outcome.http_status()).unwrap_or(StatusCode::OK);
+    json(status, &PublishAnswer { id, outcome })
+}
+
+/// Returns how long the operator wants to wait, from the query `wait_ms=N`.
+fn wait_of(req: &Request) -> Duration {
+    let query = req.uri().query().unwrap_or("");
+    let millis = query.split('&').find_map(|pair| pair.strip_prefix("wait_ms=")?.parse().ok());
+    Duration::from_millis(millis.unwrap_or(0)).min(MAX_WAIT)
+}
--- a/crates/node/src/admin/status.rs
+++ b/crates/node/src/admin/status.rs
@@ -1,18 +1,92 @@
 //! The status in the operators' API.
 
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use savorykeel_policy::{
+    ids::{ConfigVersion, InstanceName},
+    membership::{entry::Liveness, merge::Entry},
+};
+
 use crate::state::NodeState;
 
-use super::api::{AppliedSpread, StatusReport};
+use super::{
+    api::{AppliedSpread, BackendStatus, MemberStatus, StatusReport},
+    ask::{self, Answer, Question, Told},
+};
+
+/// Time without word of the end of the log after which operators are warned.
+const LOG_SILENCE: Duration = Duration::from_secs(15);
 
 /// Returns the mesh as this node sees it.
-pub(super) fn report(state: &NodeState) -> StatusReport {
-    let version = state.control.table().map(|table| table.version).unwrap_or_default();
+pub(super) async fn report(state: &Arc<NodeState>) -> StatusReport {
+    let told = ask::ask_all(state, Question::Applied).await;
+    let applied: BTreeMap<InstanceName, ConfigVersion> =
+        told.into_iter().filter_map(applied_version).collect();
+    let members = state.control.members();
+    let members = members.iter().map(|entry| member_status(entry, &applied)).collect();
     StatusReport {
         instance: state.settings.instance.clone(),
-        version,
-        applied: AppliedSpread { lowest: version, highest: version, laggards: Vec::new() },
-        members: Vec::new(),
+        version: applied.get(&state.settings.instance).copied().unwrap_or_default(),
+        applied: spread(&applied),
+        members,
         moves: Vec::new(),
-        alarms: Vec::new(),
+        alarms: alarms(state),
+    }
+}
+
+fn applied_version(told: Told) -> Option<(InstanceName, ConfigVersion)> {
+    match told.answer {
+        Some(Answer::Applied(version)) => Some((told.instance, version)),
+        _ => None,
+    }
+}
+
+fn spread(applied: &BTreeMap<InstanceName, ConfigVersion>) -> AppliedSpread {
+    let lowest = applied.values().min().copied().unwrap_or_default();
+    let highest = applied.values().max().copied().unwrap_or_default();
+    let laggards = applied.iter().filter(|(_, version)| **version < highest);
+    AppliedSpread { lowest, highest, laggards: laggards.map(|(name, _)| name.clone()).collect() }
+}
+
+fn member_status(entry: &Entry, applied: &BTreeMap<InstanceName, ConfigVersion>) -> MemberStatus {
+    let record = &entry.record;
+    let backend = record.backend.as_ref().map(|backend| BackendStatus {
+        service: backend.service.clone(),
+        version: backend.version.clone(),
+        draining: backend.draining,
+    });
+    MemberStatus {
+        instance: record.instance.clone(),
+        zone: record.zone.clone(),
+        region: record.region.clone(),
+        liveness: entry.liveness,
+        leaving: record.leaving,
+        applied: applied.get(&record.instance).copied(),
+        backend,
+    }
+}
+
+fn alarms(state: &NodeState) -> Vec<String> {
+    let snapshot = state.control.snapshot();
+    let mut alarms = Vec::new();
+    if let Some(offset) = snapshot.stopped_at {
+        alarms.push(format!(
+            "the record at offset {offset} has a format that this node doesn't know: \
+             no later configuration is applied until the node is updated"
+        ));
+    }
+    if !snapshot.recovered {
+        alarms.push("this node has not recovered yet and serves nothing".into());
+    }
+    if state.control.current_ago().is_none_or(|ago| ago > LOG_SILENCE) {
+        alarms.push(
+            "the end of the log is not known: the log service may be away, and what was \
+             published since is not in force here"
+                .into(),
+        );
     }
+    let unreachable = state.control.members();
+    let unreachable = unreachable.iter().filter(|entry| entry.liveness == Liveness::Unreachable);
+    alarms.extend(unreachable.map(|entry| format!("{} is unreachable", entry.record.instance)));
+    alarms
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -19,6 +19,7 @@
 mod reader;
 mod start;
 pub mod state;
+pub(crate) mod topic;
 
 pub use context::{ControlContext, ControlMode, ControlTimes};
 pub use start::start;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -39,6 +39,8 @@
 use slog::{Logger, info};
 use xxhash_rust::xxh3::xxh3_128;
 
+use crate::admin::api::PublishedConfiguration;
+
 use super::{
     event::Event,
     heard::SharedHeard,
@@ -242,6 +244,13 @@
         self.fold.lock().publishes().cloned().collect()
     }
 
+    /// Returns the newest configuration that this node holds as it was published.
+    pub(crate) fn published(&self) -> Option<PublishedConfiguration> {
+        let fold = self.fold.lock();
+        let configuration = fold.raw()?.as_ref().clone();
+        Some(PublishedConfiguration { version: fold.version(), configuration })
+    }
+
     /// Returns every member that is known.
     pub fn members(&self) -> Vec<Entry> {
         self.members.lock().entries().cloned().collect()
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -154,6 +154,7 @@
 ) -> Result<Ending, NodeError> {
     let addresses = listeners.addresses(&settings)?;
     let state = new_state(settings, log, &addresses)?;
+    admin::answer_other_nodes(&state);
     let cancel = CancellationToken::new();
     let (accepted_tx, accepted_rx) = async_channel::unbounded();
     let seed = WorkerSeed { state: state.clone(), accepted: accepted_rx, cancel: cancel.clone() };
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -92,7 +92,7 @@
 }
 
 /// Returns how this node opens links.
-fn link_settings(state: &NodeState) -> LinkSettings {
+pub(crate) fn link_settings(state: &NodeState) -> LinkSettings {
     let limits = &state.settings.limits;
     LinkSettings {
         source: state.settings.listen.peers.ip(),
--- a/crates/policy/src/distribution/message.rs
+++ b/crates/policy/src/distribution/message.rs
@@ -111,6 +111,8 @@
     Moves,
     /// Requests that are suspected of crashing backend servers.
     Quarantine,
+    /// What operators want to know of every node.
+    Operators,
 }
 
 /// A reply with its speaker.
