Prove publish, status and burn report with real processes

Publish: accepted, repeated, refused, overtaken, pending while the log is away, lost append answer, no or wrong token, two at one moment. Burn report: calls through four nodes add up by cause, zone and version. The tests found that an answer to a denied POST was lost, because the body was left unread and the connection was reset: the body is read first now.

--- a/crates/core/commands/publish.rs
+++ b/crates/core/commands/publish.rs
@@ -46,7 +46,7 @@
             Err(e) => return super::client_failure(&e),
         },
     };
-    let id = flags.id.unwrap_or_else(random_id);
+    let id = flags.id.map_or_else(random_id, String::from);
     println!("publish {id}, derived from version {base}");
     let request = RawPublish { format: RECORD_FORMAT, id, base, configuration };
     let wait = Duration::from_millis(flags.wait_ms);
--- a/crates/core/commands/status.rs
+++ b/crates/core/commands/status.rs
@@ -6,7 +6,7 @@
     MemberStatus, PUBLISHES_PATH, PublishAnswer, STATUS_PATH, StatusReport,
 };
 use savorykeel_policy::{
-    ids::ConfigVersion,
+    ids::{ConfigVersion, PublishId},
     moves::status::{MoveReport, Phase},
 };
 
@@ -36,7 +36,11 @@
     Ok(exit)
 }
 
-async fn show_publish(api: &ApiClient, id: &str, flags: &StatusFlags) -> Result<Exit, ClientError> {
+async fn show_publish(
+    api: &ApiClient,
+    id: &PublishId,
+    flags: &StatusFlags,
+) -> Result<Exit, ClientError> {
     let wait = flags.wait_ms.unwrap_or(0);
     let path = format!("{PUBLISHES_PATH}/{id}?wait_ms={wait}");
     let answer: PublishAnswer = api.get(&path, Duration::from_millis(wait)).await?;
--- a/crates/core/flags/mod.rs
+++ b/crates/core/flags/mod.rs
@@ -10,6 +10,7 @@
 use std::ffi::OsString;
 
 use argh::FromArgs;
+use savorykeel_policy::ids::PublishId;
 
 pub use check::{CheckFlags, CheckTarget};
 pub use node::NodeFlags;
@@ -79,6 +80,10 @@
     }
 }
 
+fn publish_id(raw: &str) -> Result<PublishId, String> {
+    PublishId::try_from(raw).map_err(|e| e.to_string())
+}
+
 fn version() -> String {
     format!("savorykeel {}", env!("CARGO_PKG_VERSION"))
 }
--- a/crates/core/flags/publish.rs
+++ b/crates/core/flags/publish.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 use argh::FromArgs;
+use savorykeel_policy::ids::PublishId;
 
 /// Publishes a configuration and tells what became of it.
 ///
@@ -20,8 +21,8 @@
     pub base: Option<u64>,
 
     /// id of the publish; a random one when absent
-    #[argh(option, arg_name = "ID")]
-    pub id: Option<String>,
+    #[argh(option, arg_name = "ID", from_str_fn(super::publish_id))]
+    pub id: Option<PublishId>,
 
     /// file with the bearer token
     #[argh(option, arg_name = "FILE")]
--- a/crates/core/flags/status.rs
+++ b/crates/core/flags/status.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use argh::FromArgs;
+use savorykeel_policy::ids::PublishId;
 
 /// Shows the configuration in force, the members and the moves.
 #[derive(FromArgs, Debug)]
@@ -17,8 +18,8 @@
     pub json: bool,
 
     /// tell what became of this publish in place of the whole status
-    #[argh(option, arg_name = "ID")]
-    pub publish: Option<String>,
+    #[argh(option, arg_name = "ID", from_str_fn(super::publish_id))]
+    pub publish: Option<PublishId>,
 
     /// wait until the moves that this configuration version asked for are done or taken back
     #[argh(option, arg_name = "VERSION")]
--- a/crates/core/report/text.rs
+++ b/crates/core/report/text.rs
@@ -37,30 +37,33 @@
         service.objective_latency_ms,
         Percent(service.budget_spent)
     )?;
-    writeln!(
-        out,
-        "  {:<28} {:>6} {:>9} {:>7} {:>7} {:>9} {:>9}  causes",
-        "", "window", "calls", "failed", "slow", "burn", "slow burn"
-    )?;
-    write_windows(out, "all", &service.windows)?;
+    let has_calls = service.windows.iter().any(|window| window.counts.total > 0);
+    if !has_calls {
+        return writeln!(out, "  no calls were recorded");
+    }
+    write_windows(out, &service.windows)?;
     for route in &service.routes {
-        write_windows(out, &format!("route {}", route.route), &route.windows)?;
+        write_group(out, "route", route.route.as_str(), &route.windows)?;
     }
     for zone in &service.zones {
-        write_windows(out, &format!("zone {}", group_name(&zone.name)), &zone.windows)?;
+        write_group(out, "zone", group_name(&zone.name), &zone.windows)?;
     }
     for version in &service.versions {
-        write_windows(out, &format!("version {}", group_name(&version.name)), &version.windows)?;
+        write_group(out, "version", group_name(&version.name), &version.windows)?;
     }
     Ok(())
 }
 
-fn write_windows(out: &mut String, label: &str, windows: &[WindowBurn]) -> fmt::Result {
-    for (i, window) in windows.iter().enumerate() {
+fn write_windows(out: &mut String, windows: &[WindowBurn]) -> fmt::Result {
+    writeln!(
+        out,
+        "  {:>6} {:>9} {:>8} {:>8} {:>9} {:>9}  causes",
+        "window", "calls", "failed", "slow", "burn", "slow burn"
+    )?;
+    for window in windows {
         writeln!(
             out,
-            "  {:<28} {:>6} {:>9} {:>7} {:>7} {:>9.2} {:>9.2}  {}",
-            if i == 0 { label } else { "" },
+            "  {:>6} {:>9} {:>8} {:>8} {:>9.2} {:>9.2}  {}",
             window.window.to_string(),
             window.counts.total,
             window.counts.failed(),
@@ -73,6 +76,18 @@
     Ok(())
 }
 
+/// Writes one line for a group: its burn rates and the causes over the longest window.
+fn write_group(out: &mut String, kind: &str, name: &str, windows: &[WindowBurn]) -> fmt::Result {
+    let burn: Vec<String> = windows
+        .iter()
+        .map(|window| {
+            format!("{} {:.2}/{:.2}", window.window, window.failure_burn, window.slow_burn)
+        })
+        .collect();
+    let causes = windows.last().map_or_else(String::new, causes);
+    writeln!(out, "  {kind} {name}: burn/slow burn {}  {causes}", burn.join(", "))
+}
+
 fn causes(window: &WindowBurn) -> String {
     let parts: Vec<String> =
         window.causes.iter().map(|c| format!("{} {}", c.cause, Percent(c.share))).collect();
--- a/crates/node/src/admin/publish.rs
+++ b/crates/node/src/admin/publish.rs
@@ -33,10 +33,10 @@
 /// A publish whose id is known is answered and not appended again, and one that
 /// breaks a rule never reaches the log, because every node would refuse it.
 pub(super) async fn publish(state: &NodeState, mut req: Request) -> Response {
-    if let Err(denied) = token::check(state.settings.token_file.as_deref(), req.headers()) {
-        return error(Code::Unauthorized, denied.to_string());
-    }
     let wait = wait_of(&req);
+    let allowed = token::check(state.settings.token_file.as_deref(), req.headers());
+    // The body is read even when the request is denied: an answer that goes out
+    // while bytes are left unread is lost when the connection is reset.
     let payload = req.take_payload();
     let body = match read_body(payload, MAX_RECORD_BYTES).await {
         Ok(body) => body,
@@ -45,6 +45,9 @@
         }
         Err(BodyError::Broken) => return error(Code::BadRequest, "the body ended early"),
     };
+    if let Err(denied) = allowed {
+        return error(Code::Unauthorized, denied.to_string());
+    }
     let id = match PublishRecord::parse(&body) {
         Ok(record) => record.id,
         Err(e) => return refuse(e),
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -1,8 +1,11 @@
 //! Feature tests by theme.
 
+mod admin_api;
 mod binary;
+mod burn_report;
 mod check_configuration;
 mod check_docs;
 mod cli_usage;
 mod config_spread;
 mod harness;
+mod publish_outcomes;
--- a/tests/harness/settings.rs
+++ b/tests/harness/settings.rs
@@ -10,7 +10,7 @@
 };
 
 /// Bearer token of operators in tests.
-pub const TOKEN: &str = "test-token";
+pub const TOKEN: &str = "token-of-the-operators-under-test";
 
 /// Where a node under test stands.
 #[derive(Debug, Clone)]
