--- a/crates/core/client.rs
+++ b/crates/core/client.rs
@@ -1,10 +1,13 @@
 //! A client of the operators' API.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{io, net::SocketAddr, path::Path, time::Duration};
 
 use anyhow::Context;
 use ntex::{
-    client::{Client, ClientRequest, ClientResponse},
+    client::{
+        Client, ClientRequest, ClientResponse,
+        error::{ClientError as SendError, ConnectError},
+    },
     http::StatusCode,
     rt::{DefaultRuntime, System},
     time::Millis,
@@ -21,9 +24,17 @@
 /// Why the API gave no answer that the command wants.
 #[derive(Debug, thiserror::Error)]
 pub enum ClientError {
+    /// No connection could be opened, so that nothing was sent.
+    #[error("the operators' API at {addr} can't be reached: {problem}")]
+    Unreachable {
+        /// Address of the API.
+        addr: SocketAddr,
+        /// What went wrong.
+        problem: String,
+    },
     /// No answer came. A request that writes may have taken effect.
     #[error("the operators' API at {addr} gave no answer: {problem}")]
-    Unreachable {
+    NoAnswer {
         /// Address of the API.
         addr: SocketAddr,
         /// What went wrong.
@@ -100,14 +111,15 @@
         }
     }
 
-    async fn answer<T: DeserializeOwned, E: std::fmt::Display>(
+    async fn answer<T: DeserializeOwned>(
         &self,
-        sent: Result<ClientResponse, E>,
+        sent: Result<ClientResponse, SendError>,
     ) -> Result<T, ClientError> {
-        let response = sent.map_err(|e| self.unreachable(&e))?;
+        let response = sent.map_err(|e| self.send_failure(&e))?;
         let status = response.status();
         let body = response.body().limit(MAX_ANSWER_BYTES).await;
-        let body = body.map_err(|e| self.unreachable(&e))?;
+        let body =
+            body.map_err(|e| ClientError::NoAnswer { addr: self.addr, problem: e.to_string() })?;
         if let Ok(answer) = serde_json::from_slice(&body) {
             return Ok(answer);
         }
@@ -119,8 +131,25 @@
         }
     }
 
-    fn unreachable(&self, problem: &impl std::fmt::Display) -> ClientError {
-        ClientError::Unreachable { addr: self.addr, problem: problem.to_string() }
+    fn send_failure(&self, e: &SendError) -> ClientError {
+        let (addr, problem) = (self.addr, e.to_string());
+        match e {
+            SendError::Connect(e) if is_before_sending(e) => {
+                ClientError::Unreachable { addr, problem }
+            }
+            _ => ClientError::NoAnswer { addr, problem },
+        }
+    }
+}
+
+/// Tells whether an error is sure to have come before the request was sent.
+///
+/// The client also calls it a connect error when a connection ends later on.
+fn is_before_sending(e: &ConnectError) -> bool {
+    match e {
+        ConnectError::Disconnected(Some(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
+        ConnectError::Disconnected(None) => false,
+        _ => true,
     }
 }
 
--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -31,7 +31,7 @@
 fn client_failure(error: &ClientError) -> Exit {
     eprintln!("savorykeel: {error}");
     match error {
-        ClientError::Unreachable { .. } => Exit::Unreachable,
+        ClientError::Unreachable { .. } | ClientError::NoAnswer { .. } => Exit::Unreachable,
         ClientError::Refused(refusal) if refusal.name == Code::Unauthorized => Exit::Unauthorized,
         ClientError::Refused(_) | ClientError::Malformed { .. } => Exit::Failed,
     }
--- a/crates/core/commands/publish.rs
+++ b/crates/core/commands/publish.rs
@@ -54,7 +54,9 @@
     let answer: Result<PublishAnswer, ClientError> = api.post(&path, &request, wait).await;
     match answer {
         Ok(answer) => print_outcome(flags.operators, &request, &answer.outcome),
-        Err(e @ ClientError::Refused(_)) => super::client_failure(&e),
+        Err(e @ (ClientError::Refused(_) | ClientError::Unreachable { .. })) => {
+            super::client_failure(&e)
+        }
         Err(e) => {
             // The request may have reached the log although no answer came.
             eprintln!("savorykeel: {e}");
--- a/tests/feature/check_docs.rs
+++ b/tests/feature/check_docs.rs
@@ -1,6 +1,6 @@
 //! The pages name every field, metric and exit code that the program has.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, fs, path::Path};
 
 use savorykeel_adapters::metrics::{Counter, Gauge, Timer};
 use savorykeel_node::settings::RawSettings;
@@ -12,6 +12,7 @@
 const METRICS: &str = include_str!("../../docs/METRICS.md");
 const EXIT_CODES: &str = include_str!("../../docs/EXIT-CODES.md");
 const EXIT_SOURCE: &str = include_str!("../../crates/core/exit.rs");
+const OPERATING: &str = include_str!("../../docs/OPERATING.md");
 const SCHEMA: &str = include_str!("../../docs/configuration.schema.json");
 
 /// Returns the words that open a row of a table on a page.
@@ -92,3 +93,29 @@
     let on_page = EXIT_CODES.lines().filter(|line| line.starts_with('|'));
     assert_eq!(on_page.count(), in_source.len() + 2);
 }
+
+/// Returns the text of every source file under a directory.
+fn sources(dir: &Path) -> String {
+    let mut text = String::new();
+    for entry in fs::read_dir(dir).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            text += &sources(&path);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            text += &fs::read_to_string(path).unwrap();
+        }
+    }
+    text
+}
+
+#[test]
+fn operating_page_names_log_lines_that_exist() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let source = sources(&root.join("crates/node/src")) + &sources(&root.join("crates/core"));
+    let (_, table) = OPERATING.split_once("## Log lines").unwrap();
+    let lines = rows(table);
+    assert!(lines.len() > 20, "{lines:?}");
+    for line in lines.iter().filter(|line| **line != "msg") {
+        assert!(source.contains(&format!("\"{line}\"")), "no log line {line:?}");
+    }
+}
--- a/tests/feature/publish_outcomes.rs
+++ b/tests/feature/publish_outcomes.rs
@@ -188,6 +188,12 @@
     let mesh = Mesh::start();
     let ended = savorykeel(&["status", "--operators", "127.0.0.1:1"], "");
     assert_eq!(ended.code, UNREACHABLE, "{ended:?}");
+    let publisher = Publisher { operators: "127.0.0.1:1".into(), ..mesh.publisher(0) };
+    let unsent = publisher.publish(&mesh.configuration(), &["--base", "0"]);
+    assert_eq!(
+        unsent.code, UNREACHABLE,
+        "nothing was sent, so it is no pending publish: {unsent:?}"
+    );
     let malformed =
         savorykeel(&["publish", "--operators", &mesh.operators(0), "no/such/file.json"], "");
     assert_eq!(malformed.code, USAGE, "{malformed:?}");
