--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -1,6 +1,7 @@
 //! The entry side of a call: from HTTP to a request with its route.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -13,6 +14,7 @@
 use savorykeel_ports::peer::PeerReply;
 
 use crate::{
+    burn::{self, EndedCall},
     calls::{dispatch::dispatch, journey::Journey},
     http::{
         BodyError, DEADLINE_HEADER, DEPTH_HEADER, HttpResult, answer_response, code_response,
@@ -57,14 +59,33 @@
         route,
         caller,
         depth,
+        last_tried: RefCell::default(),
     };
-    let name = journey.route.name.clone();
-    match run(worker, journey).await {
+    let journey = Rc::new(journey);
+    let reply = run(worker, journey.clone()).await;
+    observe(worker, &journey, &reply, started.elapsed());
+    let name = &journey.route.name;
+    match reply {
         PeerReply::Answered(answer) => Ok(answer_response(answer)),
         PeerReply::Failed(code) => Err(code_response(code, format!("route {name}: {code}"))),
     }
 }
 
+fn observe(worker: &Worker, journey: &Journey, reply: &PeerReply, took: Duration) {
+    let endpoint = journey.last_tried.borrow();
+    let call = EndedCall {
+        table: &journey.table,
+        route: &journey.route,
+        endpoint: endpoint.as_deref(),
+        ended: match reply {
+            PeerReply::Answered(answer) => Ok(answer.status),
+            PeerReply::Failed(code) => Err(*code),
+        },
+        took,
+    };
+    burn::observe(&worker.state, &call);
+}
+
 fn body_failure(error: &BodyError, limit: usize) -> Response {
     match error {
         BodyError::TooLarge => {
@@ -76,7 +97,7 @@
 
 /// Runs the request; a keyed one goes on when its caller is gone, so that the
 /// caller's next try finds the answer.
-async fn run(worker: &Rc<Worker>, journey: Journey) -> PeerReply {
+async fn run(worker: &Rc<Worker>, journey: Rc<Journey>) -> PeerReply {
     if journey.keyed().is_none() {
         return dispatch(worker, &journey).await;
     }
--- a/crates/node/src/calls/journey.rs
+++ b/crates/node/src/calls/journey.rs
@@ -1,6 +1,7 @@
 //! One request on its way through its entry node.
 
 use std::{
+    cell::RefCell,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -8,7 +9,7 @@
 use savorykeel_policy::{
     calls::{ledger_view::LedgerKey, quarantine::Fingerprint},
     config::model::Route,
-    table::Table,
+    table::{Endpoint, Table},
 };
 use savorykeel_ports::peer::HttpRequest;
 
@@ -29,6 +30,8 @@
     pub(crate) depth: u32,
     /// When the caller stops waiting.
     pub(crate) deadline: Instant,
+    /// Backend server that was tried last, for the burn report.
+    pub(crate) last_tried: RefCell<Option<Arc<Endpoint>>>,
 }
 
 /// What the ledger knows a request by.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -9,11 +9,13 @@
 };
 
 use parking_lot::Mutex;
+use savorykeel_adapters::metrics::Metrics;
 use savorykeel_policy::{ids::ServiceName, time::Tick};
 use savorykeel_ports::clock::Clock;
 use slog::Logger;
 
 use crate::{
+    burn::BurnState,
     calls::{announce::Announcement, state::CallState},
     control::state::ControlState,
     settings::Settings,
@@ -27,6 +29,10 @@
     pub(crate) clock: Clock,
     /// Structured log.
     pub(crate) log: Logger,
+    /// Metrics, which go nowhere unless the settings name a server.
+    pub(crate) metrics: Metrics,
+    /// How the calls that entered at this node ended.
+    pub(crate) burn: BurnState,
     /// Configuration and membership.
     pub(crate) control: Arc<ControlState>,
     /// Calls.
