Send gauges and the control loops' counters as metrics

Cause: the metrics page promised gauges that nothing sent. Change: members, versions and control bytes go out as gauges and counters.

--- a/crates/adapters/src/metrics.rs
+++ b/crates/adapters/src/metrics.rs
@@ -23,26 +23,20 @@
 pub enum Counter {
     /// Calls by service, route and result code.
     Calls,
-    /// Attempts at a call on a backend server after the first one.
+    /// Tries at a call on a backend server after the first one, by service.
     Retries,
-    /// Questions to another node about what became of a request.
-    Settles,
-    /// Requests refused because the queue was full or too slow.
-    Shed,
-    /// Links to other nodes that were replaced because they went silent.
-    SilentLinks,
-    /// Configuration versions applied.
-    Applied,
-    /// Records of the log service read by this node.
+    /// Reads of the log service.
+    LogReads,
+    /// Records read from the log service.
     LogRecords,
-    /// Appends to the log service by outcome.
+    /// Appends to the log service.
     LogAppends,
+    /// Failures of the log service.
+    LogFailures,
     /// Bytes of control messages sent to other nodes.
     ControlBytesSent,
     /// Bytes of control messages received from other nodes.
     ControlBytesReceived,
-    /// Moves that ended, by outcome.
-    MovesEnded,
 }
 
 /// A number that goes up and down.
@@ -53,26 +47,18 @@
     ConfigurationVersion,
     /// Members by liveness.
     Members,
-    /// Requests running at the backend server.
-    Running,
-    /// Requests waiting for the backend server.
-    Queued,
-    /// Answers kept for settling.
-    KeptAnswers,
-    /// Share of traffic of a service's new version, in thousandths.
-    MoveShare,
+    /// Calls that entered at this node and have no answer yet.
+    Entered,
+    /// Calls that run or wait at the backend server beside the node.
+    Serving,
 }
 
 /// A span of time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumIter, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Timer {
-    /// A call from the request's last byte to the answer's first, in milliseconds.
+    /// A call from the request's head to its end, in milliseconds.
     CallMs,
-    /// A request's wait for the backend server, in milliseconds.
-    QueueMs,
-    /// From reading a configuration to applying it, in milliseconds.
-    ApplyMs,
 }
 
 /// A tag of a metric.
--- a/crates/node/src/burn.rs
+++ b/crates/node/src/burn.rs
@@ -9,6 +9,7 @@
     burn::{CallKey, Recorder, Snapshot, judge},
     code::Code,
     config::model::Route,
+    ids::ServiceName,
     table::{Endpoint, Table},
 };
 
@@ -58,6 +59,12 @@
     state.burn.recorder.lock().snapshot((state.clock.tick)())
 }
 
+/// Counts a try at a call after the first one.
+pub(crate) fn count_retry(state: &NodeState, service: &ServiceName) {
+    let tags = [Tag { key: "service", value: service.as_str() }];
+    state.metrics.count(Counter::Retries, 1, &tags);
+}
+
 fn send_metrics(state: &NodeState, call: &EndedCall<'_>) {
     let code: &'static str = call.ended.err().map_or(ANSWERED, Into::into);
     let tags = [
--- a/crates/node/src/calls/dispatch.rs
+++ b/crates/node/src/calls/dispatch.rs
@@ -13,7 +13,7 @@
 };
 use savorykeel_ports::peer::PeerReply;
 
-use crate::worker::Worker;
+use crate::{burn, worker::Worker};
 
 use super::{
     attempt::{self, Aimed, endpoint_at},
@@ -52,6 +52,9 @@
     let (mut tries, mut free_tries) = (0, 0);
     loop {
         let Some(i) = choose(worker, &candidates, &tried) else { return last };
+        if !tried.is_empty() {
+            burn::count_retry(&worker.state, &journey.route.service);
+        }
         let mut choice = Choice::new(worker, candidates[i].instance.clone());
         tried.push(i);
         last = match aim_and_claim(worker, journey, i, ledger.as_deref_mut()).await {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod run;
 pub mod settings;
 mod state;
+mod telemetry;
 mod worker;
 
 pub use run::{Addresses, Ending, NodeError, run};
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -35,6 +35,7 @@
     },
     settings::Settings,
     state::NodeState,
+    telemetry,
     worker::{Worker, WorkerSeed},
 };
 
@@ -161,6 +162,7 @@
     let servers = start_servers(&seed, &listeners)?;
     spawn_peer_acceptor(listeners.peers, accepted_tx, cancel.clone())?;
     spawn_lease_watch(state.clone(), cancel.clone());
+    ntex::rt::spawn(telemetry::run(state.clone(), cancel.clone())).detach();
     let control_cancel = CancellationToken::new();
     let control = spawn_control(&state, &control_cancel);
     info!(state.log, "node started"; "callers" => %addresses.callers, "peers" => %addresses.peers);
@@ -171,6 +173,7 @@
     control_cancel.cancel();
     let _ = control.await;
     cancel.cancel();
+    state.metrics.flush();
     info!(state.log, "node stopped");
     Ok(ending)
 }
--- a/crates/policy/src/burn/cause.rs
+++ b/crates/policy/src/burn/cause.rs
@@ -74,5 +74,6 @@
             | Code::KeyMismatch
             | Code::KeyBusy
             | Code::Cancelled
+            | Code::CancelledWhileRunning
     )
 }
