--- a/crates/node/src/control/probe.rs
+++ b/crates/node/src/control/probe.rs
@@ -1,6 +1,6 @@
 //! Watches the successors on the rings.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use futures_util::future::join_all;
 use ntex::time::sleep;
@@ -9,7 +9,7 @@
     ids::InstanceName,
     membership::{
         entry::Liveness,
-        failure::{Conclusion, PROBE_PERIOD, PROBE_TIMEOUT, conclude},
+        failure::{Conclusion, Damper, PROBE_PERIOD, PROBE_TIMEOUT, conclude},
         merge::Entry,
         rings::{Contact, Neighbours},
     },
@@ -29,6 +29,7 @@
 
 /// Probes each watched node once in each period, for ever.
 pub(super) async fn watch<L: 'static, P: PeerLinks + 'static>(cx: Rc<ControlContext<L, P>>) {
+    let damper = Rc::new(RefCell::new(Damper::default()));
     loop {
         let watched = cx.neighbours().watched;
         let pause = PROBE_PERIOD / watched.len().max(1) as u32;
@@ -36,14 +37,18 @@
             sleep(to_millis(pause)).await;
         }
         for contact in watched {
-            let cx = cx.clone();
-            ntex::rt::spawn(async move { probe(&cx, &contact).await }).detach();
+            let (cx, damper) = (cx.clone(), damper.clone());
+            ntex::rt::spawn(async move { probe(&cx, &contact, &damper).await }).detach();
             sleep(to_millis(pause)).await;
         }
     }
 }
 
-async fn probe<L, P: PeerLinks>(cx: &ControlContext<L, P>, contact: &Contact) {
+async fn probe<L, P: PeerLinks>(
+    cx: &ControlContext<L, P>,
+    contact: &Contact,
+    damper: &RefCell<Damper>,
+) {
     let sent_at = cx.state.now();
     if cx.probe_once(contact).await || cx.probe_once(contact).await {
         return;
@@ -53,7 +58,8 @@
     }
     let reports = ask_watchers(cx, contact).await;
     let now = cx.state.now();
-    if conclude(sent_at, now, reports) == Conclusion::Suspect {
+    let is_suspect = conclude(sent_at, now, reports) == Conclusion::Suspect;
+    if is_suspect && damper.borrow_mut().admit(&contact.instance, now) {
         suspect(cx, &contact.instance, now);
     }
 }
--- a/crates/policy/src/membership/failure.rs
+++ b/crates/policy/src/membership/failure.rs
@@ -1,8 +1,8 @@
 //! When a probe that wasn't answered makes a node suspect.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use crate::time::Tick;
+use crate::{ids::InstanceName, time::Tick};
 
 /// Time between two probes of one node.
 pub const PROBE_PERIOD: Duration = Duration::from_millis(1_000);
@@ -36,3 +36,44 @@
         Conclusion::Suspect
     }
 }
+
+/// Shortest time between two suspicions of one node by one watcher.
+const SHORTEST_HOLD: Duration = Duration::from_secs(1);
+
+/// Largest number of times that the time between two suspicions doubles.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// Time after which earlier suspicions of a node no longer count.
+const SUSPICIONS_FORGOTTEN: Duration = Duration::from_secs(120);
+
+/// Slows down repeated suspicions of one node.
+///
+/// A node that some reach and others don't refutes each suspicion; every round
+/// is news for the whole fleet, so each watcher repeats it more and more seldom.
+#[derive(Debug, Default)]
+pub struct Damper {
+    suspicions: BTreeMap<InstanceName, Suspicions>,
+}
+
+#[derive(Debug, Default)]
+struct Suspicions {
+    last: Tick,
+    doublings: u32,
+}
+
+impl Damper {
+    /// Tells whether a watcher may suspect a node now, and counts it if so.
+    pub fn admit(&mut self, instance: &InstanceName, now: Tick) -> bool {
+        self.suspicions.retain(|_, earlier| now.since(earlier.last) < SUSPICIONS_FORGOTTEN);
+        let Some(earlier) = self.suspicions.get_mut(instance) else {
+            self.suspicions.insert(instance.clone(), Suspicions { last: now, doublings: 0 });
+            return true;
+        };
+        if now.since(earlier.last) < SHORTEST_HOLD * 2_u32.pow(earlier.doublings) {
+            return false;
+        }
+        earlier.last = now;
+        earlier.doublings = (earlier.doublings + 1).min(MAX_DOUBLINGS);
+        true
+    }
+}
