--- a/crates/adapters/schema/peer.capnp
+++ b/crates/adapters/schema/peer.capnp
@@ -31,8 +31,8 @@
   depth @7 :UInt32;
   caller @8 :Text;
   request @9 :Request;
-  aimLife @10 :UInt64;
-  aimTick @11 :UInt64;
+  incarnation @10 :UInt64;
+  ageMs @11 :UInt32;
 }
 
 struct Reply {
@@ -55,9 +55,9 @@
 
 interface Peer {
   call @0 (call :Call) -> (reply :Reply);
-  settle @1 (idHigh :UInt64, idLow :UInt64, aimLife :UInt64, aimTick :UInt64) -> (settlement :Settlement);
+  settle @1 (idHigh :UInt64, idLow :UInt64, incarnation :UInt64, ageMs :UInt32) -> (settlement :Settlement);
   cancel @2 (idHigh :UInt64, idLow :UInt64) -> ();
-  heartbeat @3 () -> (life :UInt64, tick :UInt64);
+  heartbeat @3 () -> ();
   control @4 (body :Data) -> (body :Data);
   ledger @5 (body :Data) -> (body :Data);
 }
--- a/crates/adapters/src/peer/client.rs
+++ b/crates/adapters/src/peer/client.rs
@@ -10,7 +10,7 @@
 };
 
 use capnp::capability::Promise;
-use savorykeel_policy::{calls::settle::NodeStamp, ids::RequestId};
+use savorykeel_policy::ids::RequestId;
 use savorykeel_ports::peer::{
     Attempt, LoadHint, PeerCall, PeerError, PeerLinks, PeerReply, Settlement,
 };
@@ -19,7 +19,7 @@
 
 use super::{
     decode::{read_reply, read_settlement},
-    encode::{id_high, id_low, write_call},
+    encode::{id_high, id_low, millis, write_call},
     link::Link,
 };
 
@@ -118,18 +118,14 @@
         read().map_err(|e| malformed(addr, &e))
     }
 
-    async fn stamp(&self, addr: SocketAddr) -> Result<NodeStamp, PeerError> {
-        Ok(self.link(addr).await?.stamp.get())
-    }
-
     async fn settle(&self, addr: SocketAddr, attempt: Attempt) -> Result<Settlement, PeerError> {
         let link = self.link(addr).await?;
         let mut req = link.client.settle_request();
         let mut params = req.get();
         params.set_id_high(id_high(attempt.id));
         params.set_id_low(id_low(attempt.id));
-        params.set_aim_life(attempt.aim.life);
-        params.set_aim_tick(attempt.aim.tick);
+        params.set_incarnation(attempt.incarnation);
+        params.set_age_ms(millis(attempt.age));
         let response = await_reply(addr, &link, req.send().promise).await?;
         let read = || read_settlement(response.get()?.get_settlement()?);
         read().map_err(|e| malformed(addr, &e))
--- a/crates/adapters/src/peer/decode.rs
+++ b/crates/adapters/src/peer/decode.rs
@@ -4,7 +4,6 @@
 
 use capnp::Error;
 use savorykeel_policy::{
-    calls::settle::NodeStamp,
     code::Code,
     ids::{RequestId, RouteName, ServiceName},
 };
@@ -21,7 +20,8 @@
 pub(super) fn read_call(from: call::Reader<'_>) -> Result<PeerCall, Error> {
     let attempt = Attempt {
         id: request_id(from.get_id_high(), from.get_id_low()),
-        aim: NodeStamp { life: from.get_aim_life(), tick: from.get_aim_tick() },
+        incarnation: from.get_incarnation(),
+        age: Duration::from_millis(from.get_age_ms().into()),
     };
     Ok(PeerCall {
         attempt,
--- a/crates/adapters/src/peer/link.rs
+++ b/crates/adapters/src/peer/link.rs
@@ -1,11 +1,10 @@
 //! One link to another node, with heartbeats.
 
-use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures_util::AsyncReadExt;
 use ntex::time::{Millis, sleep, timeout};
-use savorykeel_policy::calls::settle::NodeStamp;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::{compat::TokioAsyncReadCompatExt, sync::CancellationToken};
 
@@ -17,8 +16,6 @@
 pub(super) struct Link {
     /// Sends messages.
     pub(super) client: peer::Client,
-    /// Newest stamp heard of the other node.
-    pub(super) stamp: Cell<NodeStamp>,
     /// Cancelled when the connection ended or went silent.
     pub(super) down: CancellationToken,
 }
@@ -39,14 +36,9 @@
         let mut rpc = RpcSystem::new(Box::new(network), None);
         let client: peer::Client = rpc.bootstrap(Side::Server);
         let down = owner.child_token();
+        let link = Rc::new(Link { client, down: down.clone() });
         ntex::rt::spawn(drive(rpc, down.clone())).detach();
-        let first = timeout(connect_timeout, heartbeat(&client)).await;
-        let Ok(Some(stamp)) = first else {
-            down.cancel();
-            return Err(io::ErrorKind::TimedOut.into());
-        };
-        let link = Rc::new(Link { client, stamp: Cell::new(stamp), down });
-        ntex::rt::spawn(watch(link.clone(), settings)).detach();
+        ntex::rt::spawn(watch(link.client.clone(), settings, down)).detach();
         Ok(link)
     }
 }
@@ -74,26 +66,19 @@
 }
 
 /// Sends heartbeats and cancels `down` when one stays unanswered.
-async fn watch(link: Rc<Link>, settings: LinkSettings) {
+async fn watch(client: peer::Client, settings: LinkSettings, down: CancellationToken) {
     loop {
         tokio::select! {
             () = sleep(to_millis(settings.heartbeat_interval)) => {}
-            () = link.down.cancelled() => return,
+            () = down.cancelled() => return,
         }
-        let limit = to_millis(settings.heartbeat_timeout);
-        match timeout(limit, heartbeat(&link.client)).await {
-            Ok(Some(stamp)) => link.stamp.set(stamp),
-            Ok(None) | Err(()) => break,
+        let heartbeat = client.heartbeat_request().send().promise;
+        match timeout(to_millis(settings.heartbeat_timeout), heartbeat).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) | Err(()) => break,
         }
     }
-    link.down.cancel();
-}
-
-/// Sends one heartbeat and returns the other node's stamp.
-async fn heartbeat(client: &peer::Client) -> Option<NodeStamp> {
-    let response = client.heartbeat_request().send().promise.await.ok()?;
-    let reply = response.get().ok()?;
-    Some(NodeStamp { life: reply.get_life(), tick: reply.get_tick() })
+    down.cancel();
 }
 
 pub(super) fn to_millis(span: Duration) -> Millis {
--- a/crates/adapters/src/peer/server.rs
+++ b/crates/adapters/src/peer/server.rs
@@ -1,10 +1,10 @@
 //! Serves the messages of other nodes.
 
-use std::{net, rc::Rc};
+use std::{net, rc::Rc, time::Duration};
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures_util::{AsyncReadExt, future::LocalBoxFuture};
-use savorykeel_policy::{calls::settle::NodeStamp, ids::RequestId};
+use savorykeel_policy::ids::RequestId;
 use savorykeel_ports::peer::{Attempt, LoadHint, PeerCall, PeerReply, Settlement};
 use tokio::net::TcpStream;
 use tokio_util::{compat::TokioAsyncReadCompatExt, sync::CancellationToken};
@@ -28,8 +28,6 @@
     pub call: Rc<dyn Fn(PeerCall) -> LocalBoxFuture<'static, (PeerReply, LoadHint)>>,
     /// Tells what became of a request and fences it when it was never seen.
     pub settle: Rc<dyn Fn(Attempt) -> Settlement>,
-    /// Returns the node's stamp now.
-    pub stamp: Rc<dyn Fn() -> NodeStamp>,
     /// Cancels a request.
     pub cancel: Rc<dyn Fn(RequestId)>,
     /// Answers a control message.
@@ -62,7 +60,8 @@
         let params = params.get()?;
         let attempt = Attempt {
             id: request_id(params.get_id_high(), params.get_id_low()),
-            aim: NodeStamp { life: params.get_aim_life(), tick: params.get_aim_tick() },
+            incarnation: params.get_incarnation(),
+            age: Duration::from_millis(params.get_age_ms().into()),
         };
         let settlement = (self.handler.settle)(attempt);
         write_settlement(&settlement, results.get().init_settlement());
@@ -82,11 +81,8 @@
     async fn heartbeat(
         self: Rc<Self>,
         _: peer::HeartbeatParams,
-        mut results: peer::HeartbeatResults,
+        _: peer::HeartbeatResults,
     ) -> Result<(), capnp::Error> {
-        let stamp = (self.handler.stamp)();
-        results.get().set_life(stamp.life);
-        results.get().set_tick(stamp.tick);
         Ok(())
     }
 
--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -1,19 +1,23 @@
-//! The entry side of a call: from HTTP to a request with its route.
+//! The entry side of a call: route, choose a backend server, hand over.
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use ntex::http::{Request, Response};
+use rand::{RngExt, seq::IndexedRandom};
 use savorykeel_policy::{
-    calls::deadline::{next_depth, time_left},
-    code::Code,
+    code::{Code, Outcome},
+    config::model::Route,
+    ids::RequestId,
+    table::{Endpoint, Table},
 };
-use savorykeel_ports::peer::PeerReply;
+use savorykeel_ports::peer::{Attempt, HttpRequest, PeerCall, PeerError, PeerLinks, PeerReply};
 
 use crate::{
-    calls::{dispatch::dispatch, journey::Journey},
+    calls::serve,
     http::{
         BodyError, DEADLINE_HEADER, DEPTH_HEADER, HttpResult, answer_response, code_response,
         number_header, read_body, to_port_request,
@@ -22,12 +26,25 @@
     worker::Worker,
 };
 
+/// Most backend servers that one request is offered to.
+const MAX_ATTEMPTS: usize = 3;
+
 /// Answers a request from a caller or from the backend server beside the node.
 pub(crate) async fn handle(worker: Rc<Worker>, req: Request, caller: String) -> HttpResult {
     let _in_flight = InFlight::enter(&worker.state.entered);
     Ok(answer(&worker, req, caller).await.unwrap_or_else(|failure| failure))
 }
 
+/// A request on its way, with the table that it uses from start to end.
+struct Journey {
+    table: Arc<Table>,
+    route: Arc<Route>,
+    request: HttpRequest,
+    caller: String,
+    depth: u32,
+    deadline: Instant,
+}
+
 async fn answer(
     worker: &Rc<Worker>,
     mut req: Request,
@@ -42,11 +59,9 @@
         .route(req.method().as_str(), host, req.path())
         .cloned()
         .ok_or_else(|| code_response(Code::NoRoute, format!("no route for {}", req.path())))?;
-    let above = number_header::<u32>(req.headers(), DEPTH_HEADER).unwrap_or(0);
-    let depth = next_depth(above, table.configuration.limits.call_depth)
-        .map_err(|code| code_response(code, format!("{above} calls are above this one")))?;
+    let depth = number_header::<u32>(req.headers(), DEPTH_HEADER).unwrap_or(0);
     let left = number_header::<u64>(req.headers(), DEADLINE_HEADER).map(Duration::from_millis);
-    let timeout = time_left(route.timeout, left);
+    let timeout = left.map_or(route.timeout, |left| left.min(route.timeout));
     let limit = usize::try_from(route.body_limit).unwrap_or(usize::MAX);
     let payload = req.take_payload();
     let body = read_body(payload, limit).await.map_err(|e| body_failure(&e, limit))?;
@@ -58,10 +73,12 @@
         caller,
         depth,
     };
-    let name = journey.route.name.clone();
-    match run(worker, journey).await {
+    match run(worker, &journey).await {
         PeerReply::Answered(answer) => Ok(answer_response(answer)),
-        PeerReply::Failed(code) => Err(code_response(code, format!("route {name}: {code}"))),
+        PeerReply::Failed(code) => {
+            let detail = format!("route {}: {code}", journey.route.name);
+            Err(code_response(code, detail))
+        }
     }
 }
 
@@ -74,13 +91,57 @@
     }
 }
 
-/// Runs the request; a keyed one goes on when its caller is gone, so that the
-/// caller's next try finds the answer.
-async fn run(worker: &Rc<Worker>, journey: Journey) -> PeerReply {
-    if journey.keyed().is_none() {
-        return dispatch(worker, &journey).await;
+async fn run(worker: &Rc<Worker>, journey: &Journey) -> PeerReply {
+    let mut tried: Vec<Arc<Endpoint>> = Vec::new();
+    let mut last = PeerReply::Failed(Code::NoBackendServer);
+    while tried.len() < MAX_ATTEMPTS {
+        let Some(endpoint) = choose(worker, journey, &tried) else { break };
+        let left = journey.deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return PeerReply::Failed(Code::DeadlineBeforeStart);
+        }
+        let call = peer_call(worker, journey, &endpoint, left);
+        last = attempt(worker, &endpoint, call).await;
+        match &last {
+            PeerReply::Failed(code) if code.outcome() == Outcome::NotRun => tried.push(endpoint),
+            _ => break,
+        }
+    }
+    last
+}
+
+fn choose(worker: &Worker, journey: &Journey, tried: &[Arc<Endpoint>]) -> Option<Arc<Endpoint>> {
+    let service = journey.table.services.get(&journey.route.service)?;
+    let is_untried =
+        |endpoint: &&Arc<Endpoint>| !tried.iter().any(|other| other.instance == endpoint.instance);
+    let candidates: Vec<&Arc<Endpoint>> = service.endpoints.iter().filter(is_untried).collect();
+    candidates.choose(&mut *worker.rng.borrow_mut()).map(|endpoint| Arc::clone(endpoint))
+}
+
+fn peer_call(worker: &Worker, journey: &Journey, endpoint: &Endpoint, left: Duration) -> PeerCall {
+    let id = RequestId(worker.rng.borrow_mut().random());
+    PeerCall {
+        attempt: Attempt { id, incarnation: endpoint.incarnation, age: Duration::ZERO },
+        service: journey.route.service.clone(),
+        route: journey.route.name.clone(),
+        idempotent: journey.route.idempotent,
+        urgent: journey.route.urgent,
+        time_left: left,
+        depth: journey.depth + 1,
+        caller: journey.caller.clone(),
+        request: journey.request.clone(),
+    }
+}
+
+async fn attempt(worker: &Rc<Worker>, endpoint: &Endpoint, call: PeerCall) -> PeerReply {
+    if endpoint.instance == worker.state.settings.instance {
+        return serve::run_detached(worker.clone(), call).await.0;
+    }
+    match worker.links.call(endpoint.peer_addr, &call).await {
+        Ok((reply, _)) => reply,
+        Err(PeerError::NotSent(_)) => PeerReply::Failed(Code::Unreachable),
+        Err(PeerError::Lost(_) | PeerError::Malformed { .. }) => {
+            PeerReply::Failed(Code::SettleFailed)
+        }
     }
-    let worker = worker.clone();
-    let task = ntex::rt::spawn(async move { dispatch(&worker, &journey).await });
-    task.await.unwrap_or(PeerReply::Failed(Code::SettleFailed))
 }
--- a/crates/node/src/calls/serve.rs
+++ b/crates/node/src/calls/serve.rs
@@ -1,195 +1,61 @@
 //! The serving side of a call: beside the backend server.
-//!
-//! Each request is admitted once, runs in a task of its own and is remembered
-//! with its answer, so that its entry node can settle it over another
-//! connection. See `docs/design/0004-settle.md`.
 
-use std::{
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, sync::atomic::Ordering};
 
-use savorykeel_policy::{
-    calls::{
-        admission::Applicant,
-        deadline,
-        quarantine::{Fingerprint, Standing},
-        settle::{Admission, Fate},
-    },
-    code::Code,
-    ids::RequestId,
-};
+use savorykeel_policy::{code::Code, ids::RequestId};
 use savorykeel_ports::{
     backend::{BackendError, BackendServer},
     peer::{Attempt, Header, LoadHint, PeerCall, PeerReply, Settlement},
 };
-use tokio::sync::SemaphorePermit;
-use tokio_util::sync::CancellationToken;
 
 use crate::{
     http::{DEADLINE_HEADER, DEPTH_HEADER, REQUEST_ID_HEADER},
-    state::{InFlight, NodeState},
+    state::InFlight,
     worker::Worker,
 };
 
-use super::{announce::Announcement, crashes, state::reply_bytes, state::to_millis};
-
-/// Prefix of the headers that only nodes write.
-const OWN_HEADER_PREFIX: &str = "savorykeel-";
+use super::announce::Announcement;
 
 /// Runs a call in a task of its own, so that it goes on when the connection
 /// that brought it ends.
 pub(crate) async fn run_detached(worker: Rc<Worker>, call: PeerCall) -> (PeerReply, LoadHint) {
     let state = worker.state.clone();
-    let reply = match admit(&state, call.attempt) {
-        Admission::Admit => {
-            let task = ntex::rt::spawn(run_admitted(worker, call));
-            task.await.unwrap_or(PeerReply::Failed(Code::BackendConnectionLost))
-        }
-        Admission::Fenced | Admission::Stale | Admission::OtherLife => {
-            PeerReply::Failed(Code::Fenced)
-        }
-        Admission::Duplicate => PeerReply::Failed(Code::SettleFailed),
-    };
-    (reply, load_hint(&state))
-}
-
-fn admit(state: &NodeState, attempt: Attempt) -> Admission {
-    let admission = state.calls.settle.lock().begin(attempt.id, attempt.aim, state.now());
-    match admission {
-        Admission::Fenced if state.calls.testing.without_fences => Admission::Admit,
-        other => other,
-    }
-}
-
-fn load_hint(state: &NodeState) -> LoadHint {
+    let task = ntex::rt::spawn(async move { run(&worker, call).await });
+    let reply = task.await.unwrap_or(PeerReply::Failed(Code::BackendConnectionLost));
     let slots = state.backend.lock().as_ref().map_or(0, |backend| backend.record.slots);
-    LoadHint { in_flight: state.calls.slots.load(), slots }
-}
-
-/// Runs an admitted call and remembers how it ended.
-async fn run_admitted(worker: Rc<Worker>, call: PeerCall) -> PeerReply {
-    let id = call.attempt.id;
-    let cancel = CancellationToken::new();
-    worker.state.calls.cancels.lock().insert(id, cancel.clone());
-    let reply = run(&worker, call, &cancel).await;
-    let calls = &worker.state.calls;
-    calls.cancels.lock().remove(&id);
-    let kept = Arc::new(reply.clone());
-    calls.settle.lock().finish(id, kept, reply_bytes(&reply), worker.state.now());
-    reply
-}
-
-async fn run(worker: &Rc<Worker>, call: PeerCall, cancel: &CancellationToken) -> PeerReply {
-    let _in_flight = InFlight::enter(&worker.state.serving);
-    match prepare_and_forward(worker, call, cancel).await {
-        Ok(reply) => reply,
-        Err(code) => PeerReply::Failed(code),
-    }
+    (reply, LoadHint { in_flight: state.serving.load(Ordering::Relaxed), slots })
 }
 
-async fn prepare_and_forward(
-    worker: &Rc<Worker>,
-    call: PeerCall,
-    cancel: &CancellationToken,
-) -> Result<PeerReply, Code> {
-    let started = Instant::now();
+async fn run(worker: &Worker, call: PeerCall) -> PeerReply {
     let state = &worker.state;
-    let backend = backend_for(state, &call)?;
-    let request = &call.request;
-    let fingerprint =
-        Fingerprint::of(&call.service, &request.method, &request.target, &request.body);
-    let _trial = trial(state, fingerprint, call.time_left, cancel).await?;
-    let waited = started.elapsed();
-    let applicant = Applicant {
-        caller: call.caller.as_str().into(),
-        urgent: call.urgent,
-        deadline: state.now() + call.time_left.saturating_sub(waited),
-    };
-    let patience = call.time_left.saturating_sub(waited);
-    let _slot = tokio::select! {
-        slot = state.calls.slots.acquire(applicant, backend.record.slots, patience) => slot?,
-        () = cancel.cancelled() => return Err(Code::Cancelled),
-    };
-    let left = call.time_left.saturating_sub(started.elapsed());
-    if left < deadline::MIN_TIME_LEFT {
-        return Err(Code::DeadlineBeforeStart);
-    }
-    let run = forward(worker, &backend, call, left, fingerprint);
-    tokio::select! {
-        reply = run => reply,
-        () = cancel.cancelled() => Err(Code::CancelledWhileRunning),
-    }
-}
-
-/// Returns the backend server if it takes the call.
-fn backend_for(state: &NodeState, call: &PeerCall) -> Result<Announcement, Code> {
     if state.is_leaving() {
-        return Err(Code::Leaving);
+        return PeerReply::Failed(Code::Leaving);
     }
     let backend = state.backend.lock().clone();
     let backend = backend.filter(|backend| backend.record.service == call.service);
-    let backend = backend.ok_or(Code::NoBackendServer)?;
-    if backend.record.draining { Err(Code::Leaving) } else { Ok(backend) }
-}
-
-/// Waits until a suspect may run; others needn't wait.
-async fn trial<'a>(
-    state: &'a NodeState,
-    fingerprint: Fingerprint,
-    patience: Duration,
-    cancel: &CancellationToken,
-) -> Result<Option<SemaphorePermit<'a>>, Code> {
-    if standing(state, fingerprint)? == Standing::Clear {
-        return Ok(None);
-    }
-    let permit = tokio::select! {
-        permit = ntex::time::timeout(to_millis(patience), state.calls.trial.acquire()) => permit,
-        () = cancel.cancelled() => return Err(Code::Cancelled),
-    };
-    let Ok(Ok(permit)) = permit else { return Err(Code::DeadlineBeforeStart) };
-    // It may have been cleared or condemned meanwhile.
-    match standing(state, fingerprint)? {
-        Standing::Clear => Ok(None),
-        _ => Ok(Some(permit)),
+    let Some(backend) = backend else { return PeerReply::Failed(Code::NoBackendServer) };
+    if backend.record.draining {
+        return PeerReply::Failed(Code::Leaving);
     }
+    let _in_flight = InFlight::enter(&state.serving);
+    forward(worker, &backend, call).await
 }
 
-fn standing(state: &NodeState, fingerprint: Fingerprint) -> Result<Standing, Code> {
-    match state.calls.quarantine.lock().standing(fingerprint, state.now()) {
-        Standing::Condemned => Err(Code::Quarantined),
-        other => Ok(other),
-    }
-}
-
-async fn forward(
-    worker: &Rc<Worker>,
-    backend: &Announcement,
-    call: PeerCall,
-    left: Duration,
-    fingerprint: Fingerprint,
-) -> Result<PeerReply, Code> {
+async fn forward(worker: &Worker, backend: &Announcement, call: PeerCall) -> PeerReply {
     let connections = backend.connections as usize / worker.state.settings.workers;
-    let client = worker.backend(backend.addr, connections).await.map_err(|_| Code::Unreachable)?;
-    let (id, depth) = (call.attempt.id, call.depth);
+    let client = match worker.backend(backend.addr, connections).await {
+        Ok(client) => client,
+        Err(_) => return PeerReply::Failed(Code::Unreachable),
+    };
+    let (id, time_left, depth) = (call.attempt.id, call.time_left, call.depth);
     let mut request = call.request;
-    request.headers.retain(|header| !header.name.starts_with(OWN_HEADER_PREFIX));
-    add_header(&mut request.headers, REQUEST_ID_HEADER, id.to_string());
-    add_header(&mut request.headers, DEADLINE_HEADER, left.as_millis().to_string());
-    add_header(&mut request.headers, DEPTH_HEADER, depth.to_string());
-    let running = crashes::Running::enter(&worker.state, fingerprint);
-    let result = client.run(&request, left).await;
-    match &result {
-        Ok(_) => running.ended_well(worker),
-        Err(BackendError::Lost(_)) => running.lost_connection(worker),
-        // A connection that let a request time out may have gone silent.
-        Err(BackendError::TimedOut) => worker.forget_backend(),
-        Err(_) => {}
+    set_header(&mut request.headers, REQUEST_ID_HEADER, id.to_string());
+    set_header(&mut request.headers, DEADLINE_HEADER, time_left.as_millis().to_string());
+    set_header(&mut request.headers, DEPTH_HEADER, depth.to_string());
+    match client.run(&request, time_left).await {
+        Ok(answer) => PeerReply::Answered(answer),
+        Err(e) => PeerReply::Failed(failure_code(&e)),
     }
-    let mut answer = result.map_err(|e| failure_code(&e))?;
-    answer.headers.retain(|header| !header.name.starts_with(OWN_HEADER_PREFIX));
-    Ok(PeerReply::Answered(answer))
 }
 
 fn failure_code(error: &BackendError) -> Code {
@@ -201,24 +67,19 @@
     }
 }
 
-fn add_header(headers: &mut Vec<Header>, name: &str, value: String) {
+fn set_header(headers: &mut Vec<Header>, name: &str, value: String) {
+    headers.retain(|header| header.name != name);
     headers.push(Header { name: name.to_owned(), value: value.into_bytes() });
 }
 
-/// Tells what became of a request and fences it when it never ran.
-pub(crate) fn settle(state: &NodeState, attempt: Attempt) -> Settlement {
-    match state.calls.settle.lock().settle(attempt.id, attempt.aim, state.now()) {
-        Fate::Ended(reply) => Settlement::Ended(PeerReply::clone(&reply)),
-        Fate::AnswerGone => Settlement::Ended(PeerReply::Failed(Code::AnswerExpired)),
-        Fate::Running => Settlement::Running,
-        Fate::Fenced => Settlement::Fenced,
-        Fate::Unknown => Settlement::Forgotten,
-    }
+/// Tells what became of a request.
+///
+/// Nothing is remembered yet, so the answer is always that the node can't tell.
+pub(crate) fn settle(_: &Worker, _: Attempt) -> Settlement {
+    Settlement::Forgotten
 }
 
 /// Cancels a request that nobody waits for any more.
-pub(crate) fn cancel(state: &NodeState, id: RequestId) {
-    if let Some(cancel) = state.calls.cancels.lock().get(&id) {
-        cancel.cancel();
-    }
-}
+///
+/// Running requests are left to end by themselves until they are tracked by id.
+pub(crate) fn cancel(_: &Worker, _: RequestId) {}
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -63,7 +63,13 @@
     fn note_reply(&self, reply: &ControlReply, sent_at: Tick) {
         self.note_speaker(&reply.from);
         if !self.is_serving() {
-            self.with_recovery(|recovery| recovery.answered(&reply.from, reply.your_floor));
+            let digest = self.with_members(|members| members.digest());
+            self.with_recovery(|recovery| {
+                recovery.answered(&reply.from, reply.your_floor);
+                if reply.from.recovered && reply.from.members == digest {
+                    recovery.learnt_members();
+                }
+            });
         }
         if let Some(ago) = reply.from.current_ago {
             let ago = u64::try_from(ago.as_millis()).unwrap_or(u64::MAX);
--- a/crates/node/src/control/gossip.rs
+++ b/crates/node/src/control/gossip.rs
@@ -218,7 +218,9 @@
     let mut differences = pending.differences.borrow_mut();
     let since = *differences.entry(contact.instance.clone()).or_insert(now);
     let age = now.since(since);
-    if age < DIFFERENCE_TOLERATED {
+    // A node that starts knows nobody and asks at once.
+    let is_starting = !cx.state.is_serving();
+    if age < DIFFERENCE_TOLERATED && !is_starting {
         return;
     }
     differences.remove(&contact.instance);
--- a/crates/node/src/control/presence.rs
+++ b/crates/node/src/control/presence.rs
@@ -154,7 +154,13 @@
 /// Its neighbours are those that remember it; random ones from other
 /// availability zones make up for neighbours that are new or cut off.
 pub(super) async fn recover<L, P: PeerLinks>(cx: Rc<ControlContext<L, P>>) {
+    let mut last = None;
     while !cx.state.is_serving() {
+        let progress = cx.state.with_recovery(|recovery| recovery.progress());
+        if last.replace(progress) != Some(progress) {
+            info!(cx.state.logger, "recovering"; "answered" => progress.answered,
+                "zones" => progress.zones, "floor" => progress.floor.0);
+        }
         let mut contacts = cx.neighbours().all();
         let own_zone = &cx.state.identity.zone;
         let far = cx.state.with_members(|members| {
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -452,10 +452,17 @@
         complete
     }
 
+    /// Counts the nodes that could answer, were there no partition.
+    ///
+    /// Nodes that nobody reaches count: the side of a partition that answers may
+    /// be the one that lags.
     fn answerers(&self) -> Answerers {
         let members = self.members.lock();
+        let is_other = |entry: &&Entry| {
+            entry.liveness != Liveness::Gone && entry.record.instance != self.identity.instance
+        };
         let others: Vec<&NodeRecord> =
-            members.active().filter(|record| record.instance != self.identity.instance).collect();
+            members.entries().filter(is_other).map(|entry| &*entry.record).collect();
         let zones: std::collections::BTreeSet<&ZoneName> =
             others.iter().map(|record| &record.zone).collect();
         Answerers { nodes: others.len(), zones: zones.len() }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -25,7 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    calls::{announce, entry, state::CallState},
+    calls::{announce, entry},
     control::{
         self,
         state::{ControlState, Identity},
@@ -178,13 +178,11 @@
     };
     let journal_file = settings.journal_file.as_deref();
     let control = ControlState::new(identity, clock, log.clone(), journal_file)?;
-    let calls = CallState::new(&settings, (clock.tick)());
     Ok(Arc::new(NodeState {
         settings,
         clock,
         log,
         control,
-        calls,
         backend: parking_lot::Mutex::default(),
         leaving: AtomicBool::new(false),
         entered: AtomicU32::new(0),
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -5,8 +5,8 @@
 use savorykeel_policy::{config::model::Refusal, ids::InvalidName};
 
 use super::{
-    Limits, Listen, MetricsSettings, RawLimits, RawListen, RawMetrics, RawSettings, RawTesting,
-    Settings, SettingsRefusals, Testing,
+    Limits, Listen, MetricsSettings, RawLimits, RawListen, RawMetrics, RawSettings, Settings,
+    SettingsRefusals,
 };
 
 const WORKERS: RangeInclusive<usize> = 1..=64;
@@ -101,7 +101,6 @@
     let metrics = raw.metrics.as_ref().map(|metrics| check_metrics(checker, metrics));
     checker.number("workers", raw.workers, &WORKERS);
     let limits = check_limits(checker, &raw.limits);
-    let testing = check_testing(checker, raw.testing.as_ref());
     checker.millis("control.checkpoint_ms", raw.control.checkpoint, &PERIOD_MILLIS);
     checker.millis("control.presence_ms", raw.control.presence, &PERIOD_MILLIS);
     let listen = listen?;
@@ -127,7 +126,6 @@
         workers: raw.workers,
         control: raw.control,
         limits,
-        testing,
     })
 }
 
@@ -177,21 +175,6 @@
     Some(MetricsSettings { statsd, prefix: raw.prefix.as_str().into() })
 }
 
-fn check_testing(checker: &mut Checker, raw: Option<&RawTesting>) -> Testing {
-    let Some(raw) = raw else { return Testing::default() };
-    if !raw.breaks_promises {
-        checker.refuse(
-            "testing.breaks_promises",
-            "it is false: leave out `testing`, or set it to true in a test whose callers may be harmed",
-        );
-    }
-    Testing {
-        without_settle: raw.without_settle,
-        without_fences: raw.without_fences,
-        without_ledger: raw.without_ledger,
-    }
-}
-
 fn check_limits(checker: &mut Checker, raw: &RawLimits) -> Limits {
     checker.number("limits.header_bytes", raw.header_bytes, &HEADER_BYTES);
     checker.number("limits.body_bytes", raw.body_bytes, &BODY_BYTES);
@@ -205,7 +188,6 @@
     checker.millis("limits.connect_ms", raw.connect, &SHORT_MILLIS);
     checker.millis("limits.settle_ms", raw.settle, &SHORT_MILLIS);
     checker.millis("limits.kept_ms", raw.kept, &LONG_MILLIS);
-    checker.millis("limits.key_kept_ms", raw.key_kept, &LONG_MILLIS);
     checker.millis("limits.drain_ms", raw.drain, &LONG_MILLIS);
     if raw.silence < raw.heartbeat * 2 {
         checker.refuse(
@@ -230,7 +212,6 @@
         kept_answers: raw.kept_answers,
         kept_bytes: raw.kept_bytes,
         kept: raw.kept,
-        key_kept: raw.key_kept,
         drain: raw.drain,
     }
 }
--- a/crates/node/src/settings/checked.rs
+++ b/crates/node/src/settings/checked.rs
@@ -35,19 +35,6 @@
     pub control: ControlSettings,
     /// Limits of this node.
     pub limits: Limits,
-    /// Switches for tests.
-    pub testing: Testing,
-}
-
-/// Mechanisms that a test switched off.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Testing {
-    /// Retries without asking what became of the request.
-    pub without_settle: bool,
-    /// Lets requests run although their entry node was told that they don't.
-    pub without_fences: bool,
-    /// Runs keyed requests without a claim.
-    pub without_ledger: bool,
 }
 
 /// Addresses on which the node listens; port 0 takes a free port.
@@ -99,8 +86,6 @@
     pub kept_bytes: usize,
     /// Time for which an answer is kept.
     pub kept: Duration,
-    /// Time for which an idempotency key is remembered; the same on all nodes.
-    pub key_kept: Duration,
     /// Longest time that a graceful shutdown waits for requests in flight.
     pub drain: Duration,
 }
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -7,11 +7,10 @@
 mod load;
 mod raw;
 
-pub use checked::{Limits, Listen, MetricsSettings, Settings, Testing};
+pub use checked::{Limits, Listen, MetricsSettings, Settings};
 pub use load::{SettingsError, parse, read};
 pub use raw::{
     ControlSettings, RawAdvertise, RawLimits, RawListen, RawMetrics, RawOperators, RawSettings,
-    RawTesting,
 };
 
 use savorykeel_policy::config::model::Refusal;
--- a/crates/node/src/settings/raw.rs
+++ b/crates/node/src/settings/raw.rs
@@ -42,23 +42,6 @@
     /// Limits of this node.
     #[serde(default)]
     pub limits: RawLimits,
-    /// Switches for tests; absent in any other use.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub testing: Option<RawTesting>,
-}
-
-/// Switches off what protects callers, to prove that a test can find its lack.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct RawTesting {
-    /// Must be true, so that no switch is set by accident.
-    pub breaks_promises: bool,
-    /// Retries without asking what became of the request.
-    pub without_settle: bool,
-    /// Lets requests run although their entry node was told that they don't.
-    pub without_fences: bool,
-    /// Runs keyed requests without a claim.
-    pub without_ledger: bool,
 }
 
 /// How configuration and membership are kept up; each field has a default.
@@ -174,10 +157,6 @@
     #[serde(rename = "kept_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub kept: Duration,
-    /// Time for which an idempotency key is remembered; the same on all nodes.
-    #[serde(rename = "key_kept_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub key_kept: Duration,
     /// Longest time that a graceful shutdown waits for requests in flight.
     #[serde(rename = "drain_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -199,7 +178,6 @@
             kept_answers: 20_000,
             kept_bytes: 32 << 20,
             kept: Duration::from_secs(120),
-            key_kept: Duration::from_secs(600),
             drain: Duration::from_secs(30),
         }
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -9,15 +9,10 @@
 };
 
 use parking_lot::Mutex;
-use savorykeel_policy::{ids::ServiceName, time::Tick};
 use savorykeel_ports::clock::Clock;
 use slog::Logger;
 
-use crate::{
-    calls::{announce::Announcement, state::CallState},
-    control::state::ControlState,
-    settings::Settings,
-};
+use crate::{calls::announce::Announcement, control::state::ControlState, settings::Settings};
 
 /// State of one node, shared by its worker threads.
 pub(crate) struct NodeState {
@@ -29,8 +24,6 @@
     pub(crate) log: Logger,
     /// Configuration and membership.
     pub(crate) control: Arc<ControlState>,
-    /// Calls.
-    pub(crate) calls: CallState,
     /// The backend server beside the node, while its lease lasts.
     pub(crate) backend: Mutex<Option<Announcement>>,
     /// Whether the node is leaving and takes no new work for its backend server.
@@ -47,16 +40,6 @@
         self.leaving.load(Ordering::Acquire)
     }
 
-    /// Returns the monotonic time.
-    pub(crate) fn now(&self) -> Tick {
-        (self.clock.tick)()
-    }
-
-    /// Returns the service of the backend server beside the node.
-    pub(crate) fn service(&self) -> Option<ServiceName> {
-        self.backend.lock().as_ref().map(|backend| backend.record.service.clone())
-    }
-
     /// Tells whether no call is in flight at the node.
     pub(crate) fn is_idle(&self) -> bool {
         self.entered.load(Ordering::Acquire) == 0 && self.serving.load(Ordering::Acquire) == 0
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -5,7 +5,7 @@
     cell::{OnceCell, RefCell},
     net::{SocketAddr, TcpStream},
     rc::Rc,
-    sync::{Arc, atomic::Ordering},
+    sync::Arc,
 };
 
 use async_channel::Receiver;
@@ -18,10 +18,7 @@
 use slog::debug;
 use tokio_util::sync::CancellationToken;
 
-use crate::{
-    calls::{ledger, ledger_loop, serve},
-    state::NodeState,
-};
+use crate::{calls::serve, state::NodeState};
 
 thread_local! {
     static WORKER: OnceCell<Rc<Worker>> = const { OnceCell::new() };
@@ -70,9 +67,6 @@
             backend: RefCell::default(),
         });
         ntex::rt::spawn(accept_peers(worker.clone(), seed.clone())).detach();
-        if !seed.state.calls.has_ledger_loop.swap(true, Ordering::AcqRel) {
-            ntex::rt::spawn(ledger_loop::run(worker.clone(), seed.cancel.clone())).detach();
-        }
         worker
     }
 
@@ -95,11 +89,6 @@
             Some(CachedBackend { addr, connections, client: client.clone() });
         Ok(client)
     }
-
-    /// Makes later requests use new connections to the backend server.
-    pub(crate) fn forget_backend(&self) {
-        self.backend.borrow_mut().take();
-    }
 }
 
 /// Returns how this node opens links.
@@ -129,19 +118,15 @@
 
 fn peer_handler(worker: &Rc<Worker>) -> PeerHandler {
     let (for_call, for_settle, for_cancel) = (worker.clone(), worker.clone(), worker.clone());
-    let (for_control, for_stamp, for_ledger) = (worker.clone(), worker.clone(), worker.clone());
+    let for_control = worker.clone();
     PeerHandler {
         call: Rc::new(move |call| Box::pin(serve::run_detached(for_call.clone(), call))),
-        settle: Rc::new(move |attempt| serve::settle(&for_settle.state, attempt)),
-        stamp: Rc::new(move || for_stamp.state.calls.stamp(for_stamp.state.now())),
-        cancel: Rc::new(move |id| serve::cancel(&for_cancel.state, id)),
+        settle: Rc::new(move |attempt| serve::settle(&for_settle, attempt)),
+        cancel: Rc::new(move |id| serve::cancel(&for_cancel, id)),
         control: Rc::new(move |body| {
             let state = for_control.state.clone();
             Box::pin(async move { state.control.handle(&body) })
         }),
-        ledger: Rc::new(move |body| {
-            let state = for_ledger.state.clone();
-            Box::pin(async move { ledger::handle_bytes(&state, &body) })
-        }),
+        ledger: Rc::new(move |_| Box::pin(async { Vec::new() })),
     }
 }
--- a/crates/policy/src/calls/ledger.rs
+++ b/crates/policy/src/calls/ledger.rs
@@ -16,15 +16,15 @@
 
 use crate::{ids::RequestId, time::Tick};
 
-use super::{ledger_view::LedgerKey, quarantine::Fingerprint, settle::NodeStamp};
+use super::{ledger_view::LedgerKey, quarantine::Fingerprint};
 
 /// Where an attempt was sent, so that anyone can settle it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Aim {
     /// Address of the node beside the backend server.
     pub addr: SocketAddr,
-    /// Moment in the life of that node, as the attempt carried it.
-    pub stamp: NodeStamp,
+    /// Life of that node.
+    pub life: u64,
     /// Id of the attempt.
     pub request: RequestId,
 }
--- a/crates/policy/src/calls/ledger_sync.rs
+++ b/crates/policy/src/calls/ledger_sync.rs
@@ -116,11 +116,6 @@
         tracker
     }
 
-    /// Returns who this node is in the group.
-    pub fn own(&self) -> &Identity {
-        &self.own
-    }
-
     /// Returns the current view.
     pub fn view(&self) -> &LedgerView {
         &self.view
@@ -138,9 +133,7 @@
             *joining = Joining::default();
             return true;
         }
-        if !old.contains(&self.own) && self.view.contains(&self.own) {
-            self.join_again(now);
-        } else if self.loses_a_member(&old) {
+        if self.loses_a_member(&old) {
             self.transitions.push(self.transition_from(old, now));
         }
         self.note_complete();
@@ -221,13 +214,6 @@
         self.note_complete();
     }
 
-    /// Begins to fetch what was claimed while this node wasn't in the group.
-    fn join_again(&mut self, now: Tick) {
-        self.joining = Some(Joining::default());
-        self.started = now;
-        self.transitions.clear();
-    }
-
     /// Tells whether an instance of `old` is gone.
     ///
     /// Only then can a member become a replica of a key that it didn't know:
@@ -292,8 +278,7 @@
 
     fn note_complete(&mut self) {
         let digest = self.view.digest();
-        let is_complete = self.is_complete() && self.view.contains(&self.own);
-        if !is_complete || self.complete_in.contains(&digest) {
+        if !self.is_complete() || self.complete_in.contains(&digest) {
             return;
         }
         if self.complete_in.len() == REMEMBERED_VIEWS {
--- a/crates/policy/src/calls/settle.rs
+++ b/crates/policy/src/calls/settle.rs
@@ -68,10 +68,23 @@
     AnswerGone,
     /// It is queued or running.
     Running,
-    /// It never ran and from now on never runs.
-    Fenced,
-    /// It may have run in another life of this node, or have been forgotten.
-    Unknown,
+    /// It isn't known and from now on never runs.
+    ///
+    /// This proves that it never ran only if it is younger than `evicted_age`.
+    Fenced {
+        /// Least age of the requests that were forgotten, if any were.
+        evicted_age: Option<Duration>,
+    },
+    /// It was aimed at another life of this node, of which nothing is known.
+    OtherLife,
+}
+
+/// Tells whether a fence proves that a request never ran.
+///
+/// `age` is the time since the request was sent, read by the entry node after
+/// the reply came. Reading it late errs towards "unknown".
+pub fn fence_is_proof(age: Duration, evicted_age: Option<Duration>) -> bool {
+    evicted_age.is_none_or(|evicted| age < evicted)
 }
 
 #[derive(Debug)]
@@ -162,28 +175,20 @@
         self.expire(now);
     }
 
-    /// Tells what became of a request and fences it if it never ran.
-    ///
-    /// `aim` is the stamp that the request carried. A request begins after its
-    /// stamp was given, so that one whose stamp is younger than all that was
-    /// forgotten can't be among the forgotten.
-    pub fn settle(&mut self, id: RequestId, aim: NodeStamp, now: Tick) -> Fate<A> {
-        if aim.life != self.life {
-            return Fate::Unknown;
+    /// Tells what became of a request and fences it if it isn't known.
+    pub fn settle(&mut self, id: RequestId, life: u64, now: Tick) -> Fate<A> {
+        if life != self.life {
+            return Fate::OtherLife;
         }
         self.expire(now);
         match self.entries.get(&id).map(|entry| &entry.state) {
             Some(State::Running) => return Fate::Running,
             Some(State::Ended { answer, .. }) => return Fate::Ended(answer.clone()),
             Some(State::AnswerGone) => return Fate::AnswerGone,
-            Some(State::Fenced) => return Fate::Fenced,
-            None => {}
-        }
-        if self.forgotten_request.is_some_and(|begun| aim.tick <= begun.0) {
-            return Fate::Unknown;
+            Some(State::Fenced) => {}
+            None => self.fence(id, now),
         }
-        self.fence(id, now);
-        Fate::Fenced
+        Fate::Fenced { evicted_age: self.evicted_age(now) }
     }
 
     /// Returns the number of requests and fences that are held.
@@ -246,4 +251,12 @@
             self.answers.pop_front();
         }
     }
+
+    /// Returns a bound below the age of every request that was forgotten.
+    ///
+    /// Ticks are cut to whole milliseconds, hence the millisecond less.
+    fn evicted_age(&self, now: Tick) -> Option<Duration> {
+        let begun = self.forgotten_request?;
+        Some(now.since(begun).saturating_sub(Duration::from_millis(1)))
+    }
 }
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -99,8 +99,6 @@
     BadBackendAnswer = 205,
     /// A request with the same idempotency key is still running.
     KeyBusy = 206,
-    /// The caller cancelled while the request was running.
-    CancelledWhileRunning = 207,
     /// The publish was derived from a version that is no longer in force.
     PublishConflict = 300,
     /// The configuration breaks a rule.
--- a/crates/policy/src/distribution/floor.rs
+++ b/crates/policy/src/distribution/floor.rs
@@ -53,6 +53,18 @@
     answered: BTreeSet<InstanceName>,
     zones: BTreeSet<ZoneName>,
     is_confirmed: bool,
+    knows_members: bool,
+}
+
+/// How far a start has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecoveryProgress {
+    /// Number of recovered nodes that answered.
+    pub answered: usize,
+    /// Number of their availability zones.
+    pub zones: usize,
+    /// Lowest position at which the node may serve.
+    pub floor: Position,
 }
 
 /// Who could have answered a node that starts.
@@ -89,16 +101,29 @@
         self.floor
     }
 
+    /// Notes that the node's membership table equals that of a recovered node, so
+    /// that it knows who could answer.
+    pub fn learnt_members(&mut self) {
+        self.knows_members = true;
+    }
+
+    /// Returns how far the start has come.
+    pub fn progress(&self) -> RecoveryProgress {
+        let (answered, zones) = (self.answered.len(), self.zones.len());
+        RecoveryProgress { answered, zones, floor: self.floor }
+    }
+
     /// Tells whether a node at `position` may serve.
     ///
     /// The end of the log is past everything that was ever applied. Without the
-    /// log, answers from several nodes in several availability zones are needed;
-    /// a node that knows nobody can't tell and doesn't serve.
+    /// log, answers from several nodes in several availability zones are needed; a
+    /// node that doesn't know the other nodes can't tell and doesn't serve.
     pub fn is_complete(&self, position: Position, answerers: Answerers) -> bool {
         if position < self.floor {
             return false;
         }
-        let has_answers = !self.answered.is_empty()
+        let has_answers = self.knows_members
+            && !self.answered.is_empty()
             && self.answered.len() >= ANSWERS_WANTED.min(answerers.nodes)
             && self.zones.len() >= ZONES_WANTED.min(answerers.zones);
         self.is_confirmed || has_answers
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -3,7 +3,6 @@
 use std::{net::SocketAddr, time::Duration};
 
 use savorykeel_policy::{
-    calls::settle::NodeStamp,
     code::Code,
     ids::{RequestId, RouteName, ServiceName},
 };
@@ -43,15 +42,17 @@
 
 /// Identifies one attempt at one life of a node, for the settle protocol.
 ///
-/// The stamp is the newest that the entry node had heard of the other node when
-/// it made the attempt, so that what that node has forgotten is never taken for
-/// what it never saw. See `docs/design/0004-settle.md`.
+/// The node beside the backend server compares the incarnation with its own and
+/// the age with how far back it remembers, so that what it has forgotten is
+/// never taken for what it never saw.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Attempt {
     /// Identifies the attempt.
     pub id: RequestId,
-    /// Moment in the life of the node that the attempt is aimed at.
-    pub aim: NodeStamp,
+    /// Incarnation of the node that the attempt was aimed at.
+    pub incarnation: u64,
+    /// Time since the entry node made the attempt.
+    pub age: Duration,
 }
 
 /// A request on its way from the entry node to the node beside the chosen
@@ -94,7 +95,7 @@
     Ended(PeerReply),
     /// It is still queued or running.
     Running,
-    /// It never ran and, from now on, never runs.
+    /// It was never seen and, from now on, never runs.
     Fenced,
     /// The node can't tell: it restarted or no longer remembers that far back.
     Forgotten,
@@ -131,9 +132,6 @@
 /// Links to other nodes.
 #[allow(async_fn_in_trait)]
 pub trait PeerLinks {
-    /// Returns the newest stamp heard of the node at `addr`.
-    async fn stamp(&self, addr: SocketAddr) -> Result<NodeStamp, PeerError>;
-
     /// Hands a call to the node at `addr`.
     async fn call(
         &self,
--- /dev/null
+++ b/tests/feature/config_recovery.rs
@@ -0,0 +1,339 @@
+//! Configuration under restarts, outages of the log and lost records.
+//!
+//! Each test asserts from the nodes' own journals that no node went back and
+//! that each applied only whole accepted versions.
+
+use savorykeel_policy::config::raw::RawConfiguration;
+use savorykeel_ports::log::{CHECKPOINT_STREAM, CONFIGURATION_STREAM};
+use savorykeel_standins::{
+    caller::Request,
+    log::Outage,
+    proxy::{Faults, Zone},
+};
+
+use crate::harness::{
+    deployment::Deployment,
+    fleet::{Fleet, Options},
+    promises::Referee,
+    publish::PublishRecord,
+    wait::eventually,
+};
+
+/// A fleet whose nodes keep their addresses over restarts.
+fn start(deployment: &Deployment) -> Fleet {
+    Fleet::start(deployment, Options { peer_proxies: true, ..Options::default() })
+}
+
+/// The configuration with a mark that tells it from the others.
+fn marked(deployment: &Deployment, mark: u64) -> RawConfiguration {
+    let mut configuration = deployment.configuration();
+    configuration.limits.call_depth = 10 + mark as u32;
+    configuration
+}
+
+/// Publishes one version after the other and waits until each is in force.
+#[track_caller]
+fn publish_versions(
+    fleet: &Fleet,
+    deployment: &Deployment,
+    versions: std::ops::RangeInclusive<u64>,
+) {
+    for version in versions {
+        fleet.publish(version - 1, &marked(deployment, version));
+        fleet.wait_version(version);
+    }
+}
+
+fn in_zone(fleet: &Fleet, zone: u8) -> Vec<usize> {
+    (0..fleet.members.len()).filter(|i| fleet.members[*i].place.zone == zone).collect()
+}
+
+fn kill(fleet: &mut Fleet, members: &[usize]) {
+    for member in members {
+        fleet.members[*member].kill();
+    }
+}
+
+fn restart(fleet: &mut Fleet, members: &[usize]) {
+    for member in members {
+        fleet.restart(*member);
+    }
+}
+
+/// Waits until every running node has written its journal in its present life.
+#[track_caller]
+fn wait_applied_again(fleet: &Fleet, members: &[usize], version: u64) {
+    for member in members {
+        let instance = &fleet.members[*member].place.instance;
+        eventually(&format!("{instance} serves version {version} again"), || {
+            let journal = crate::harness::promises::read_journal(fleet, instance);
+            let lives: std::collections::BTreeSet<u64> =
+                journal.iter().map(|applied| applied.incarnation).collect();
+            let last = journal.last().map(|applied| applied.version.0);
+            lives.len() > 1 && last == Some(version)
+        });
+    }
+}
+
+#[test]
+fn restarted_zone_comes_back_at_the_version_in_force() {
+    let deployment = Deployment::thyrofonia();
+    let mut fleet = start(&deployment);
+    let mut referee = Referee::default();
+    publish_versions(&fleet, &deployment, 1..=3);
+    let zone = in_zone(&fleet, 1);
+    kill(&mut fleet, &zone);
+    fleet.publish(3, &marked(&deployment, 4));
+    fleet.wait_version(4);
+    restart(&mut fleet, &zone);
+    wait_applied_again(&fleet, &zone, 4);
+    publish_versions(&fleet, &deployment, 5..=5);
+    referee.read(&fleet);
+    referee.assert_promises(&fleet);
+}
+
+#[test]
+fn restarted_fleet_comes_back_at_the_version_in_force() {
+    let deployment = Deployment::thyrofonia();
+    let mut fleet = start(&deployment);
+    let mut referee = Referee::default();
+    publish_versions(&fleet, &deployment, 1..=6);
+    let all: Vec<usize> = (0..fleet.members.len()).collect();
+    kill(&mut fleet, &all);
+    restart(&mut fleet, &all);
+    wait_applied_again(&fleet, &all, 6);
+    referee.read(&fleet);
+    referee.assert_promises(&fleet);
+}
+
+#[test]
+fn zone_restarts_without_the_log_and_catches_up_when_it_is_back() {
+    let deployment = Deployment::thyrofonia();
+    let mut fleet = start(&deployment);
+    let mut referee = Referee::default();
+    publish_versions(&fleet, &deployment, 1..=3);
+    fleet.log.set_outage(Outage::Unavailable);
+    let zone = in_zone(&fleet, 2);
+    kill(&mut fleet, &zone);
+    restart(&mut fleet, &zone);
+    wait_applied_again(&fleet, &zone, 3);
+    for version in 4..=9 {
+        fleet.publish(version - 1, &marked(&deployment, version));
+    }
+    fleet.log.set_outage(Outage::None);
+    fleet.wait_version(9);
+    referee.read(&fleet);
+    referee.assert_promises(&fleet);
+}
+
+#[test]
+fn fleet_that_restarts_without_the_log_serves_nothing_until_it_is_back() {
+    let deployment = Deployment::small();
+    let mut fleet = start(&deployment);
+    let mut referee = Referee::default();
+    publish_versions(&fleet, &deployment, 1..=2);
+    let all: Vec<usize> = (0..fleet.members.len()).collect();
+    kill(&mut fleet, &all);
+    fleet.log.set_outage(Outage::Silent);
+    restart(&mut fleet, &all);
+    let addr = fleet.members[0].callers();
+    let req = Request::get("/gate");
+    let reply = fleet.client.call(addr, req).expect("the node answers");
+    assert_eq!((reply.code(), reply.outcome()), (Some(100), Some("not-run")));
+    fleet.log.set_outage(Outage::None);
+    wait_applied_again(&fleet, &all, 2);
+    referee.read(&fleet);
+    referee.assert_promises(&fleet);
+}
+
+#[test]
+fn restarted_node_does_not_trust_peers_that_lag() {
+    let deployment = Deployment::thyrofonia();
+    let options = Options { peer_proxies: true, log_proxies: true, ..Options::default() };
+    let mut fleet = Fleet::start(&deployment, options);
+    let mut referee = Referee::default();
+    publish_versions(&fleet, &deployment, 1..=1);
+    // Zone 1 is cut off and stays at version 1.
+    set_cut(&fleet, true);
+    fleet.publish(1, &marked(&deployment, 2));
+    let restarted = in_zone(&fleet, 3)[0];
+    let ahead: Vec<usize> = [in_zone(&fleet, 2), in_zone(&fleet, 3)].concat();
+    eventually("zones 2 and 3 apply version 2", || {
+        let journals = ahead.iter().map(|i| fleet.members[*i].node().journal());
+        journals.into_iter().all(|journal| journal.iter().any(|a| a.version == 2))
+    });
+    // The log goes, and of the nodes that know version 2 none can answer.
+    fleet.log.set_outage(Outage::Unavailable);
+    let past = fleet.members[restarted].node().log().len();
+    fleet.members[restarted].kill();
+    let paused: Vec<usize> = ahead.into_iter().filter(|i| *i != restarted).collect();
+    for member in &paused {
+        fleet.members[*member].node().pause();
+    }
+    set_cut(&fleet, false);
+    fleet.restart(restarted);
+    eventually("nodes of zone 1 answer the restarted node", || {
+        let log = fleet.members[restarted].node().log();
+        log[past..].contains("\"recovering\"") && log[past..].contains("\"floor\":1")
+    });
+    for _ in 0..40 {
+        let addr = fleet.members[restarted].callers();
+        let reply = fleet.client.call(addr, Request::get("/gate")).expect("the node answers");
+        assert_eq!((reply.code(), reply.outcome()), (Some(100), Some("not-run")));
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    for member in &paused {
+        fleet.members[*member].node().resume();
+    }
+    fleet.wait_version(2);
+    wait_applied_again(&fleet, &[restarted], 2);
+    referee.read(&fleet);
+    referee.assert_promises(&fleet);
+}
+
+const CUT: Faults = Faults {
+    refuse: true,
+    drop_requests: true,
+    drop_answers: true,
+    request_delay_ms: 0,
+    answer_delay_ms: 0,
+};
+
+/// Cuts zone 1 off from the other zones and from the log, or heals it.
+fn set_cut(fleet: &Fleet, is_cut: bool) {
+    let faults = is_cut.then_some(CUT);
+    for member in &fleet.members {
+        let proxy = member.proxy.as_ref().expect("every node has a proxy");
+        let sources: &[u8] = if member.place.zone == 1 { &[2, 3] } else { &[1] };
+        for from in sources {
+            proxy.set_zone_faults(Zone(*from), faults);
+        }
+    }
+    fleet.log_proxies[0].set_faults(faults.unwrap_or_default());
+    fleet.log_proxies[0].cut_established();
+}
+
+#[test]
+fn paused_node_catches_up_although_the_records_are_gone() {
+    let deployment = Deployment::small();
+    let fleet = start(&deployment);
+    let mut referee = Referee::default();
+    publish_versions(&fleet, &deployment, 1..=1);
+    fleet.members[0].node().pause();
+    for version in 2..=40 {
+        fleet.publish(version - 1, &marked(&deployment, version));
+    }
+    eventually("the other nodes apply version 40", || {
+        fleet.members[1..]
+            .iter()
+            .all(|member| member.node().journal().iter().any(|applied| applied.version == 40))
+    });
+    referee.read(&fleet);
+    fleet.log.expire_oldest(CONFIGURATION_STREAM, 40);
+    fleet.members[0].node().resume();
+    fleet.wait_version(40);
+    referee.assert_promises(&fleet);
+}
+
+#[test]
+fn fleet_starts_from_a_checkpoint_when_every_record_is_gone() {
+    let deployment = Deployment::small();
+    let adjust_node = Box::new(|settings: &mut savorykeel_node::settings::RawSettings| {
+        settings.control.checkpoint = std::time::Duration::from_millis(500);
+    });
+    let mut fleet = Fleet::start(
+        &deployment,
+        Options { peer_proxies: true, adjust_node, ..Options::default() },
+    );
+    let mut referee = Referee::default();
+    publish_versions(&fleet, &deployment, 1..=3);
+    eventually("a checkpoint covers every record", || {
+        let checkpoints = fleet.log.records(CHECKPOINT_STREAM);
+        let parsed = checkpoints
+            .iter()
+            .filter_map(|body| savorykeel_policy::config::checkpoint::Checkpoint::parse(body).ok());
+        parsed.into_iter().any(|checkpoint| checkpoint.image.position.0 == 3)
+    });
+    referee.read(&fleet);
+    let all: Vec<usize> = (0..fleet.members.len()).collect();
+    kill(&mut fleet, &all);
+    fleet.log.expire_oldest(CONFIGURATION_STREAM, 3);
+    restart(&mut fleet, &all);
+    wait_applied_again(&fleet, &all, 3);
+    publish_versions(&fleet, &deployment, 4..=4);
+    referee.read(&fleet);
+    referee.assert_promises(&fleet);
+}
+
+#[test]
+fn repeated_append_comes_into_force_once() {
+    let deployment = Deployment::small();
+    let fleet = start(&deployment);
+    let mut referee = Referee::default();
+    let record = PublishRecord::new(0, &marked(&deployment, 1));
+    let body = serde_json::to_vec(&record).unwrap();
+    for _ in 0..3 {
+        fleet.log.append(CONFIGURATION_STREAM, body.clone());
+    }
+    publish_versions(&fleet, &deployment, 2..=2);
+    referee.read(&fleet);
+    assert_eq!(referee.version(), 2);
+    referee.assert_promises(&fleet);
+}
+
+#[test]
+fn record_of_unknown_format_stops_every_node() {
+    let deployment = Deployment::small();
+    let fleet = start(&deployment);
+    let mut referee = Referee::default();
+    publish_versions(&fleet, &deployment, 1..=1);
+    fleet.log.append(CONFIGURATION_STREAM, br#"{"format":2,"id":"later"}"#.to_vec());
+    fleet.publish(1, &marked(&deployment, 2));
+    eventually("a reader alarms", || {
+        let logs = fleet.members.iter().map(|member| member.node().log());
+        logs.into_iter().any(|log| log.contains("record of unknown format"))
+    });
+    referee.read(&fleet);
+    assert_eq!(referee.version(), 1);
+    referee.assert_promises(&fleet);
+}
+
+#[test]
+fn hostile_records_change_nothing() {
+    let deployment = Deployment::small();
+    let fleet = start(&deployment);
+    let mut referee = Referee::default();
+    publish_versions(&fleet, &deployment, 1..=1);
+    let hostile: [&[u8]; 4] = [b"", b"\xff\x00", b"{\"format\":1,\"id\":\"x\"", b"[[[[[["];
+    for body in hostile {
+        fleet.log.append(CONFIGURATION_STREAM, body.to_vec());
+    }
+    publish_versions(&fleet, &deployment, 2..=2);
+    referee.read(&fleet);
+    referee.assert_promises(&fleet);
+}
+
+#[test]
+fn of_two_publishes_at_one_moment_one_is_accepted() {
+    const ROUNDS: u64 = 50;
+    let deployment = Deployment::small();
+    let fleet = start(&deployment);
+    let mut referee = Referee::default();
+    for round in 0..ROUNDS {
+        let records = [1, 2].map(|publisher| {
+            PublishRecord::new(round, &marked(&deployment, 2 * round + publisher))
+        });
+        std::thread::scope(|scope| {
+            for record in &records {
+                let body = serde_json::to_vec(record).unwrap();
+                let log = &fleet.log;
+                scope.spawn(move || log.append(CONFIGURATION_STREAM, body).expect("taken"));
+            }
+        });
+        fleet.wait_version(round + 1);
+        referee.read(&fleet);
+        assert_eq!(referee.version(), round + 1, "not exactly one of two was accepted");
+    }
+    assert_eq!(fleet.log.records(CONFIGURATION_STREAM).len() as u64, 2 * ROUNDS);
+    referee.assert_promises(&fleet);
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod journal;
 pub mod process;
+pub mod promises;
 pub mod publish;
 pub mod settings;
 pub mod wait;
--- a/tests/harness/settings.rs
+++ b/tests/harness/settings.rs
@@ -71,6 +71,5 @@
         workers: 1,
         control: ControlSettings::default(),
         limits: RawLimits::default(),
-        testing: None,
     }
 }
