--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -7,6 +7,8 @@
 mod check_configuration;
 mod check_docs;
 mod cli_usage;
+mod config_recovery;
 mod config_spread;
 mod harness;
+mod membership_failure;
 mod publish_outcomes;
