--- /dev/null
+++ b/tests/feature/cli_node.rs
@@ -0,0 +1,158 @@
+//! `savorykeel node` as a process: signals, logs, metrics.
+
+use std::{
+    collections::BTreeSet,
+    net::UdpSocket,
+    process::{Command, Stdio},
+    time::Duration,
+};
+
+use nix::sys::signal::Signal;
+use savorykeel_node::settings::{RawMetrics, RawSettings};
+use savorykeel_standins::{
+    backend::Behaviour,
+    caller::{CallError, Load, Pending, Plan, Request, Seen, Template},
+};
+use serde_json::Value;
+
+use crate::harness::{
+    deployment::{Deployment, ServiceSpec},
+    fleet::{Fleet, Options},
+    wait::eventually,
+};
+
+const GRACEFUL: Option<i32> = Some(0);
+const FORCED: Option<i32> = Some(8);
+
+fn start(instances: usize, options: Options) -> Fleet {
+    let services = vec![ServiceSpec::new("gate", instances, true)];
+    let deployment = Deployment { zones: 2, services, slots: 20 };
+    let fleet = Fleet::start(&deployment, options);
+    fleet.publish(0, &deployment.configuration());
+    fleet.wait_version(1);
+    fleet.wait_answered("/gate");
+    fleet
+}
+
+fn behave_slowly(fleet: &Fleet, latency_ms: u64) {
+    for member in &fleet.members {
+        member.backend().set_behaviour(Behaviour { latency_ms, ..Behaviour::default() });
+    }
+}
+
+/// Starts one instance with a call that runs for longer than the test.
+fn start_with_long_call(options: Options) -> (Fleet, Pending) {
+    let fleet = start(1, options);
+    behave_slowly(&fleet, 20_000);
+    let pending = fleet.client.send(fleet.members[0].callers(), Request::get("/gate"));
+    eventually("the call runs", || fleet.members[0].backend().running() > 0);
+    (fleet, pending)
+}
+
+#[test]
+fn a_node_stopped_under_load_cuts_and_loses_no_call() {
+    let mut fleet = start(3, Options::default());
+    behave_slowly(&fleet, 20);
+    let mix = vec![Template::new("GET", "/gate"), Template::new("POST", "/gate/change")];
+    let load = Load::start(Plan::new("stop", fleet.entries(), mix)).unwrap();
+    eventually("calls run", || load.calls() > 100);
+    let stopping = fleet.members[2].callers();
+    fleet.members[2].node().term();
+    load.set_entries(fleet.entries().into_iter().filter(|addr| *addr != stopping).collect());
+    let status = fleet.members[2].node_mut().wait_exit();
+    let until = load.calls() + 100;
+    eventually("calls go on without the node", || load.calls() > until);
+
+    assert_eq!(status.code(), GRACEFUL);
+    let log = fleet.members[2].node().log();
+    assert!(log.contains("node stopped"), "{log}");
+    let observations = load.finish();
+    let failed: Vec<_> = observations
+        .iter()
+        .filter(|call| !matches!(&call.seen, Seen::Answered { status: 200, .. }))
+        .collect();
+    assert!(failed.is_empty(), "of {} calls: {failed:?}", observations.len());
+}
+
+#[test]
+fn a_second_signal_ends_a_node_at_once() {
+    let (mut fleet, pending) = start_with_long_call(Options::default());
+    let node = fleet.members[0].node_mut();
+    node.term();
+    eventually("the shutdown began", || node.log().contains("node is leaving"));
+    assert!(node.is_running(), "a call is in flight");
+    node.signal(Signal::SIGINT);
+    assert_eq!(node.wait_exit().code(), FORCED);
+    assert!(matches!(pending.wait(), Err(CallError::Cut(_))));
+}
+
+#[test]
+fn a_call_longer_than_the_drain_limit_has_its_own_exit_code() {
+    let adjust_node = Box::new(|settings: &mut RawSettings| {
+        settings.limits.drain = Duration::from_millis(2_000);
+    });
+    let options = Options { adjust_node, ..Options::default() };
+    let (mut fleet, _pending) = start_with_long_call(options);
+    let node = fleet.members[0].node_mut();
+    node.term();
+    assert_eq!(node.wait_exit().code(), FORCED);
+    assert!(node.log().contains("calls still in flight at the drain limit"));
+}
+
+#[test]
+fn log_lines_are_json_objects_or_text_and_have_a_least_level() {
+    let fleet = start(1, Options::default());
+    let log = fleet.members[0].node().log();
+    let lines: Vec<Value> = log.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+    assert!(lines.iter().any(|line| line["msg"] == "node started" && line["level"] == "INFO"));
+    assert!(lines.iter().all(|line| line["ts"].is_string()));
+
+    let settings = fleet.dir().join("gate-z1-1.json");
+    let stderr = |flags: &[&str]| {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_savorykeel"))
+            .args(["node", "--settings", settings.to_str().unwrap()])
+            .args(flags)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let pid = nix::unistd::Pid::from_raw(child.id().try_into().unwrap());
+        // The ready line comes before the signal; without it the process just ends.
+        let mut line = String::new();
+        let stdout = child.stdout.take().unwrap();
+        std::io::BufRead::read_line(&mut std::io::BufReader::new(stdout), &mut line).unwrap();
+        nix::sys::signal::kill(pid, Signal::SIGTERM).unwrap();
+        String::from_utf8(child.wait_with_output().unwrap().stderr).unwrap()
+    };
+    let human = stderr(&["--log-format", "human"]);
+    assert!(human.contains("INFO node started, "), "{human}");
+    let errors = stderr(&["--log-level", "error"]);
+    assert!(!errors.contains("node started"), "{errors}");
+}
+
+#[test]
+fn metrics_are_the_documented_ones_and_carry_tags() {
+    let page = include_str!("../../docs/METRICS.md");
+    let server = UdpSocket::bind("127.0.0.1:0").unwrap();
+    server.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+    let statsd = server.local_addr().unwrap().to_string();
+    let adjust_node = Box::new(move |settings: &mut RawSettings| {
+        settings.metrics = Some(RawMetrics { statsd: statsd.clone(), prefix: "keel".into() });
+    });
+    let fleet = start(1, Options { adjust_node, ..Options::default() });
+    let mut lines = BTreeSet::new();
+    let mut buf = [0; 65_536];
+    eventually("calls and gauges arrive", || {
+        fleet.client.call(fleet.members[0].callers(), Request::get("/gate")).unwrap();
+        while let Ok(n) = server.recv(&mut buf) {
+            lines.extend(String::from_utf8_lossy(&buf[..n]).lines().map(str::to_owned));
+        }
+        let call = "keel.calls:1|c|#instance:gate-z1-1,service:gate,route:gate,code:answered";
+        lines.contains(call) && lines.iter().any(|line| line.starts_with("keel.members:"))
+    });
+    for line in &lines {
+        let name = line.strip_prefix("keel.").unwrap().split(':').next().unwrap();
+        assert!(page.contains(&format!("| `{name}` |")), "{line}");
+        assert!(line.contains("instance:gate-z1-1"), "{line}");
+    }
+}
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -6,6 +6,7 @@
 mod calls_outcomes;
 mod check_configuration;
 mod check_docs;
+mod cli_node;
 mod cli_usage;
 mod config_recovery;
 mod config_spread;
