Add the fold, membership merge and distribution rules as a first draft

Cause: the policies of configuration and membership have to stand before the loops that run them. Change: publish records, the fold, checkpoints, deltas, merge of membership entries, duties and floor, in policy alone.

--- /dev/null
+++ b/crates/policy/src/config/fold.rs
@@ -0,0 +1,241 @@
+//! The fold: publish records in log order become configuration versions.
+//!
+//! It is a pure function of the records, so that every node that has folded the
+//! same records holds the same state, whatever way the state reached it. The
+//! reasons are in `docs/design/0002-configuration.md`.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{ConfigVersion, PublishId};
+
+use super::{
+    model::{Configuration, Refusal},
+    raw::RawConfiguration,
+    record::{PublishRecord, RecordError},
+};
+
+/// Largest number of publishes whose outcome is remembered.
+///
+/// A publish that is repeated after it was forgotten can't be accepted again:
+/// its base is older than the version in force by then.
+pub const PUBLISHES_KEPT: usize = 256;
+
+/// Largest number of earlier configurations that are kept to derive deltas.
+pub const HISTORY_KEPT: usize = 16;
+
+/// Offset of the first record that is not folded yet.
+///
+/// Positions order the states of the fold: of two states, the one at the higher
+/// position contains the other.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Position(pub u64);
+
+/// What became of a publish.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PublishOutcome {
+    /// Its configuration came into force as `version`.
+    Accepted {
+        /// The version.
+        version: ConfigVersion,
+    },
+    /// It was derived from another version than the one in force.
+    Conflict {
+        /// Version from which it was derived.
+        base: ConfigVersion,
+        /// Version that was in force.
+        in_force: ConfigVersion,
+    },
+    /// Its configuration breaks rules.
+    Refused {
+        /// The first rules that it breaks.
+        refusals: Vec<Refusal>,
+    },
+}
+
+/// A publish that the fold remembers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Publish {
+    /// Name of the publish.
+    pub id: PublishId,
+    /// Offset of its first record.
+    pub offset: u64,
+    /// What became of it.
+    pub outcome: PublishOutcome,
+}
+
+/// What the fold made of one record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Step {
+    /// A new version came into force.
+    Accepted(ConfigVersion),
+    /// The record was derived from another version than the one in force.
+    Conflict,
+    /// The publish was judged before.
+    Duplicate,
+    /// The record breaks rules.
+    Refused,
+    /// The record was folded before.
+    Replayed,
+    /// Records between the position and this one are missing.
+    Gap,
+    /// The record has an unknown format: nothing is folded from here on.
+    Stopped,
+}
+
+/// The state after the records up to a position.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Fold {
+    position: Position,
+    version: ConfigVersion,
+    raw: Option<Arc<RawConfiguration>>,
+    configuration: Option<Arc<Configuration>>,
+    publishes: VecDeque<Publish>,
+    stopped_at: Option<u64>,
+    history: VecDeque<(ConfigVersion, Arc<RawConfiguration>)>,
+}
+
+impl Fold {
+    /// Returns the offset of the first record that is not folded yet.
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// Returns the version in force.
+    pub fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// Returns the configuration in force as the operator printed it.
+    pub fn raw(&self) -> Option<&Arc<RawConfiguration>> {
+        self.raw.as_ref()
+    }
+
+    /// Returns the offset of the record of unknown format, if one was met.
+    pub fn stopped_at(&self) -> Option<u64> {
+        self.stopped_at
+    }
+
+    /// Returns what became of a publish, if it is remembered.
+    pub fn publish(&self, id: &PublishId) -> Option<&Publish> {
+        self.publishes.iter().rev().find(|publish| publish.id == *id)
+    }
+
+    /// Returns the remembered publishes, oldest first.
+    pub fn publishes(&self) -> impl DoubleEndedIterator<Item = &Publish> {
+        self.publishes.iter()
+    }
+
+    /// Returns an earlier configuration, if it is still kept.
+    pub fn earlier(&self, version: ConfigVersion) -> Option<&Arc<RawConfiguration>> {
+        self.history.iter().find(|(at, _)| *at == version).map(|(_, raw)| raw)
+    }
+
+    /// Folds the record at `offset`.
+    pub fn apply(&mut self, offset: u64, body: &[u8]) -> Step {
+        if offset < self.position.0 {
+            return Step::Replayed;
+        }
+        if offset > self.position.0 {
+            return Step::Gap;
+        }
+        let step = match PublishRecord::parse(body) {
+            Ok(record) => self.judge(offset, record),
+            Err(RecordError::Refused { id, refusals }) => self.refuse(offset, id, refusals),
+            Err(RecordError::UnknownFormat { .. }) => {
+                self.stopped_at = Some(offset);
+                return Step::Stopped;
+            }
+        };
+        self.stopped_at = None;
+        self.position = Position(offset + 1);
+        step
+    }
+
+    fn judge(&mut self, offset: u64, record: PublishRecord) -> Step {
+        if self.publish(&record.id).is_some() {
+            return Step::Duplicate;
+        }
+        if record.base != self.version {
+            let outcome = PublishOutcome::Conflict { base: record.base, in_force: self.version };
+            self.remember(Publish { id: record.id, offset, outcome });
+            return Step::Conflict;
+        }
+        let version = ConfigVersion(self.version.0 + 1);
+        self.enforce(version, record.raw, record.configuration);
+        let outcome = PublishOutcome::Accepted { version };
+        self.remember(Publish { id: record.id, offset, outcome });
+        Step::Accepted(version)
+    }
+
+    fn refuse(&mut self, offset: u64, id: Option<PublishId>, refusals: Vec<Refusal>) -> Step {
+        let Some(id) = id else { return Step::Refused };
+        if self.publish(&id).is_some() {
+            return Step::Duplicate;
+        }
+        self.remember(Publish { id, offset, outcome: PublishOutcome::Refused { refusals } });
+        Step::Refused
+    }
+
+    fn remember(&mut self, publish: Publish) {
+        self.publishes.push_back(publish);
+        if self.publishes.len() > PUBLISHES_KEPT {
+            self.publishes.pop_front();
+        }
+    }
+
+    fn enforce(
+        &mut self,
+        version: ConfigVersion,
+        raw: Arc<RawConfiguration>,
+        configuration: Arc<Configuration>,
+    ) {
+        if let Some(replaced) = self.raw.replace(raw) {
+            self.history.push_back((self.version, replaced));
+        }
+        if self.history.len() > HISTORY_KEPT {
+            self.history.pop_front();
+        }
+        self.version = version;
+        self.configuration = Some(configuration);
+    }
+
+    /// Replaces the state by that of an image that lies further on.
+    ///
+    /// Returns whether the image was taken; an image that isn't ahead is left.
+    pub(super) fn advance(&mut self, next: Fold) -> bool {
+        if next.position <= self.position || next.version < self.version {
+            return false;
+        }
+        self.position = next.position;
+        self.publishes = next.publishes;
+        self.stopped_at = None;
+        match (next.raw, next.configuration) {
+            (Some(raw), Some(configuration)) if next.version > self.version => {
+                self.enforce(next.version, raw, configuration);
+            }
+            _ => {}
+        }
+        true
+    }
+
+    pub(super) fn from_parts(
+        position: Position,
+        version: ConfigVersion,
+        raw: Option<Arc<RawConfiguration>>,
+        configuration: Option<Arc<Configuration>>,
+        publishes: VecDeque<Publish>,
+    ) -> Self {
+        Self { position, version, raw, configuration, publishes, ..Self::default() }
+    }
+}
--- a/crates/policy/src/config/mod.rs
+++ b/crates/policy/src/config/mod.rs
@@ -2,5 +2,9 @@
 //!
 //! The fields are described for operators in `docs/CONFIGURATION.md`.
 
+pub mod checkpoint;
+pub mod delta;
+pub mod fold;
 pub mod model;
 pub mod raw;
+pub mod record;
--- a/crates/policy/src/config/raw.rs
+++ b/crates/policy/src/config/raw.rs
@@ -3,14 +3,20 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use serde_with::{MapPreventDuplicates, serde_as};
 
 /// The whole desired configuration.
+///
+/// No field is left out when it is serialised, because nodes exchange it in
+/// postcard, which has no field names to tell what is missing.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawConfiguration {
     /// Number of the format; see [`super::model::CONFIGURATION_FORMAT`].
     pub format: u32,
-    /// Services by name.
+    /// Services by name; a name that stands twice is an error.
+    #[serde_as(as = "MapPreventDuplicates<_, _>")]
     pub services: BTreeMap<String, RawService>,
     /// Routes in order: the first that matches takes the request.
     pub routes: Vec<RawRoute>,
@@ -26,7 +32,7 @@
     /// Version of the backend server's software that should carry traffic.
     pub version: String,
     /// Time as RFC 3339 by which all traffic should reach `version`.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub by: Option<String>,
     /// Service-level objective.
     #[serde(default)]
@@ -80,12 +86,12 @@
 #[serde(deny_unknown_fields)]
 pub struct RawMatch {
     /// Host name without port; any when absent.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub host: Option<String>,
     /// Path prefix, matched on whole segments.
     pub path: String,
     /// Methods; any when empty.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(default)]
     pub methods: Vec<String>,
 }
 
--- /dev/null
+++ b/crates/policy/src/config/record.rs
@@ -0,0 +1,164 @@
+//! The publish record: what operators append to the configuration stream.
+//!
+//! Parsing tells apart a record that every node refuses for good and a record
+//! whose format this program doesn't know. The latter must never be skipped,
+//! because a newer program may accept it; see `docs/design/0002-configuration.md`.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{ConfigVersion, PublishId};
+
+use super::{
+    model::{CONFIGURATION_FORMAT, Configuration, Refusal, Refusals},
+    raw::RawConfiguration,
+};
+
+/// Number of the only record format that this program knows.
+pub const RECORD_FORMAT: u32 = 1;
+
+/// Largest publish record in bytes; a larger one is refused unread.
+pub const MAX_RECORD_BYTES: usize = 4 << 20;
+
+/// Largest number of reasons that are kept for a refused record.
+pub const MAX_REFUSALS: usize = 16;
+
+/// Longest text of a reason in characters.
+pub const MAX_REFUSAL_CHARS: usize = 200;
+
+/// A publish record as it stands in the configuration stream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPublish {
+    /// Number of the record's format; see [`RECORD_FORMAT`].
+    pub format: u32,
+    /// Name of the publish, the same in every repetition of its append.
+    pub id: String,
+    /// Version from which the configuration was derived.
+    pub base: ConfigVersion,
+    /// The whole desired configuration.
+    pub configuration: RawConfiguration,
+}
+
+/// A publish record after every check that needs no earlier record.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PublishRecord {
+    /// Name of the publish.
+    pub id: PublishId,
+    /// Version from which the configuration was derived.
+    pub base: ConfigVersion,
+    /// The configuration as printed by the operator.
+    pub raw: Arc<RawConfiguration>,
+    /// The configuration after every check.
+    pub configuration: Arc<Configuration>,
+}
+
+/// Why a record gives no configuration.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum RecordError {
+    /// The format is newer than this program; the record can't be judged.
+    #[error("the record has the unknown format {found}; this program knows {RECORD_FORMAT}")]
+    UnknownFormat {
+        /// Number of the format.
+        found: u64,
+    },
+    /// Every node refuses the record, now and later.
+    #[error("the record breaks {} rule(s)", .refusals.len())]
+    Refused {
+        /// Name of the publish, when it could be read.
+        id: Option<PublishId>,
+        /// Reasons, at most [`MAX_REFUSALS`].
+        refusals: Vec<Refusal>,
+    },
+}
+
+/// The fields that decide how the rest is read.
+#[derive(Deserialize)]
+struct Envelope {
+    format: u64,
+    #[serde(default)]
+    id: Option<serde_json::Value>,
+    #[serde(default)]
+    configuration: Option<InnerEnvelope>,
+}
+
+#[derive(Deserialize)]
+struct InnerEnvelope {
+    #[serde(default)]
+    format: Option<serde_json::Value>,
+}
+
+impl PublishRecord {
+    /// Parses and checks the body of a record.
+    pub fn parse(body: &[u8]) -> Result<Self, RecordError> {
+        if body.len() > MAX_RECORD_BYTES {
+            let problem = format!("{} bytes: use at most {MAX_RECORD_BYTES}", body.len());
+            return Err(refused(None, vec![Refusal { path: ".".into(), problem }]));
+        }
+        let envelope: Envelope =
+            parse_json(body).map_err(|refusal| refused(None, vec![refusal]))?;
+        let id = envelope.id.as_ref().and_then(|id| id.as_str()).map(PublishId::try_from);
+        check_formats(&envelope)?;
+        let id = match id {
+            Some(Ok(id)) => id,
+            Some(Err(e)) => return Err(refused(None, vec![refusal("id", e.to_string())])),
+            None => {
+                return Err(refused(
+                    None,
+                    vec![refusal("id", "missing: give each publish its own".into())],
+                ));
+            }
+        };
+        let raw: RawPublish =
+            parse_json(body).map_err(|refusal| refused(Some(id.clone()), vec![refusal]))?;
+        let configuration = Configuration::try_from(raw.configuration.clone())
+            .map_err(|Refusals(refusals)| refused(Some(id.clone()), refusals))?;
+        Ok(Self {
+            id,
+            base: raw.base,
+            raw: Arc::new(raw.configuration),
+            configuration: Arc::new(configuration),
+        })
+    }
+}
+
+fn check_formats(envelope: &Envelope) -> Result<(), RecordError> {
+    if envelope.format > u64::from(RECORD_FORMAT) {
+        return Err(RecordError::UnknownFormat { found: envelope.format });
+    }
+    if envelope.format < u64::from(RECORD_FORMAT) {
+        let problem = format!("{} was never a format: use {RECORD_FORMAT}", envelope.format);
+        return Err(refused(None, vec![refusal("format", problem)]));
+    }
+    let inner = envelope.configuration.as_ref().and_then(|inner| inner.format.as_ref()?.as_u64());
+    match inner {
+        Some(found) if found > u64::from(CONFIGURATION_FORMAT) => {
+            Err(RecordError::UnknownFormat { found })
+        }
+        _ => Ok(()),
+    }
+}
+
+fn parse_json<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    let mut de = serde_json::Deserializer::from_slice(body);
+    let value = serde_path_to_error::deserialize(&mut de)
+        .map_err(|e| refusal(&e.path().to_string(), e.inner().to_string()))?;
+    de.end().map_err(|e| refusal(".", e.to_string()))?;
+    Ok(value)
+}
+
+fn refusal(path: &str, problem: String) -> Refusal {
+    Refusal { path: path.into(), problem }
+}
+
+/// Keeps the reasons short, because every node remembers them.
+fn refused(id: Option<PublishId>, refusals: Vec<Refusal>) -> RecordError {
+    let shorten = |text: String| text.chars().take(MAX_REFUSAL_CHARS).collect();
+    let refusals = refusals
+        .into_iter()
+        .take(MAX_REFUSALS)
+        .map(|r| Refusal { path: shorten(r.path), problem: shorten(r.problem) })
+        .collect();
+    RecordError::Refused { id, refusals }
+}
--- /dev/null
+++ b/crates/policy/src/distribution/floor.rs
@@ -0,0 +1,104 @@
+//! Below which position a node must not serve.
+//!
+//! An instance keeps nothing across a restart, so its neighbours remember how far
+//! it had come. A node that starts serves only once it holds all that it may
+//! have served before; see `docs/design/0002-configuration.md`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    config::fold::Position,
+    ids::{InstanceName, ZoneName},
+    membership::members::MAX_MEMBERS,
+};
+
+/// Number of nodes that must answer before a start without the log is complete.
+pub const ANSWERS_WANTED: usize = 3;
+
+/// Number of availability zones from which they must answer.
+pub const ZONES_WANTED: usize = 2;
+
+/// How far other nodes are known to have come.
+#[derive(Debug, Clone, Default)]
+pub struct Floors {
+    positions: BTreeMap<InstanceName, Position>,
+}
+
+impl Floors {
+    /// Remembers what a node said that it has applied.
+    pub fn note(&mut self, instance: &InstanceName, position: Position) {
+        if let Some(known) = self.positions.get_mut(instance) {
+            *known = position.max(*known);
+        } else if self.positions.len() < MAX_MEMBERS {
+            self.positions.insert(instance.clone(), position);
+        }
+    }
+
+    /// Returns how far a node is known to have come.
+    pub fn of(&self, instance: &InstanceName) -> Position {
+        self.positions.get(instance).copied().unwrap_or_default()
+    }
+
+    /// Forgets every node that `keep` doesn't name.
+    pub fn retain(&mut self, keep: impl Fn(&InstanceName) -> bool) {
+        self.positions.retain(|instance, _| keep(instance));
+    }
+}
+
+/// What a node has learnt since its start of how far it may have come before.
+#[derive(Debug, Clone, Default)]
+pub struct Recovery {
+    floor: Position,
+    answered: BTreeSet<InstanceName>,
+    zones: BTreeSet<ZoneName>,
+    has_read_log: bool,
+}
+
+/// Who could have answered a node that starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answerers {
+    /// Number of other nodes that are known and not given up.
+    pub nodes: usize,
+    /// Number of availability zones of these.
+    pub zones: usize,
+}
+
+impl Recovery {
+    /// Notes another node's answer: its own position and the floor it remembers.
+    pub fn answered(
+        &mut self,
+        instance: &InstanceName,
+        zone: &ZoneName,
+        position: Position,
+        floor: Position,
+    ) {
+        self.floor = self.floor.max(position).max(floor);
+        self.answered.insert(instance.clone());
+        self.zones.insert(zone.clone());
+    }
+
+    /// Notes that every record of the log was folded, which is past any floor.
+    pub fn read_log(&mut self) {
+        self.has_read_log = true;
+    }
+
+    /// Returns the lowest position at which the node may serve.
+    pub fn floor(&self) -> Position {
+        self.floor
+    }
+
+    /// Tells whether a node at `position` may serve.
+    ///
+    /// The end of the log is past everything that was ever applied. Without the
+    /// log, answers from several nodes in several availability zones are needed;
+    /// a node that knows nobody can't tell and doesn't serve.
+    pub fn is_complete(&self, position: Position, answerers: Answerers) -> bool {
+        if position < self.floor {
+            return false;
+        }
+        let has_answers = !self.answered.is_empty()
+            && self.answered.len() >= ANSWERS_WANTED.min(answerers.nodes)
+            && self.zones.len() >= ZONES_WANTED.min(answerers.zones);
+        self.has_read_log || has_answers
+    }
+}
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -100,6 +100,10 @@
     /// Names a route.
     RouteName
 }
+name_type! {
+    /// Names one publish; an append whose answer was lost is repeated with it.
+    PublishId
+}
 name_type! {
     /// Names a version of a backend server's software.
     BackendVersion
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod code;
 pub mod config;
+pub mod distribution;
 pub mod ids;
 pub mod membership;
 pub mod table;
--- a/crates/policy/src/membership/entry.rs
+++ b/crates/policy/src/membership/entry.rs
@@ -37,7 +37,9 @@
     pub leaving: bool,
     /// The backend server on the instance, once it announced itself.
     pub backend: Option<BackendRecord>,
-    /// Configuration version that the node has applied.
+    /// Configuration version that the node had applied when it last changed
+    /// this record. It alone never causes a change, because then each publish
+    /// would send every node's record to every node.
     pub applied: ConfigVersion,
 }
 
@@ -54,9 +56,24 @@
     pub draining: bool,
 }
 
-/// How the local node sees another one.
+/// How the nodes see one of them.
+///
+/// The order is the order of merging: of two statements about one stamp, the
+/// later in this list wins, and only the node itself can take it back by a
+/// higher stamp.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display, strum::EnumIter,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumIter,
 )]
 #[strum(serialize_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
--- /dev/null
+++ b/crates/policy/src/membership/members.rs
@@ -0,0 +1,272 @@
+//! The membership table of one node.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::{
+    ids::{InstanceName, ZoneName},
+    time::Tick,
+};
+
+use super::{
+    entry::{BackendRecord, Liveness, NodeRecord, Stamp},
+    merge::{Entry, Rank, Statement},
+};
+
+/// Number of parts of the table that two nodes compare by digest.
+pub const BUCKETS: usize = 64;
+
+/// Largest number of nodes that the table holds, tombstones included.
+pub const MAX_MEMBERS: usize = 16_384;
+
+/// Time from suspicion until a node that doesn't refute it counts as unreachable.
+pub const SUSPICION: Duration = Duration::from_millis(1_000);
+
+/// Time after which a node that nobody reaches is given up.
+pub const UNREACHABLE_KEPT: Duration = Duration::from_secs(24 * 3_600);
+
+/// Time for which a tombstone is kept; it outlives every record in flight.
+pub const TOMBSTONE_KEPT: Duration = Duration::from_secs(48 * 3_600);
+
+/// What a merge changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing: the statement was known or outdated.
+    None,
+    /// The entry of another node.
+    Other,
+    /// The own record, which was raised above a statement about this node.
+    Refuted,
+    /// Nothing: the table is full.
+    Full,
+}
+
+/// One node as the table holds it.
+#[derive(Debug, Clone, PartialEq)]
+struct Member {
+    entry: Entry,
+    changed_at: Tick,
+}
+
+/// Every node that the local one knows, itself included.
+#[derive(Debug, Clone)]
+pub struct Members {
+    own: InstanceName,
+    entries: BTreeMap<InstanceName, Member>,
+    digests: [u64; BUCKETS],
+    revision: u64,
+}
+
+/// Returns the bucket of a node.
+pub fn bucket_of(instance: &InstanceName) -> usize {
+    (xxh3_64_with_seed(instance.as_str().as_bytes(), BUCKETS as u64) % BUCKETS as u64) as usize
+}
+
+impl Members {
+    /// Makes the table of a node that knows only itself.
+    pub fn new(own: NodeRecord, now: Tick) -> Self {
+        let mut members = Self {
+            own: own.instance.clone(),
+            entries: BTreeMap::new(),
+            digests: [0; BUCKETS],
+            revision: 0,
+        };
+        members.put(Entry::alive(own), now);
+        members
+    }
+
+    /// Returns the name of the local node.
+    pub fn own_name(&self) -> &InstanceName {
+        &self.own
+    }
+
+    /// Returns the entry of the local node.
+    pub fn own(&self) -> &Entry {
+        &self.entries[&self.own].entry
+    }
+
+    /// Returns a number that grows with every change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the entry of a node.
+    pub fn get(&self, instance: &InstanceName) -> Option<&Entry> {
+        self.entries.get(instance).map(|member| &member.entry)
+    }
+
+    /// Returns every entry in order of names, tombstones included.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values().map(|member| &member.entry)
+    }
+
+    /// Returns the records with the liveness, as the request table wants them.
+    pub fn records(&self) -> impl Iterator<Item = (&NodeRecord, Liveness)> {
+        self.entries().map(|entry| (&*entry.record, entry.liveness))
+    }
+
+    /// Returns the nodes that take part: those that answer or may yet answer.
+    pub fn active(&self) -> impl Iterator<Item = &NodeRecord> {
+        let is_active = |entry: &&Entry| entry.liveness <= Liveness::Suspect;
+        self.entries().filter(is_active).map(|entry| &*entry.record)
+    }
+
+    /// Returns the nodes of an availability zone that answer.
+    pub fn alive_in<'a>(&'a self, zone: &'a ZoneName) -> impl Iterator<Item = &'a NodeRecord> {
+        let is_alive = |entry: &&Entry| entry.liveness == Liveness::Alive;
+        let records = self.entries().filter(is_alive).map(|entry| &*entry.record);
+        records.filter(move |record| record.zone == *zone && !record.leaving)
+    }
+
+    /// Returns the nodes that nobody reaches.
+    pub fn unreachable(&self) -> impl Iterator<Item = &NodeRecord> {
+        let is_unreachable = |entry: &&Entry| entry.liveness == Liveness::Unreachable;
+        self.entries().filter(is_unreachable).map(|entry| &*entry.record)
+    }
+
+    /// Merges what another node says.
+    pub fn merge(&mut self, entry: Entry, now: Tick) -> Change {
+        if entry.record.instance == self.own {
+            return self.refute(entry.rank(), now);
+        }
+        match self.entries.get(&entry.record.instance) {
+            Some(known) if !entry.wins_over(&known.entry) => return Change::None,
+            None if self.entries.len() >= MAX_MEMBERS => return Change::Full,
+            _ => {}
+        }
+        self.put(entry, now);
+        Change::Other
+    }
+
+    /// Merges a statement about the record that is held, if it is that record.
+    pub fn merge_statement(&mut self, statement: &Statement, now: Tick) -> Change {
+        if statement.instance == self.own {
+            return self.refute(statement.rank, now);
+        }
+        let Some(known) = self.get(&statement.instance) else { return Change::None };
+        if known.record.stamp != statement.rank.stamp {
+            return Change::None;
+        }
+        let entry = known.seen_as(statement.rank.liveness);
+        self.merge(entry, now)
+    }
+
+    /// Raises the own record above what others say of this node.
+    fn refute(&mut self, said: Rank, now: Tick) -> Change {
+        if said <= self.own().rank() {
+            return Change::None;
+        }
+        let mut record = NodeRecord::clone(&self.own().record);
+        record.stamp = if said.stamp.incarnation > record.stamp.incarnation {
+            Stamp { incarnation: said.stamp.incarnation + 1, sequence: 0 }
+        } else {
+            let sequence = said.stamp.sequence.max(record.stamp.sequence) + 1;
+            Stamp { sequence, ..record.stamp }
+        };
+        self.put(Entry::alive(record), now);
+        Change::Refuted
+    }
+
+    /// Changes the own record; returns whether anything changed.
+    pub fn update_own(&mut self, now: Tick, change: impl FnOnce(&mut NodeRecord)) -> bool {
+        let before = self.own().record.clone();
+        let mut record = NodeRecord::clone(&before);
+        change(&mut record);
+        if record == *before {
+            return false;
+        }
+        record.stamp = Stamp { sequence: before.stamp.sequence + 1, ..before.stamp };
+        self.put(Entry::alive(record), now);
+        true
+    }
+
+    /// Sets or clears the backend server in the own record.
+    pub fn set_backend(&mut self, backend: Option<BackendRecord>, now: Tick) -> bool {
+        self.update_own(now, |record| record.backend = backend)
+    }
+
+    /// Declares the own node gone, as its last word before the process ends.
+    pub fn declare_gone(&mut self, now: Tick) {
+        self.update_own(now, |record| record.leaving = true);
+        let gone = self.own().seen_as(Liveness::Gone);
+        self.put(gone, now);
+    }
+
+    /// Changes how a node is seen; returns whether anything changed.
+    pub fn judge(&mut self, instance: &InstanceName, liveness: Liveness, now: Tick) -> bool {
+        match self.get(instance) {
+            Some(known) if *instance != self.own && known.liveness < liveness => {
+                let entry = known.seen_as(liveness);
+                self.put(entry, now);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Ages suspicions, unreachable nodes and tombstones; returns those changed.
+    pub fn expire(&mut self, now: Tick) -> Vec<InstanceName> {
+        let mut changed = Vec::new();
+        let mut forgotten = Vec::new();
+        for (name, member) in &self.entries {
+            let age = now.since(member.changed_at);
+            match member.entry.liveness {
+                Liveness::Suspect if age >= SUSPICION => {
+                    changed.push((name.clone(), Liveness::Unreachable));
+                }
+                Liveness::Unreachable if age >= UNREACHABLE_KEPT => {
+                    changed.push((name.clone(), Liveness::Gone));
+                }
+                Liveness::Gone if age >= TOMBSTONE_KEPT && *name != self.own => {
+                    forgotten.push(name.clone());
+                }
+                _ => {}
+            }
+        }
+        for name in forgotten {
+            self.entries.remove(&name);
+        }
+        changed.retain(|(name, liveness)| self.judge(name, *liveness, now));
+        changed.into_iter().map(|(name, _)| name).collect()
+    }
+
+    /// Returns the digests of the buckets; equal digests mean equal content.
+    ///
+    /// Tombstones are left out, so that nodes which forget them at different
+    /// times still agree.
+    pub fn digests(&self) -> &[u64; BUCKETS] {
+        &self.digests
+    }
+
+    /// Returns one digest of the whole table.
+    pub fn digest(&self) -> u64 {
+        let bytes: Vec<u8> = self.digests.iter().flat_map(|digest| digest.to_le_bytes()).collect();
+        xxh3_64(&bytes)
+    }
+
+    /// Returns what is known of the nodes in the buckets whose digest differs.
+    pub fn statements_in(&self, differs: impl Fn(usize) -> bool) -> Vec<Statement> {
+        let is_wanted = |entry: &&Entry| differs(bucket_of(&entry.record.instance));
+        self.entries().filter(is_wanted).map(Entry::statement).collect()
+    }
+
+    fn put(&mut self, entry: Entry, now: Tick) {
+        let name = entry.record.instance.clone();
+        let bucket = bucket_of(&name);
+        self.digests[bucket] ^= entry_digest(&entry);
+        let member = Member { entry, changed_at: now };
+        if let Some(replaced) = self.entries.insert(name, member) {
+            self.digests[bucket] ^= entry_digest(&replaced.entry);
+        }
+        self.revision += 1;
+    }
+}
+
+fn entry_digest(entry: &Entry) -> u64 {
+    if entry.liveness == Liveness::Gone {
+        return 0;
+    }
+    let bytes = postcard::to_stdvec(&entry.statement()).unwrap_or_default();
+    xxh3_64(&bytes)
+}
--- /dev/null
+++ b/crates/policy/src/membership/rings.rs
@@ -0,0 +1,79 @@
+//! Who watches whom and who passes news to whom.
+//!
+//! Each ring orders the active nodes by a hash of their names with the ring's
+//! own seed. A node probes its successors and passes news to its successors and
+//! predecessors. The union of a few random rings connects the nodes in few steps
+//! whatever their number, and each node keeps the same few connections open; see
+//! `docs/design/0003-membership.md`.
+
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::InstanceName;
+
+use super::{entry::NodeRecord, members::Members};
+
+/// Number of rings, which is the number of nodes that watch each node.
+pub const RINGS: u64 = 4;
+
+/// A node with the address at which it is reached.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Contact {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Address at which other nodes reach it.
+    pub addr: SocketAddr,
+}
+
+/// The neighbours of one node.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Neighbours {
+    /// Nodes that this one probes, without repetition.
+    pub watched: Vec<Contact>,
+    /// Nodes that probe this one, without repetition.
+    pub watchers: Vec<Contact>,
+}
+
+impl Neighbours {
+    /// Works out the neighbours of a node among the active members.
+    pub fn of(instance: &InstanceName, members: &Members) -> Self {
+        let mut neighbours = Self::default();
+        for ring in 0..RINGS {
+            let place = place_on(ring, instance);
+            let others = || {
+                let is_other = |record: &&NodeRecord| record.instance != *instance;
+                members.active().filter(is_other).map(|r| (place_on(ring, &r.instance), r))
+            };
+            let after = others().filter(|(at, _)| *at > place).min_by_key(|(at, _)| *at);
+            let before = others().filter(|(at, _)| *at < place).max_by_key(|(at, _)| *at);
+            let successor = after.or_else(|| others().min_by_key(|(at, _)| *at));
+            let predecessor = before.or_else(|| others().max_by_key(|(at, _)| *at));
+            add(&mut neighbours.watched, successor);
+            add(&mut neighbours.watchers, predecessor);
+        }
+        neighbours
+    }
+
+    /// Returns every neighbour once.
+    pub fn all(&self) -> Vec<Contact> {
+        let mut all: Vec<Contact> = self.watched.iter().chain(&self.watchers).cloned().collect();
+        all.sort();
+        all.dedup();
+        all
+    }
+}
+
+type Place<'a> = (u64, &'a str);
+
+fn place_on(ring: u64, instance: &InstanceName) -> Place<'_> {
+    (xxh3_64_with_seed(instance.as_str().as_bytes(), ring + 1), instance.as_str())
+}
+
+fn add(contacts: &mut Vec<Contact>, found: Option<(Place<'_>, &NodeRecord)>) {
+    let Some((_, record)) = found else { return };
+    let contact = Contact { instance: record.instance.clone(), addr: record.peer_addr };
+    if !contacts.contains(&contact) {
+        contacts.push(contact);
+    }
+}
