--- /dev/null
+++ b/crates/adapters/src/log.rs
@@ -0,0 +1,164 @@
+//! The log service port over HTTP.
+//!
+//! The requests and answers of the platform's log service are described in
+//! `docs/LOG-SERVICE.md`.
+
+use std::time::Duration;
+
+use ntex::{
+    client::{Client, ClientResponse, Connector},
+    time::Millis,
+};
+use savorykeel_ports::log::{LogError, LogPage, LogRecord, LogService, Offset};
+use serde::Deserialize;
+use serde_with::{base64::Base64, serde_as};
+
+/// Longest time that the log service may take to answer, waiting aside.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest answer in bytes.
+const MAX_PAGE_BYTES: usize = 64 << 20;
+
+/// Largest number of records in one answer.
+const PAGE_RECORDS: usize = 256;
+
+/// The log service at one base URL.
+#[derive(Clone)]
+pub struct HttpLog {
+    base: std::sync::Arc<str>,
+    client: Client,
+}
+
+/// The answer to an append.
+#[derive(Deserialize)]
+struct Appended {
+    offset: Offset,
+}
+
+/// The answer to a read.
+#[derive(Deserialize)]
+struct Page {
+    earliest: Offset,
+    next: Offset,
+    records: Vec<PageRecord>,
+}
+
+/// One record in the answer to a read.
+#[serde_as]
+#[derive(Deserialize)]
+struct PageRecord {
+    offset: Offset,
+    #[serde_as(as = "Base64")]
+    body: Vec<u8>,
+}
+
+/// The answer to a read of records that are no longer kept.
+#[derive(Deserialize)]
+struct Expired {
+    earliest: Offset,
+}
+
+impl HttpLog {
+    /// Prepares requests to the log service at `base`, for instance
+    /// `http://127.0.0.1:7000`.
+    pub async fn new(base: std::sync::Arc<str>) -> Result<Self, LogError> {
+        let client = Client::builder()
+            .connector::<Connector>(Connector::new())
+            .disable_timeout()
+            .disable_redirects()
+            .response_payload_limit(MAX_PAGE_BYTES)
+            .build(ntex::SharedCfg::default())
+            .await
+            .map_err(unavailable)?;
+        Ok(Self { base, client })
+    }
+
+    fn records_url(&self, stream: &str) -> String {
+        format!("{}/v1/streams/{stream}/records", self.base)
+    }
+
+    async fn append_now(&self, stream: &str, body: Vec<u8>) -> Result<Offset, LogError> {
+        let req = self.client.post(self.records_url(stream)).timeout(to_millis(ANSWER_TIMEOUT));
+        let response = req.send_body(body).await.map_err(unavailable)?;
+        match response.status().as_u16() {
+            200 | 201 => Ok(parse::<Appended>(&read_body(response).await?)?.offset),
+            429 => Err(LogError::TooManyAppends),
+            status => Err(LogError::Unavailable(format!("status {status}"))),
+        }
+    }
+
+    async fn read_now(&self, url: String, timeout: Duration) -> Result<LogPage, LogError> {
+        let req = self.client.get(url).timeout(to_millis(timeout));
+        let response = req.send().await.map_err(unavailable)?;
+        match response.status().as_u16() {
+            200 => parse::<Page>(&read_body(response).await?)?.try_into(),
+            410 => {
+                let expired: Expired = parse(&read_body(response).await?)?;
+                Err(LogError::Expired { earliest: expired.earliest })
+            }
+            status => Err(LogError::Unavailable(format!("status {status}"))),
+        }
+    }
+}
+
+impl LogService for HttpLog {
+    async fn append(&self, stream: &str, body: Vec<u8>) -> Result<Offset, LogError> {
+        let exchange = self.append_now(stream, body);
+        within(ANSWER_TIMEOUT, exchange).await
+    }
+
+    async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<LogPage, LogError> {
+        let url = format!(
+            "{}?from={}&wait_ms={}&limit={PAGE_RECORDS}",
+            self.records_url(stream),
+            from.0,
+            wait.as_millis()
+        );
+        let timeout = wait + ANSWER_TIMEOUT;
+        within(timeout, self.read_now(url, timeout)).await
+    }
+}
+
+impl TryFrom<Page> for LogPage {
+    type Error = LogError;
+
+    fn try_from(page: Page) -> Result<Self, LogError> {
+        let is_ordered = page.records.is_sorted_by(|a, b| a.offset < b.offset);
+        if !is_ordered {
+            return Err(LogError::Malformed("records out of order".into()));
+        }
+        let record = |r: PageRecord| LogRecord { offset: r.offset, body: r.body };
+        Ok(Self {
+            records: page.records.into_iter().map(record).collect(),
+            earliest: page.earliest,
+            next: page.next,
+        })
+    }
+}
+
+async fn within<T>(
+    timeout: Duration,
+    exchange: impl Future<Output = Result<T, LogError>>,
+) -> Result<T, LogError> {
+    match ntex::time::timeout(to_millis(timeout), exchange).await {
+        Ok(result) => result,
+        Err(()) => Err(LogError::Unavailable("no answer in time".into())),
+    }
+}
+
+async fn read_body(response: ClientResponse) -> Result<Vec<u8>, LogError> {
+    let body = response.body().limit(MAX_PAGE_BYTES).await.map_err(unavailable)?;
+    Ok(body.to_vec())
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, LogError> {
+    serde_json::from_slice(body).map_err(|e| LogError::Malformed(e.to_string()))
+}
+
+fn unavailable(error: impl std::fmt::Display) -> LogError {
+    LogError::Unavailable(error.to_string())
+}
+
+fn to_millis(span: Duration) -> Millis {
+    Millis(u32::try_from(span.as_millis()).unwrap_or(u32::MAX).max(1))
+}
--- /dev/null
+++ b/crates/node/src/control/duty.rs
@@ -0,0 +1,27 @@
+//! Which duties this node has.
+
+use savorykeel_policy::{
+    distribution::duty::{PRESENT_PER_ZONE, READERS_PER_ZONE, rank},
+    membership::members::Members,
+};
+
+use super::state::Identity;
+
+/// Tells whether the node reads the log for its availability zone.
+pub(super) fn reads_log(members: &Members, identity: &Identity) -> bool {
+    own_rank(members, identity).is_some_and(|rank| rank < READERS_PER_ZONE)
+}
+
+/// Tells whether the node keeps its availability zone known in the log.
+pub(super) fn is_present(members: &Members, identity: &Identity) -> bool {
+    own_rank(members, identity).is_some_and(|rank| rank < PRESENT_PER_ZONE)
+}
+
+/// Tells whether the node writes checkpoints; one in each availability zone does.
+pub(super) fn writes_checkpoints(members: &Members, identity: &Identity) -> bool {
+    own_rank(members, identity) == Some(0)
+}
+
+fn own_rank(members: &Members, identity: &Identity) -> Option<usize> {
+    rank(members, &identity.zone, &identity.instance)
+}
--- /dev/null
+++ b/crates/node/src/control/exchange.rs
@@ -0,0 +1,79 @@
+//! One message to another node and its reply.
+
+use std::{net::SocketAddr, time::Duration};
+
+use savorykeel_policy::{
+    distribution::message::{
+        ControlMessage, ControlReply, MessageBody, MessageError, ReplyBody, decode, encode,
+    },
+    time::Tick,
+};
+use savorykeel_ports::peer::{PeerError, PeerLinks};
+
+use super::{
+    context::ControlContext,
+    reader::to_millis,
+    state::{ControlState, Counters},
+};
+
+/// Why an exchange gave nothing.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ExchangeError {
+    /// The link failed.
+    #[error(transparent)]
+    Peer(#[from] PeerError),
+    /// No reply came in time.
+    #[error("no reply in time")]
+    TimedOut,
+    /// The reply can't be understood.
+    #[error(transparent)]
+    Message(#[from] MessageError),
+}
+
+impl<L, P: PeerLinks> ControlContext<L, P> {
+    /// Sends a message and takes in what every reply tells of its speaker.
+    ///
+    /// A link on which no reply came in time is closed, because it may be silent
+    /// for good while a new one works.
+    pub(super) async fn exchange(
+        &self,
+        addr: SocketAddr,
+        body: MessageBody,
+        timeout: Duration,
+    ) -> Result<ReplyBody, ExchangeError> {
+        let sent_at = self.state.now();
+        let message = encode(&ControlMessage { from: self.state.speaker(), body });
+        Counters::add(&self.state.counters.messages_sent, 1);
+        Counters::add(&self.state.counters.bytes_sent, message.len());
+        let sending = self.links.control(addr, message);
+        let Ok(result) = ntex::time::timeout(to_millis(timeout), sending).await else {
+            (self.reset_link)(addr);
+            return Err(ExchangeError::TimedOut);
+        };
+        let bytes = result?;
+        Counters::add(&self.state.counters.bytes_received, bytes.len());
+        let reply: ControlReply = decode(&bytes)?;
+        self.state.note_reply(&reply, sent_at);
+        Ok(reply.body)
+    }
+}
+
+impl ControlState {
+    /// Takes in what a reply tells, whatever was asked.
+    fn note_reply(&self, reply: &ControlReply, sent_at: Tick) {
+        self.note_speaker(&reply.from);
+        if !self.is_serving() {
+            self.with_recovery(|recovery| recovery.answered(&reply.from, reply.your_floor));
+        }
+        if let Some(ago) = reply.from.current_ago {
+            let ago = u64::try_from(ago.as_millis()).unwrap_or(u64::MAX);
+            self.confirm(reply.from.position, Tick(sent_at.0.saturating_sub(ago)));
+        }
+        if let ReplyBody::Taken { about_you } = &reply.body {
+            self.hear_about_self(*about_you);
+        }
+        if !self.is_serving() {
+            self.rebuild();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/gossip.rs
@@ -0,0 +1,276 @@
+//! Passes on what changed and fetches what is missing.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use ntex::time::sleep;
+use savorykeel_policy::{
+    config::fold::Position,
+    distribution::{
+        message::{MAX_ENTRIES, MessageBody, ReplyBody},
+        update::Held,
+    },
+    ids::InstanceName,
+    membership::{
+        members::Comparison,
+        rings::{Contact, Neighbours},
+    },
+    time::Tick,
+};
+use savorykeel_ports::peer::PeerLinks;
+use slog::{debug, warn};
+
+use super::{
+    context::{ControlContext, ControlMode},
+    event::Event,
+    exchange::ExchangeError,
+    reader::to_millis,
+};
+
+/// Time for which changes of members are gathered into one message.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// Longest time that a neighbour may take to answer.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Longest time that a node may take to hand over its configuration.
+const PULL_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Time for which two membership tables may differ while news is under way.
+const DIFFERENCE_TOLERATED: Duration = Duration::from_millis(1_500);
+
+/// Time after which a noted difference counts as a new one.
+const DIFFERENCE_FORGOTTEN: Duration = Duration::from_secs(5);
+
+/// What the gossip loop has still to do.
+#[derive(Default)]
+struct Pending {
+    /// Members that changed, with the node that told of it.
+    changed: RefCell<BTreeMap<InstanceName, Option<InstanceName>>>,
+    is_gathering: Cell<bool>,
+    is_pulling: Cell<bool>,
+    /// The node that is furthest ahead.
+    ahead: RefCell<Option<(Position, Contact)>>,
+    /// When a difference to a node was first noted.
+    differences: RefCell<BTreeMap<InstanceName, Tick>>,
+}
+
+/// Acts on events for ever.
+pub(super) async fn spread<L: 'static, P: PeerLinks + 'static>(cx: Rc<ControlContext<L, P>>) {
+    let pending = Rc::new(Pending::default());
+    let events = cx.state.events().clone();
+    while let Ok(event) = events.recv().await {
+        match event {
+            Event::Changed { members, source } => note_changes(&cx, &pending, members, source),
+            Event::Advanced => announce(&cx),
+            Event::Behind { holder, position } => pull_from(&cx, &pending, holder, position),
+            Event::Differs(contact) => note_difference(&cx, &pending, contact),
+        }
+    }
+}
+
+fn note_changes<L: 'static, P: PeerLinks + 'static>(
+    cx: &Rc<ControlContext<L, P>>,
+    pending: &Rc<Pending>,
+    members: Vec<InstanceName>,
+    source: Option<InstanceName>,
+) {
+    let sourced = members.into_iter().map(|name| (name, source.clone()));
+    pending.changed.borrow_mut().extend(sourced);
+    if pending.is_gathering.replace(true) {
+        return;
+    }
+    let (cx, pending) = (cx.clone(), pending.clone());
+    ntex::rt::spawn(async move {
+        sleep(to_millis(GATHER)).await;
+        pending.is_gathering.set(false);
+        let changed = pending.changed.take();
+        cx.state.rebuild();
+        push_news(&cx, &changed);
+    })
+    .detach();
+}
+
+/// Sends changed entries to every neighbour that isn't known to have them.
+fn push_news<L: 'static, P: PeerLinks + 'static>(
+    cx: &Rc<ControlContext<L, P>>,
+    changed: &BTreeMap<InstanceName, Option<InstanceName>>,
+) {
+    for neighbour in cx.neighbours().all() {
+        let is_news = |(_, source): &(&InstanceName, &Option<InstanceName>)| {
+            source.as_ref() != Some(&neighbour.instance)
+        };
+        let names: Vec<InstanceName> =
+            changed.iter().filter(is_news).map(|(name, _)| name.clone()).collect();
+        for names in names.chunks(MAX_ENTRIES) {
+            let entries = cx.state.entries_of(names);
+            send(cx, &neighbour, MessageBody::News { entries });
+        }
+    }
+}
+
+/// Tells every neighbour that may be behind how far this node has come; the
+/// position goes with every message, so the message itself is empty.
+fn announce<L: 'static, P: PeerLinks + 'static>(cx: &Rc<ControlContext<L, P>>) {
+    if cx.mode == ControlMode::Poll {
+        return;
+    }
+    let position = cx.state.applied_position();
+    for neighbour in cx.neighbours().all() {
+        let known = cx.state.with_floors(|floors| floors.of(&neighbour.instance));
+        if known < position {
+            send(cx, &neighbour, MessageBody::News { entries: Vec::new() });
+        }
+    }
+}
+
+fn send<L: 'static, P: PeerLinks + 'static>(
+    cx: &Rc<ControlContext<L, P>>,
+    to: &Contact,
+    body: MessageBody,
+) {
+    let (cx, to) = (cx.clone(), to.clone());
+    ntex::rt::spawn(async move {
+        if let Err(e) = cx.exchange(to.addr, body, NEWS_TIMEOUT).await {
+            debug!(cx.logger, "news not taken"; "instance" => to.instance.as_str(), "problem" => %e);
+        }
+    })
+    .detach();
+}
+
+/// Fetches a newer configuration; one fetch runs at a time.
+fn pull_from<L: 'static, P: PeerLinks + 'static>(
+    cx: &Rc<ControlContext<L, P>>,
+    pending: &Rc<Pending>,
+    holder: Contact,
+    position: Position,
+) {
+    if cx.mode == ControlMode::Poll || position <= cx.state.applied_position() {
+        return;
+    }
+    if pending.is_pulling.replace(true) {
+        let mut ahead = pending.ahead.borrow_mut();
+        if ahead.as_ref().is_none_or(|(known, _)| *known < position) {
+            *ahead = Some((position, holder));
+        }
+        return;
+    }
+    let (cx, pending) = (cx.clone(), pending.clone());
+    ntex::rt::spawn(async move {
+        let mut next = Some((position, holder));
+        while let Some((position, holder)) = next {
+            if position > cx.state.applied_position() {
+                pull(&cx, &holder).await;
+            }
+            next = pending.ahead.take();
+        }
+        pending.is_pulling.set(false);
+    })
+    .detach();
+}
+
+async fn pull<L, P: PeerLinks>(cx: &ControlContext<L, P>, holder: &Contact) {
+    let mut held = cx.state.with_fold(|fold| Held::by(fold));
+    for wants_whole in [false, true] {
+        held.wants_whole = wants_whole;
+        match pull_once(cx, holder, held).await {
+            Ok(true) => {
+                cx.state.rebuild();
+                cx.state.emit(Event::Advanced);
+                return;
+            }
+            Ok(false) if wants_whole => return,
+            Ok(false) => {}
+            Err(e) => {
+                debug!(cx.logger, "no configuration pulled"; "instance" => holder.instance.as_str(), "problem" => %e);
+                return;
+            }
+        }
+    }
+}
+
+/// Returns whether the state went on; a delta that doesn't fit counts as no.
+async fn pull_once<L, P: PeerLinks>(
+    cx: &ControlContext<L, P>,
+    holder: &Contact,
+    held: Held,
+) -> Result<bool, ExchangeError> {
+    let reply = cx.exchange(holder.addr, MessageBody::Pull { held }, PULL_TIMEOUT).await?;
+    let ReplyBody::Update(update) = reply else { return Ok(false) };
+    let result = cx.state.with_fold(|fold| update.apply_to(fold));
+    Ok(result.unwrap_or_else(|e| {
+        warn!(cx.logger, "an update doesn't fit"; "instance" => holder.instance.as_str(), "problem" => %e);
+        false
+    }))
+}
+
+/// Compares tables once a difference lasts longer than news takes to arrive.
+fn note_difference<L: 'static, P: PeerLinks + 'static>(
+    cx: &Rc<ControlContext<L, P>>,
+    pending: &Rc<Pending>,
+    contact: Contact,
+) {
+    let now = cx.state.now();
+    let mut differences = pending.differences.borrow_mut();
+    let since = *differences.entry(contact.instance.clone()).or_insert(now);
+    let age = now.since(since);
+    if age < DIFFERENCE_TOLERATED {
+        return;
+    }
+    differences.remove(&contact.instance);
+    if age > DIFFERENCE_FORGOTTEN {
+        differences.insert(contact.instance.clone(), now);
+        return;
+    }
+    let cx = cx.clone();
+    ntex::rt::spawn(async move {
+        cx.compare_with(&contact).await;
+    })
+    .detach();
+}
+
+impl<L, P: PeerLinks> ControlContext<L, P> {
+    /// Returns the neighbours of this node as the members stand now.
+    pub(super) fn neighbours(&self) -> Neighbours {
+        let own = &self.state.identity.instance;
+        self.state.with_members(|members| Neighbours::of(own, members))
+    }
+
+    /// Makes both membership tables equal; returns whether the other node answered.
+    pub(super) async fn compare_with(&self, contact: &Contact) -> bool {
+        match self.try_compare(contact).await {
+            Ok(()) => true,
+            Err(e) => {
+                debug!(self.logger, "no comparison of members"; "instance" => contact.instance.as_str(), "problem" => %e);
+                false
+            }
+        }
+    }
+
+    async fn try_compare(&self, contact: &Contact) -> Result<(), ExchangeError> {
+        let digests = self.state.with_members(|members| members.digests().to_vec());
+        let compare = MessageBody::Compare { digests };
+        let reply = self.exchange(contact.addr, compare, PULL_TIMEOUT).await?;
+        let ReplyBody::Statements { buckets, statements } = reply else { return Ok(()) };
+        let Comparison { mut wanted, mut offered } =
+            self.state.with_members(|members| members.compare(&buckets, &statements));
+        while !wanted.is_empty() || !offered.is_empty() {
+            let wanted_now = split_front(&mut wanted);
+            let entries = self.state.entries_of(&split_front(&mut offered));
+            let exchange = MessageBody::Exchange { wanted: wanted_now, entries };
+            let reply = self.exchange(contact.addr, exchange, PULL_TIMEOUT).await?;
+            let ReplyBody::Entries(entries) = reply else { return Ok(()) };
+            self.state.merge_entries(entries, &contact.instance);
+        }
+        Ok(())
+    }
+}
+
+fn split_front(names: &mut Vec<InstanceName>) -> Vec<InstanceName> {
+    let rest = names.split_off(names.len().min(MAX_ENTRIES));
+    std::mem::replace(names, rest)
+}
--- /dev/null
+++ b/crates/node/src/control/handle.rs
@@ -0,0 +1,144 @@
+//! Answers the control messages of other nodes.
+
+use std::time::Duration;
+
+use savorykeel_policy::{
+    distribution::{
+        message::{
+            ControlMessage, ControlReply, MAX_ENTRIES, MessageBody, ReplyBody, Speaker, decode,
+            encode,
+        },
+        update::FoldUpdate,
+    },
+    ids::InstanceName,
+    membership::{
+        members::{BUCKETS, Change, MAX_MEMBERS, Members},
+        merge::{Entry, Rank, Statement},
+        rings::Contact,
+    },
+    time::Tick,
+};
+
+use super::{
+    event::Event,
+    heard::Heard,
+    state::{ControlState, Counters},
+};
+
+impl ControlState {
+    /// Answers a message; it does no I/O and leaves the rest to the loops.
+    pub fn handle(&self, bytes: &[u8]) -> Vec<u8> {
+        Counters::add(&self.counters.bytes_received, bytes.len());
+        let (your_floor, body) = match decode::<ControlMessage>(bytes) {
+            Ok(message) => {
+                let floor = self.with_floors(|floors| floors.of(&message.from.instance));
+                self.note_speaker(&message.from);
+                (floor, self.answer(message))
+            }
+            Err(_) => (Default::default(), ReplyBody::Refused),
+        };
+        let reply = encode(&ControlReply { from: self.speaker(), your_floor, body });
+        Counters::add(&self.counters.bytes_sent, reply.len());
+        reply
+    }
+
+    fn answer(&self, message: ControlMessage) -> ReplyBody {
+        let from = &message.from.instance;
+        match message.body {
+            MessageBody::Probe { about_you } => {
+                self.hear_about_self(about_you);
+                ReplyBody::Taken { about_you: self.rank_of(from) }
+            }
+            MessageBody::Heard { instance } => ReplyBody::HeardAgo(self.heard_ago(&instance)),
+            MessageBody::News { entries } => {
+                self.merge_entries(entries, from);
+                ReplyBody::Taken { about_you: self.rank_of(from) }
+            }
+            MessageBody::Pull { held } => {
+                ReplyBody::Update(self.with_fold(|fold| FoldUpdate::for_holder(fold, held)))
+            }
+            MessageBody::Compare { digests } => self.compare(&digests),
+            MessageBody::Exchange { wanted, entries } => {
+                self.merge_entries(entries, from);
+                ReplyBody::Entries(self.entries_of(&wanted))
+            }
+            MessageBody::Topic { topic, body } => self.answer_topic(topic, &body),
+        }
+    }
+
+    /// Notes what every message and reply tells of its speaker.
+    pub(super) fn note_speaker(&self, from: &Speaker) {
+        let now = self.now();
+        Heard::note(&self.heard, &from.instance, now);
+        self.with_floors(|floors| floors.note(&from.instance, from.position));
+        let contact = Contact { instance: from.instance.clone(), addr: from.addr };
+        if from.position > self.applied_position() {
+            self.emit(Event::Behind { holder: contact.clone(), position: from.position });
+        }
+        if from.members != self.with_members(|members| members.digest()) {
+            self.emit(Event::Differs(contact));
+        }
+    }
+
+    /// Refutes what another node wrongly holds of this one.
+    pub(super) fn hear_about_self(&self, rank: Option<Rank>) {
+        let Some(rank) = rank else { return };
+        let statement = Statement { instance: self.identity.instance.clone(), rank };
+        let now = self.now();
+        let change = self.with_members(|members| members.merge_statement(&statement, now));
+        if change == Change::Refuted {
+            self.own_changed();
+        }
+    }
+
+    /// Merges entries and leaves word of those that changed.
+    pub(super) fn merge_entries(&self, entries: Vec<Entry>, source: &InstanceName) {
+        let now = self.now();
+        let changed = self.with_members(|members| merge_all(members, entries, now));
+        if !changed.is_empty() {
+            self.emit(Event::Changed { members: changed, source: Some(source.clone()) });
+        }
+    }
+
+    pub(super) fn rank_of(&self, instance: &InstanceName) -> Option<Rank> {
+        self.with_members(|members| members.get(instance).map(Entry::rank))
+    }
+
+    fn heard_ago(&self, instance: &InstanceName) -> Option<Duration> {
+        Heard::at(&self.heard, instance).map(|at| self.now().since(at))
+    }
+
+    fn compare(&self, theirs: &[u64]) -> ReplyBody {
+        if theirs.len() != BUCKETS {
+            return ReplyBody::Refused;
+        }
+        self.with_members(|members| {
+            let ours = *members.digests();
+            let differs = |bucket: usize| ours[bucket] != theirs[bucket];
+            let buckets = (0..BUCKETS).filter(|bucket| differs(*bucket)).map(|b| b as u8);
+            ReplyBody::Statements {
+                buckets: buckets.collect(),
+                statements: members.statements_in(differs),
+            }
+        })
+    }
+
+    /// Returns the entries with these names, as many as one message holds.
+    pub(super) fn entries_of(&self, names: &[InstanceName]) -> Vec<Entry> {
+        self.with_members(|members| {
+            names.iter().filter_map(|name| members.get(name)).take(MAX_ENTRIES).cloned().collect()
+        })
+    }
+}
+
+fn merge_all(members: &mut Members, entries: Vec<Entry>, now: Tick) -> Vec<InstanceName> {
+    entries
+        .into_iter()
+        .take(MAX_MEMBERS)
+        .filter_map(|entry| {
+            let instance = entry.record.instance.clone();
+            let changed = matches!(members.merge(entry, now), Change::Other | Change::Refuted);
+            changed.then_some(instance)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/node/src/control/presence.rs
@@ -0,0 +1,169 @@
+//! Finds other nodes through the log and keeps the availability zone known there.
+
+use std::{rc::Rc, time::Duration};
+
+use ntex::time::sleep;
+use rand::{RngExt, seq::SliceRandom};
+use savorykeel_policy::{
+    distribution::{
+        duty::PRESENT_PER_ZONE,
+        presence::{PresenceRecord, fresh_in_zone},
+    },
+    membership::{entry::NodeRecord, rings::Contact},
+};
+use savorykeel_ports::{
+    log::{LogError, LogService, PRESENCE_STREAM},
+    peer::PeerLinks,
+};
+use slog::{debug, info, warn};
+
+use super::{
+    context::ControlContext,
+    duty,
+    maintain::pick,
+    reader::{jittered, read_tail, to_millis},
+    state::Counters,
+};
+
+/// Number of presence records that are read back.
+const PRESENCE_TAIL: u64 = 200;
+
+/// Number of nodes that a starting node asks for the membership.
+const CONTACTS: usize = 3;
+
+/// Time between two looks at the presence stream by a node that knows nobody.
+const ALONE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time between two looks at the presence stream by a node that keeps its
+/// availability zone known there.
+const PRESENT_PERIOD: Duration = Duration::from_secs(10);
+
+/// Time between two looks at whether this node has that duty.
+const DUTY_CHECK: Duration = Duration::from_millis(1_000);
+
+/// Time between two questions of a node that has not recovered yet.
+const RECOVERY_PERIOD: Duration = Duration::from_millis(200);
+
+/// Looks for others, and then keeps the availability zone known, for ever.
+pub(super) async fn keep_known<L: LogService, P: PeerLinks>(cx: Rc<ControlContext<L, P>>) {
+    sleep(to_millis(cx.times.start_jitter.mul_f64(rand::rng().random_range(0.0..1.0)))).await;
+    loop {
+        if let Err(e) = look_and_append(&cx).await {
+            debug!(cx.logger, "presence not kept"; "problem" => %e);
+        }
+        cx.state.set_joined();
+        wait_for_turn(&cx).await;
+    }
+}
+
+/// Waits until this node has to look at the presence stream again.
+///
+/// Nodes without the duty never do, so that the cost for the log doesn't grow
+/// with their number.
+async fn wait_for_turn<L, P>(cx: &ControlContext<L, P>) {
+    loop {
+        let (is_alone, is_present) = cx.state.with_members(|members| {
+            let is_alone = members.active().count() <= 1;
+            (is_alone, duty::is_present(members, &cx.state.identity))
+        });
+        if is_alone {
+            return sleep(to_millis(jittered(ALONE_PERIOD))).await;
+        }
+        if is_present {
+            return sleep(to_millis(jittered(cx.times.presence.min(PRESENT_PERIOD)))).await;
+        }
+        sleep(to_millis(jittered(DUTY_CHECK))).await;
+    }
+}
+
+async fn look_and_append<L: LogService, P: PeerLinks>(
+    cx: &ControlContext<L, P>,
+) -> Result<(), LogError> {
+    let seen = read_presence(cx).await?;
+    meet(cx, &seen).await;
+    if is_append_due(cx, &seen) {
+        append(cx).await?;
+    }
+    Ok(())
+}
+
+async fn read_presence<L: LogService, P>(
+    cx: &ControlContext<L, P>,
+) -> Result<Vec<PresenceRecord>, LogError> {
+    let records = read_tail(cx, PRESENCE_STREAM, PRESENCE_TAIL).await?;
+    let parsed = records.iter().filter_map(|record| PresenceRecord::parse(&record.body).ok());
+    Ok(parsed.collect())
+}
+
+/// Asks some of the nodes in the stream that this node doesn't know yet.
+async fn meet<L, P: PeerLinks>(cx: &ControlContext<L, P>, seen: &[PresenceRecord]) {
+    let is_unknown = |record: &&PresenceRecord| {
+        cx.state.with_members(|members| members.get(&record.node.instance).is_none())
+    };
+    let mut unknown: Vec<Contact> =
+        seen.iter().filter(is_unknown).map(|record| contact_of(&record.node)).collect();
+    unknown.sort();
+    unknown.dedup();
+    unknown.shuffle(&mut rand::rng());
+    let mut answered = 0;
+    for contact in unknown {
+        if answered == CONTACTS {
+            return;
+        }
+        answered += usize::from(cx.compare_with(&contact).await);
+    }
+}
+
+fn contact_of(record: &NodeRecord) -> Contact {
+    Contact { instance: record.instance.clone(), addr: record.peer_addr }
+}
+
+/// Tells whether the availability zone is too little known in the stream.
+fn is_append_due<L, P>(cx: &ControlContext<L, P>, seen: &[PresenceRecord]) -> bool {
+    let identity = &cx.state.identity;
+    let now = (cx.state.clock.wall)();
+    let fresh = fresh_in_zone(seen, &identity.zone, now, cx.times.presence);
+    let own = fresh.iter().any(|record| {
+        record.node.instance == identity.instance && record.node.peer_addr == identity.peer_addr
+    });
+    !own && fresh.len() < PRESENT_PER_ZONE
+}
+
+async fn append<L: LogService, P>(cx: &ControlContext<L, P>) -> Result<(), LogError> {
+    let node = cx.state.with_members(|members| NodeRecord::clone(&members.own().record));
+    if node.leaving {
+        return Ok(());
+    }
+    let record = PresenceRecord::new(node, (cx.state.clock.wall)());
+    Counters::add(&cx.state.counters.log_appends, 1);
+    match cx.log.append(PRESENCE_STREAM, record.to_bytes()).await {
+        Ok(_) => {
+            info!(cx.logger, "presence appended");
+            Ok(())
+        }
+        Err(e) => {
+            Counters::add(&cx.state.counters.log_failures, 1);
+            warn!(cx.logger, "presence not appended"; "problem" => %e);
+            Err(e)
+        }
+    }
+}
+
+/// Asks other nodes until this one knows what it may have served before.
+///
+/// Its neighbours are those that remember it; random ones from other
+/// availability zones make up for neighbours that are new or cut off.
+pub(super) async fn recover<L, P: PeerLinks>(cx: Rc<ControlContext<L, P>>) {
+    while !cx.state.is_serving() {
+        let mut contacts = cx.neighbours().all();
+        let own_zone = &cx.state.identity.zone;
+        let far = cx.state.with_members(|members| {
+            pick(members.active().filter(|record| record.zone != *own_zone))
+        });
+        contacts.extend(far);
+        futures_util::future::join_all(contacts.iter().map(|contact| cx.probe_once(contact))).await;
+        cx.state.rebuild();
+        sleep(to_millis(jittered(RECOVERY_PERIOD))).await;
+    }
+    info!(cx.logger, "recovered"; "position" => cx.state.applied_position().0);
+}
--- /dev/null
+++ b/crates/node/src/control/probe.rs
@@ -0,0 +1,101 @@
+//! Watches the successors on the rings.
+
+use std::{rc::Rc, time::Duration};
+
+use futures_util::future::join_all;
+use ntex::time::sleep;
+use savorykeel_policy::{
+    distribution::message::{MessageBody, ReplyBody},
+    ids::InstanceName,
+    membership::{
+        entry::Liveness,
+        failure::{Conclusion, PROBE_PERIOD, PROBE_TIMEOUT, conclude},
+        merge::Entry,
+        rings::{Contact, Neighbours},
+    },
+    time::Tick,
+};
+use savorykeel_ports::peer::PeerLinks;
+use slog::info;
+
+use super::{context::ControlContext, event::Event, reader::to_millis};
+
+/// Longest time that another watcher may take to report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time after which an unanswered probe says more of this process, which was
+/// paused, than of the node that was probed.
+const STALL: Duration = Duration::from_millis(3 * PROBE_TIMEOUT.as_millis() as u64);
+
+/// Probes each watched node once in each period, for ever.
+pub(super) async fn watch<L: 'static, P: PeerLinks + 'static>(cx: Rc<ControlContext<L, P>>) {
+    loop {
+        let watched = cx.neighbours().watched;
+        let pause = PROBE_PERIOD / watched.len().max(1) as u32;
+        if watched.is_empty() {
+            sleep(to_millis(pause)).await;
+        }
+        for contact in watched {
+            let cx = cx.clone();
+            ntex::rt::spawn(async move { probe(&cx, &contact).await }).detach();
+            sleep(to_millis(pause)).await;
+        }
+    }
+}
+
+async fn probe<L, P: PeerLinks>(cx: &ControlContext<L, P>, contact: &Contact) {
+    let sent_at = cx.state.now();
+    if cx.probe_once(contact).await || cx.probe_once(contact).await {
+        return;
+    }
+    if cx.state.now().since(sent_at) > STALL {
+        return;
+    }
+    let reports = ask_watchers(cx, contact).await;
+    let now = cx.state.now();
+    if conclude(sent_at, now, reports) == Conclusion::Suspect {
+        suspect(cx, &contact.instance, now);
+    }
+}
+
+/// Asks the other watchers of a node when they last heard from it.
+async fn ask_watchers<L, P: PeerLinks>(
+    cx: &ControlContext<L, P>,
+    contact: &Contact,
+) -> Vec<Option<Duration>> {
+    let own = &cx.state.identity.instance;
+    let watchers =
+        cx.state.with_members(|members| Neighbours::of(&contact.instance, members)).watchers;
+    let asked = watchers.iter().filter(|watcher| watcher.instance != *own);
+    join_all(asked.map(|watcher| ask_watcher(cx, watcher, &contact.instance))).await
+}
+
+async fn ask_watcher<L, P: PeerLinks>(
+    cx: &ControlContext<L, P>,
+    watcher: &Contact,
+    instance: &InstanceName,
+) -> Option<Duration> {
+    let body = MessageBody::Heard { instance: instance.clone() };
+    match cx.exchange(watcher.addr, body, REPORT_TIMEOUT).await {
+        Ok(ReplyBody::HeardAgo(ago)) => ago,
+        _ => None,
+    }
+}
+
+fn suspect<L, P>(cx: &ControlContext<L, P>, instance: &InstanceName, now: Tick) {
+    let is_new = cx.state.with_members(|members| members.judge(instance, Liveness::Suspect, now));
+    if is_new {
+        info!(cx.logger, "a node is suspected of being down"; "of" => instance.as_str());
+        cx.state.emit(Event::Changed { members: vec![instance.clone()], source: None });
+    }
+}
+
+impl<L, P: PeerLinks> ControlContext<L, P> {
+    /// Probes a node; returns whether it answered.
+    pub(super) async fn probe_once(&self, contact: &Contact) -> bool {
+        let about_you =
+            self.state.with_members(|members| members.get(&contact.instance).map(Entry::rank));
+        let body = MessageBody::Probe { about_you };
+        self.exchange(contact.addr, body, PROBE_TIMEOUT).await.is_ok()
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/reader.rs
@@ -0,0 +1,239 @@
+//! Reads the configuration stream of the log.
+
+use std::time::Duration;
+
+use ntex::time::{Millis, sleep};
+use rand::RngExt;
+use savorykeel_policy::{
+    config::{checkpoint::Checkpoint, fold::Step},
+    time::Tick,
+};
+use savorykeel_ports::log::{
+    CHECKPOINT_STREAM, CONFIGURATION_STREAM, LogError, LogPage, LogRecord, LogService, Offset,
+};
+use slog::{crit, error, info, warn};
+
+use super::{
+    context::{ControlContext, ControlMode},
+    duty,
+    event::Event,
+    state::{ControlState, Counters},
+};
+
+/// Offset past every record; reading there tells where a stream ends.
+const PAST_THE_END: Offset = Offset(u64::MAX >> 1);
+
+/// What a read of the log came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// Every record that the log holds is folded.
+    AtEnd,
+    /// There are more records.
+    More,
+    /// The log can't be read, or the records wanted are no longer kept.
+    Failed,
+    /// A record of unknown format stands in the way.
+    Stopped,
+}
+
+/// Reads the log for as long as this node has to.
+///
+/// Failures are retried more and more slowly, each time after a random wait, so
+/// that the readers don't come back all at once.
+pub(super) async fn read_on<L: LogService, P>(cx: &ControlContext<L, P>) {
+    let mut failures = 0;
+    loop {
+        if !has_to_read(cx) {
+            sleep(to_millis(DUTY_CHECK)).await;
+            continue;
+        }
+        match read_once(cx, cx.times.log_wait).await {
+            Progress::Failed | Progress::Stopped => {
+                failures = (failures + 1).min(MAX_BACKOFF_STEPS);
+                sleep(to_millis(jittered(cx.times.log_retry * failures))).await;
+            }
+            Progress::AtEnd | Progress::More => failures = 0,
+        }
+    }
+}
+
+/// Tells whether this node reads the log itself.
+///
+/// A node that starts and hears from nobody for a while reads it whatever its
+/// duty, because it can't know better.
+fn has_to_read<L, P>(cx: &ControlContext<L, P>) -> bool {
+    let state = &cx.state;
+    if cx.mode == ControlMode::Poll {
+        return true;
+    }
+    if !state.has_joined() {
+        return false;
+    }
+    let is_stuck = !state.is_serving() && state.uptime() > cx.times.lonely;
+    is_stuck || state.with_members(|members| duty::reads_log(members, &state.identity))
+}
+
+/// Time between two looks at whether this node has to read the log.
+const DUTY_CHECK: Duration = Duration::from_millis(50);
+
+/// Number of times that the wait after a failure grows.
+const MAX_BACKOFF_STEPS: u32 = 8;
+
+/// Reads one page from the position of the fold on.
+pub(super) async fn read_once<L: LogService, P>(
+    cx: &ControlContext<L, P>,
+    wait: Duration,
+) -> Progress {
+    let from = cx.state.applied_position();
+    let asked_at = cx.state.now();
+    Counters::add(&cx.state.counters.log_reads, 1);
+    match cx.log.read(CONFIGURATION_STREAM, Offset(from.0), wait).await {
+        Ok(page) => fold_page(cx, page, asked_at),
+        Err(LogError::Expired { earliest }) => restore_checkpoint(cx, earliest).await,
+        Err(e) => {
+            Counters::add(&cx.state.counters.log_failures, 1);
+            warn!(cx.logger, "the log can't be read"; "problem" => %e);
+            Progress::Failed
+        }
+    }
+}
+
+fn fold_page<L, P>(cx: &ControlContext<L, P>, page: LogPage, asked_at: Tick) -> Progress {
+    let state = &cx.state;
+    Counters::add(&state.counters.log_records, page.records.len());
+    state.saw_log_next(page.next.0);
+    let before = state.applied_position();
+    let step = fold_records(cx, &page.records);
+    let position = state.applied_position();
+    if position > before {
+        state.emit(Event::Advanced);
+    }
+    if step == Some(Step::Stopped) {
+        return Progress::Stopped;
+    }
+    if position.0 < page.next.0 {
+        state.rebuild();
+        return if page.records.is_empty() { Progress::Failed } else { Progress::More };
+    }
+    state.confirm(position, asked_at);
+    state.rebuild();
+    Progress::AtEnd
+}
+
+/// Folds records and logs what became of each; returns the last step.
+fn fold_records<L, P>(cx: &ControlContext<L, P>, records: &[LogRecord]) -> Option<Step> {
+    let mut last = None;
+    for record in records {
+        let was_stopped = cx.state.with_fold(|fold| fold.stopped_at());
+        let step = cx.state.with_fold(|fold| fold.apply(record.offset.0, &record.body));
+        last = Some(step);
+        let offset = record.offset.0;
+        match step {
+            Step::Accepted(version) => {
+                info!(cx.logger, "configuration accepted"; "version" => version.0, "offset" => offset);
+            }
+            Step::Conflict | Step::Refused | Step::Duplicate => {
+                info!(cx.logger, "publish not accepted"; "step" => %step, "offset" => offset);
+            }
+            Step::Stopped if was_stopped.is_none() => {
+                crit!(cx.logger, "record of unknown format: upgrade this node"; "offset" => offset);
+            }
+            Step::Stopped | Step::Gap => return last,
+            Step::Replayed => {}
+        }
+    }
+    last
+}
+
+/// Takes the newest checkpoint, because records that are needed are gone.
+async fn restore_checkpoint<L: LogService, P>(
+    cx: &ControlContext<L, P>,
+    earliest: Offset,
+) -> Progress {
+    match newest_checkpoint(cx).await {
+        Ok(Some(found)) if found.checkpoint.image.position.0 >= earliest.0 => {
+            take_checkpoint(cx, found.checkpoint)
+        }
+        Ok(_) => {
+            error!(cx.logger, "records were lost: the log no longer keeps them and no checkpoint covers them"; "earliest" => earliest.0);
+            Progress::Failed
+        }
+        Err(e) => {
+            warn!(cx.logger, "no checkpoint can be read"; "problem" => %e);
+            Progress::Failed
+        }
+    }
+}
+
+fn take_checkpoint<L, P>(cx: &ControlContext<L, P>, checkpoint: Checkpoint) -> Progress {
+    let position = checkpoint.image.position;
+    let result = cx.state.with_fold(|fold| fold.restore(checkpoint.image, checkpoint.digest));
+    match result {
+        Ok(_) => {
+            info!(cx.logger, "checkpoint restored"; "position" => position.0);
+            cx.state.emit(Event::Advanced);
+            Progress::More
+        }
+        Err(e) => {
+            error!(cx.logger, "checkpoint refused"; "problem" => %e);
+            Progress::Failed
+        }
+    }
+}
+
+/// A checkpoint with its place in the checkpoint stream.
+pub(super) struct FoundCheckpoint {
+    /// Its offset in the stream.
+    pub(super) offset: Offset,
+    /// The checkpoint.
+    pub(super) checkpoint: Checkpoint,
+}
+
+/// Returns the newest checkpoint that can be parsed.
+pub(super) async fn newest_checkpoint<L: LogService, P>(
+    cx: &ControlContext<L, P>,
+) -> Result<Option<FoundCheckpoint>, LogError> {
+    let records = read_tail(cx, CHECKPOINT_STREAM, CHECKPOINT_TAIL).await?;
+    let parse = |record: &LogRecord| match Checkpoint::parse(&record.body) {
+        Ok(checkpoint) => Some(FoundCheckpoint { offset: record.offset, checkpoint }),
+        Err(e) => {
+            warn!(cx.logger, "a checkpoint can't be used"; "offset" => record.offset.0, "problem" => %e);
+            None
+        }
+    };
+    Ok(records
+        .iter()
+        .filter_map(parse)
+        .max_by_key(|found| (found.checkpoint.image.position, found.offset)))
+}
+
+/// Number of checkpoints that are read back for one that can be used.
+const CHECKPOINT_TAIL: u64 = 8;
+
+/// Reads the last records of a stream.
+pub(super) async fn read_tail<L: LogService, P>(
+    cx: &ControlContext<L, P>,
+    stream: &str,
+    length: u64,
+) -> Result<Vec<LogRecord>, LogError> {
+    Counters::add(&cx.state.counters.log_reads, 2);
+    let end = cx.log.read(stream, PAST_THE_END, Duration::ZERO).await?;
+    let from = end.next.0.saturating_sub(length).max(end.earliest.0);
+    Ok(cx.log.read(stream, Offset(from), Duration::ZERO).await?.records)
+}
+
+/// Returns a time between half of `span` and one and a half of it.
+pub(super) fn jittered(span: Duration) -> Duration {
+    span.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
+pub(super) fn to_millis(span: Duration) -> Millis {
+    Millis(u32::try_from(span.as_millis()).unwrap_or(u32::MAX).max(1))
+}
+
+impl ControlState {
+    /// Tells whether the fold stands still at a record of unknown format.
+    pub fn is_stopped(&self) -> bool {
+        self.with_fold(|fold| fold.stopped_at().is_some())
+    }
+}
--- a/crates/policy/src/distribution/floor.rs
+++ b/crates/policy/src/distribution/floor.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     config::fold::Position,
+    distribution::message::Speaker,
     ids::{InstanceName, ZoneName},
     membership::members::MAX_MEMBERS,
 };
@@ -51,7 +52,7 @@
     floor: Position,
     answered: BTreeSet<InstanceName>,
     zones: BTreeSet<ZoneName>,
-    has_read_log: bool,
+    is_confirmed: bool,
 }
 
 /// Who could have answered a node that starts.
@@ -64,22 +65,23 @@
 }
 
 impl Recovery {
-    /// Notes another node's answer: its own position and the floor it remembers.
-    pub fn answered(
-        &mut self,
-        instance: &InstanceName,
-        zone: &ZoneName,
-        position: Position,
-        floor: Position,
-    ) {
-        self.floor = self.floor.max(position).max(floor);
-        self.answered.insert(instance.clone());
-        self.zones.insert(zone.clone());
+    /// Notes what another node tells.
+    ///
+    /// Only a node that has recovered itself counts as an answer: after a restart
+    /// of the whole fleet, no node remembers anything.
+    pub fn answered(&mut self, from: &Speaker, your_floor: Position) {
+        self.floor = self.floor.max(from.position).max(your_floor);
+        if from.recovered {
+            self.answered.insert(from.instance.clone());
+            self.zones.insert(from.zone.clone());
+        }
     }
 
-    /// Notes that every record of the log was folded, which is past any floor.
-    pub fn read_log(&mut self) {
-        self.has_read_log = true;
+    /// Notes that a position was the end of the log after this node started, so
+    /// that it lies past everything that the node applied before.
+    pub fn confirmed(&mut self, position: Position) {
+        self.floor = self.floor.max(position);
+        self.is_confirmed = true;
     }
 
     /// Returns the lowest position at which the node may serve.
@@ -99,6 +101,6 @@
         let has_answers = !self.answered.is_empty()
             && self.answered.len() >= ANSWERS_WANTED.min(answerers.nodes)
             && self.zones.len() >= ZONES_WANTED.min(answerers.zones);
-        self.has_read_log || has_answers
+        self.is_confirmed || has_answers
     }
 }
--- a/crates/policy/src/distribution/message.rs
+++ b/crates/policy/src/distribution/message.rs
@@ -31,6 +31,10 @@
     pub position: Position,
     /// Digest of its membership table.
     pub members: u64,
+    /// Whether it knows that it holds all that it ever served.
+    pub recovered: bool,
+    /// Time since its position was known to be the end of the log, if ever.
+    pub current_ago: Option<Duration>,
 }
 
 /// A message with its speaker.
@@ -133,7 +137,12 @@
     /// A newer configuration.
     Update(FoldUpdate),
     /// What the replying node holds in the buckets that differ.
-    Statements(Vec<Statement>),
+    Statements {
+        /// Numbers of the buckets.
+        buckets: Vec<u8>,
+        /// What it holds in them.
+        statements: Vec<Statement>,
+    },
     /// The wanted entries.
     Entries(Vec<Entry>),
     /// A reply of another part of the node.
--- a/crates/policy/src/distribution/mod.rs
+++ b/crates/policy/src/distribution/mod.rs
@@ -6,4 +6,5 @@
 pub mod duty;
 pub mod floor;
 pub mod message;
+pub mod presence;
 pub mod update;
--- /dev/null
+++ b/crates/policy/src/distribution/presence.rs
@@ -0,0 +1,75 @@
+//! The presence record: how nodes that start find others through the log.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{InstanceName, ZoneName},
+    membership::entry::NodeRecord,
+    time::WallMillis,
+};
+
+/// Number of the only presence format that this program knows.
+pub const PRESENCE_FORMAT: u32 = 1;
+
+/// Largest presence record in bytes.
+pub const MAX_PRESENCE_BYTES: usize = 16 << 10;
+
+/// A node that made itself known.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PresenceRecord {
+    /// Number of the format.
+    pub format: u32,
+    /// When it was appended, by the node's wall clock.
+    pub at: WallMillis,
+    /// The node.
+    pub node: NodeRecord,
+}
+
+/// A presence record that can't be used.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("the presence record can't be used: {0}")]
+pub struct InvalidPresence(String);
+
+impl PresenceRecord {
+    /// Makes the record of a node.
+    pub fn new(node: NodeRecord, at: WallMillis) -> Self {
+        Self { format: PRESENCE_FORMAT, at, node }
+    }
+
+    /// Encodes the record for the log.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// Parses a record.
+    pub fn parse(body: &[u8]) -> Result<Self, InvalidPresence> {
+        if body.len() > MAX_PRESENCE_BYTES {
+            return Err(InvalidPresence(format!("{} bytes", body.len())));
+        }
+        let record: Self =
+            serde_json::from_slice(body).map_err(|e| InvalidPresence(e.to_string()))?;
+        if record.format != PRESENCE_FORMAT {
+            return Err(InvalidPresence(format!("format {}", record.format)));
+        }
+        Ok(record)
+    }
+}
+
+/// Returns the newest fresh record of each node of an availability zone.
+///
+/// A record is fresh while it is younger than `kept`; one from the future counts
+/// too, because wall clocks differ.
+pub fn fresh_in_zone<'a>(
+    seen: &'a [PresenceRecord],
+    zone: &ZoneName,
+    now: WallMillis,
+    kept: Duration,
+) -> Vec<&'a PresenceRecord> {
+    let is_fresh = |record: &&PresenceRecord| record.node.zone == *zone && record.at + kept > now;
+    let newest: BTreeMap<&InstanceName, &PresenceRecord> =
+        seen.iter().filter(is_fresh).map(|record| (&record.node.instance, record)).collect();
+    newest.into_values().collect()
+}
--- a/crates/policy/src/membership/members.rs
+++ b/crates/policy/src/membership/members.rs
@@ -42,6 +42,15 @@
     Full,
 }
 
+/// What two tables have to exchange.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Comparison {
+    /// Entries that the other table holds newer.
+    pub wanted: Vec<InstanceName>,
+    /// Entries that this table holds newer.
+    pub offered: Vec<InstanceName>,
+}
+
 /// One node as the table holds it.
 #[derive(Debug, Clone, PartialEq)]
 struct Member {
@@ -251,6 +260,37 @@
         self.entries().filter(is_wanted).map(Entry::statement).collect()
     }
 
+    /// Sorts out which entries another table holds newer and which this one does.
+    ///
+    /// `theirs` is all that the other table holds in `buckets`. Tombstones of
+    /// nodes that one side never knew are left out.
+    pub fn compare(&self, buckets: &[u8], theirs: &[Statement]) -> Comparison {
+        let mut comparison = Comparison::default();
+        let is_covered = |name: &InstanceName| buckets.contains(&(bucket_of(name) as u8));
+        let known: BTreeMap<&InstanceName, Rank> =
+            theirs.iter().map(|s| (&s.instance, s.rank)).collect();
+        for statement in theirs {
+            let is_wanted = match self.get(&statement.instance) {
+                Some(own) => own.rank() < statement.rank,
+                None => statement.rank.liveness != Liveness::Gone,
+            };
+            if is_wanted {
+                comparison.wanted.push(statement.instance.clone());
+            }
+        }
+        for entry in self.entries() {
+            let name = &entry.record.instance;
+            let is_newer = match known.get(name) {
+                Some(rank) => *rank < entry.rank(),
+                None => entry.liveness != Liveness::Gone,
+            };
+            if is_newer && is_covered(name) {
+                comparison.offered.push(name.clone());
+            }
+        }
+        comparison
+    }
+
     fn put(&mut self, entry: Entry, now: Tick) {
         let name = entry.record.instance.clone();
         let bucket = bucket_of(&name);
