--- a/crates/node/src/control/checkpoints.rs
+++ b/crates/node/src/control/checkpoints.rs
@@ -39,7 +39,7 @@
                 .state
                 .with_members(|members| duty::writes_checkpoints(members, &cx.state.identity));
         if is_due && let Err(e) = look_and_write(&cx, &mut seen).await {
-            warn!(cx.logger, "no checkpoint written"; "problem" => %e);
+            warn!(cx.state.logger, "no checkpoint written"; "problem" => %e);
         }
     }
 }
@@ -64,7 +64,7 @@
     let own =
         cx.state.with_fold(|fold| (fold.position() == newest.image.position).then(|| fold.image()));
     if own.is_some_and(|own| own.digest() != newest.digest) {
-        crit!(cx.logger, "a checkpoint differs from this node's own state"; "position" => newest.image.position.0);
+        crit!(cx.state.logger, "a checkpoint differs from this node's own state"; "position" => newest.image.position.0);
     }
 }
 
@@ -91,6 +91,6 @@
     let checkpoint = cx.state.with_fold(|fold| Checkpoint::of(fold));
     Counters::add(&cx.state.counters.log_appends, 1);
     cx.log.append(CHECKPOINT_STREAM, checkpoint.to_bytes()).await?;
-    info!(cx.logger, "checkpoint written"; "position" => checkpoint.image.position.0);
+    info!(cx.state.logger, "checkpoint written"; "position" => checkpoint.image.position.0);
     Ok(())
 }
--- a/crates/node/src/control/context.rs
+++ b/crates/node/src/control/context.rs
@@ -3,7 +3,6 @@
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use slog::Logger;
 
 use super::state::ControlState;
 
@@ -76,6 +75,4 @@
     pub mode: ControlMode,
     /// Periods of the loops.
     pub times: ControlTimes,
-    /// Where log lines go.
-    pub logger: Logger,
 }
--- a/crates/node/src/control/gossip.rs
+++ b/crates/node/src/control/gossip.rs
@@ -136,7 +136,7 @@
     let (cx, to) = (cx.clone(), to.clone());
     ntex::rt::spawn(async move {
         if let Err(e) = cx.exchange(to.addr, body, NEWS_TIMEOUT).await {
-            debug!(cx.logger, "news not taken"; "instance" => to.instance.as_str(), "problem" => %e);
+            debug!(cx.state.logger, "news not taken"; "instance" => to.instance.as_str(), "problem" => %e);
         }
     })
     .detach();
@@ -186,7 +186,7 @@
             Ok(false) if wants_whole => return,
             Ok(false) => {}
             Err(e) => {
-                debug!(cx.logger, "no configuration pulled"; "instance" => holder.instance.as_str(), "problem" => %e);
+                debug!(cx.state.logger, "no configuration pulled"; "instance" => holder.instance.as_str(), "problem" => %e);
                 return;
             }
         }
@@ -203,7 +203,7 @@
     let ReplyBody::Update(update) = reply else { return Ok(false) };
     let result = cx.state.with_fold(|fold| update.apply_to(fold));
     Ok(result.unwrap_or_else(|e| {
-        warn!(cx.logger, "an update doesn't fit"; "instance" => holder.instance.as_str(), "problem" => %e);
+        warn!(cx.state.logger, "an update doesn't fit"; "instance" => holder.instance.as_str(), "problem" => %e);
         false
     }))
 }
@@ -245,7 +245,7 @@
         match self.try_compare(contact).await {
             Ok(()) => true,
             Err(e) => {
-                debug!(self.logger, "no comparison of members"; "instance" => contact.instance.as_str(), "problem" => %e);
+                debug!(self.state.logger, "no comparison of members"; "instance" => contact.instance.as_str(), "problem" => %e);
                 false
             }
         }
--- a/crates/node/src/control/maintain.rs
+++ b/crates/node/src/control/maintain.rs
@@ -44,7 +44,7 @@
         }
         let changed = cx.state.with_members(|members| members.expire(now));
         for instance in &changed {
-            info!(cx.logger, "a node can't be reached"; "of" => instance.as_str());
+            info!(cx.state.logger, "a node can't be reached"; "of" => instance.as_str());
         }
         if !changed.is_empty() {
             cx.state.emit(Event::Changed { members: changed, source: None });
@@ -63,7 +63,7 @@
             continue;
         };
         if cx.probe_once(&contact).await {
-            info!(cx.logger, "a node is reached again"; "of" => contact.instance.as_str());
+            info!(cx.state.logger, "a node is reached again"; "of" => contact.instance.as_str());
             cx.compare_with(&contact).await;
         }
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -17,9 +17,11 @@
 mod presence;
 mod probe;
 mod reader;
+mod start;
 pub mod state;
 
 pub use context::{ControlContext, ControlMode, ControlTimes};
+pub use start::start;
 
 use std::{rc::Rc, time::Duration};
 
--- a/crates/node/src/control/presence.rs
+++ b/crates/node/src/control/presence.rs
@@ -49,7 +49,7 @@
     sleep(to_millis(cx.times.start_jitter.mul_f64(rand::rng().random_range(0.0..1.0)))).await;
     loop {
         if let Err(e) = look_and_append(&cx).await {
-            debug!(cx.logger, "presence not kept"; "problem" => %e);
+            debug!(cx.state.logger, "presence not kept"; "problem" => %e);
         }
         cx.state.set_joined();
         wait_for_turn(&cx).await;
@@ -138,12 +138,12 @@
     Counters::add(&cx.state.counters.log_appends, 1);
     match cx.log.append(PRESENCE_STREAM, record.to_bytes()).await {
         Ok(_) => {
-            info!(cx.logger, "presence appended");
+            info!(cx.state.logger, "presence appended");
             Ok(())
         }
         Err(e) => {
             Counters::add(&cx.state.counters.log_failures, 1);
-            warn!(cx.logger, "presence not appended"; "problem" => %e);
+            warn!(cx.state.logger, "presence not appended"; "problem" => %e);
             Err(e)
         }
     }
@@ -165,5 +165,5 @@
         cx.state.rebuild();
         sleep(to_millis(jittered(RECOVERY_PERIOD))).await;
     }
-    info!(cx.logger, "recovered"; "position" => cx.state.applied_position().0);
+    info!(cx.state.logger, "recovered"; "position" => cx.state.applied_position().0);
 }
--- a/crates/node/src/control/probe.rs
+++ b/crates/node/src/control/probe.rs
@@ -85,7 +85,7 @@
 fn suspect<L, P>(cx: &ControlContext<L, P>, instance: &InstanceName, now: Tick) {
     let is_new = cx.state.with_members(|members| members.judge(instance, Liveness::Suspect, now));
     if is_new {
-        info!(cx.logger, "a node is suspected of being down"; "of" => instance.as_str());
+        info!(cx.state.logger, "a node is suspected of being down"; "of" => instance.as_str());
         cx.state.emit(Event::Changed { members: vec![instance.clone()], source: None });
     }
 }
--- a/crates/node/src/control/reader.rs
+++ b/crates/node/src/control/reader.rs
@@ -92,7 +92,7 @@
         Err(LogError::Expired { earliest }) => restore_checkpoint(cx, earliest).await,
         Err(e) => {
             Counters::add(&cx.state.counters.log_failures, 1);
-            warn!(cx.logger, "the log can't be read"; "problem" => %e);
+            warn!(cx.state.logger, "the log can't be read"; "problem" => %e);
             Progress::Failed
         }
     }
@@ -130,13 +130,13 @@
         let offset = record.offset.0;
         match step {
             Step::Accepted(version) => {
-                info!(cx.logger, "configuration accepted"; "version" => version.0, "offset" => offset);
+                info!(cx.state.logger, "configuration accepted"; "version" => version.0, "offset" => offset);
             }
             Step::Conflict | Step::Refused | Step::Duplicate => {
-                info!(cx.logger, "publish not accepted"; "step" => %step, "offset" => offset);
+                info!(cx.state.logger, "publish not accepted"; "step" => %step, "offset" => offset);
             }
             Step::Stopped if was_stopped.is_none() => {
-                crit!(cx.logger, "record of unknown format: upgrade this node"; "offset" => offset);
+                crit!(cx.state.logger, "record of unknown format: upgrade this node"; "offset" => offset);
             }
             Step::Stopped | Step::Gap => return last,
             Step::Replayed => {}
@@ -155,11 +155,11 @@
             take_checkpoint(cx, found.checkpoint)
         }
         Ok(_) => {
-            error!(cx.logger, "records were lost: the log no longer keeps them and no checkpoint covers them"; "earliest" => earliest.0);
+            error!(cx.state.logger, "records were lost: the log no longer keeps them and no checkpoint covers them"; "earliest" => earliest.0);
             Progress::Failed
         }
         Err(e) => {
-            warn!(cx.logger, "no checkpoint can be read"; "problem" => %e);
+            warn!(cx.state.logger, "no checkpoint can be read"; "problem" => %e);
             Progress::Failed
         }
     }
@@ -170,12 +170,12 @@
     let result = cx.state.with_fold(|fold| fold.restore(checkpoint.image, checkpoint.digest));
     match result {
         Ok(_) => {
-            info!(cx.logger, "checkpoint restored"; "position" => position.0);
+            info!(cx.state.logger, "checkpoint restored"; "position" => position.0);
             cx.state.emit(Event::Advanced);
             Progress::More
         }
         Err(e) => {
-            error!(cx.logger, "checkpoint refused"; "problem" => %e);
+            error!(cx.state.logger, "checkpoint refused"; "problem" => %e);
             Progress::Failed
         }
     }
@@ -197,7 +197,7 @@
     let parse = |record: &LogRecord| match Checkpoint::parse(&record.body) {
         Ok(checkpoint) => Some(FoundCheckpoint { offset: record.offset, checkpoint }),
         Err(e) => {
-            warn!(cx.logger, "a checkpoint can't be used"; "offset" => record.offset.0, "problem" => %e);
+            warn!(cx.state.logger, "a checkpoint can't be used"; "offset" => record.offset.0, "problem" => %e);
             None
         }
     };
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -36,6 +36,7 @@
 };
 use savorykeel_ports::clock::Clock;
 use serde::Serialize;
+use slog::{Logger, info};
 use xxhash_rust::xxh3::xxh3_128;
 
 use super::{
@@ -99,6 +100,8 @@
     pub identity: Identity,
     /// Reads the clocks.
     pub clock: Clock,
+    /// Where log lines go.
+    pub logger: Logger,
     /// Numbers that the control loops count.
     pub counters: Counters,
     table: ArcSwapOption<Table>,
@@ -176,6 +179,7 @@
     pub fn new(
         identity: Identity,
         clock: Clock,
+        logger: Logger,
         journal_file: Option<&Path>,
     ) -> std::io::Result<Arc<Self>> {
         let own = NodeRecord {
@@ -193,6 +197,7 @@
         Ok(Arc::new(Self {
             identity,
             clock,
+            logger,
             counters: Counters::default(),
             table: ArcSwapOption::empty(),
             fold: Mutex::default(),
@@ -431,6 +436,7 @@
             Table::build(fold.version(), configuration.clone(), members.records())
         };
         if self.applied_version() != table.version {
+            info!(self.logger, "configuration applied"; "version" => table.version.0);
             self.write_journal(&fold, &table);
         }
         self.table.store(Some(Arc::new(table)));
