--- a/crates/policy/src/config/mod.rs
+++ b/crates/policy/src/config/mod.rs
@@ -8,3 +8,4 @@
 pub mod model;
 pub mod raw;
 pub mod record;
+mod rfc3339;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,10 +3,12 @@
 //! Time and randomness are passed in, so that every decision can be replayed
 //! from a seed. The reasons for this split are in `docs/design/0001-layout.md`.
 
+pub mod calls;
 pub mod code;
 pub mod config;
 pub mod distribution;
 pub mod ids;
 pub mod membership;
+pub mod moves;
 pub mod table;
 pub mod time;
--- a/crates/policy/tests/membership_merge.rs
+++ b/crates/policy/tests/membership_merge.rs
@@ -33,7 +33,7 @@
         region: RegionName::try_from("region").unwrap(),
         peer_addr: SocketAddr::from(([127, 0, (n % 4) as u8, 1], 1_000 + n as u16)),
         leaving: sequence % 5 == 4,
-        backend: (sequence % 2 == 0).then(|| BackendRecord {
+        backend: sequence.is_multiple_of(2).then(|| BackendRecord {
             service: ServiceName::try_from("gate").unwrap(),
             version: "v1".try_into().unwrap(),
             slots: sequence as u32,
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -1,3 +1,6 @@
 //! Feature tests by theme.
 
 mod binary;
+mod check_configuration;
+mod cli_usage;
+mod harness;
