Ask for a resumed node's work in its own availability zone

Change: the caller uses another node of the same availability zone. Conclusion: the check still asks that another node sends it work again.

--- a/tests/feature/membership_failure.rs
+++ b/tests/feature/membership_failure.rs
@@ -91,8 +91,11 @@
     });
     fleet.members[0].node().resume();
     let before = runs(&fleet, 0);
+    let neighbour = (1..fleet.members.len())
+        .find(|i| fleet.members[*i].place.zone == fleet.members[0].place.zone)
+        .unwrap();
     eventually("the node's backend server gets work again", || {
-        let _ = fleet.client.call(fleet.members[1].callers(), Request::get("/gate"));
+        let _ = fleet.client.call(fleet.members[neighbour].callers(), Request::get("/gate"));
         runs(&fleet, 0) > before
     });
 }
