Give the caller's client a connection limit

ntex documents a limit of 0 as none, but its pool compares the open connections with the limit before it wakes waiting requests, so that with 0 it never does.

--- a/crates/standins/src/caller/client.rs
+++ b/crates/standins/src/caller/client.rs
@@ -19,6 +19,12 @@
 
 use super::{CallError, Header, Reply, Request};
 
+/// Connections open at once.
+///
+/// It isn't 0, which ntex takes for "no limit": its pool then never wakes the
+/// requests that wait while another connection opens.
+const MAX_CONNECTIONS: usize = 4_096;
+
 /// A call handed to the client's thread.
 struct Job {
     addr: SocketAddr,
@@ -85,7 +91,7 @@
     pub(crate) async fn new() -> Result<Self, client::error::ClientBuilderError> {
         let cfg: SharedCfg = SharedCfg::new("caller").into();
         let builder = client::Client::builder()
-            .connector::<()>(Connector::new().limit(0))
+            .connector::<()>(Connector::new().limit(MAX_CONNECTIONS))
             .disable_timeout()
             .disable_redirects()
             .no_default_headers()
