Measure the latency that two nodes add to a call

Calls go straight to a backend server and through two nodes to the same one, in alternating rounds of one run, at 400 calls a second and with 1, 16 and 64 calls at once; all processes are real. The table gives p50, p99, p99.9, what is added, the added p99 of the least disturbed pair of rounds and the nodes' processor time by call.

--- /dev/null
+++ b/crates/bench/src/latency/mesh.rs
@@ -0,0 +1,138 @@
+//! Two nodes, a log service and a backend server as processes.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
+
+use anyhow::bail;
+use savorykeel_standins::caller::{Client, Request};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::processes::{NodeReady, Process, StandinReady};
+
+/// Longest wait until calls go through both nodes.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Requests that the backend server runs at once.
+const BACKEND_SLOTS: usize = 200;
+
+/// Connections that the backend server takes; rounds open new ones.
+const BACKEND_CONNECTIONS: usize = 2_000;
+
+/// Pause between two tries.
+const READY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Two nodes, of which only the second has a backend server, so that each call
+/// through the first goes through both.
+pub struct Mesh {
+    entry: Process<NodeReady>,
+    serving: Process<NodeReady>,
+    backend: Process<StandinReady>,
+    _log: Process<StandinReady>,
+    _dir: TempDir,
+}
+
+impl Mesh {
+    /// Starts the processes and waits until a call goes through.
+    pub fn start() -> anyhow::Result<Self> {
+        let dir = TempDir::new()?;
+        let log: Process<StandinReady> = Process::start(["standin", "log"])?;
+        let entry = start_node(dir.path(), "entry", log.ready.address)?;
+        let serving = start_node(dir.path(), "serving", log.ready.address)?;
+        let backend = start_backend(dir.path(), serving.ready.backend)?;
+        let mesh = Self { entry, serving, backend, _log: log, _dir: dir };
+        mesh.wait_ready()?;
+        Ok(mesh)
+    }
+
+    /// Returns the first node's address for callers.
+    pub fn entry(&self) -> SocketAddr {
+        self.entry.ready.callers
+    }
+
+    /// Returns the processor time that both nodes used so far.
+    pub fn node_time(&self) -> anyhow::Result<Duration> {
+        Ok(self.entry.cpu_time()? + self.serving.cpu_time()?)
+    }
+
+    /// Returns the backend server's own address.
+    pub fn backend(&self) -> SocketAddr {
+        self.backend.ready.address
+    }
+
+    fn wait_ready(&self) -> anyhow::Result<()> {
+        let client = Client::start()?;
+        publish(&client, self._log.ready.address)?;
+        let deadline = Instant::now() + READY_TIMEOUT;
+        loop {
+            let reply = client.call(self.entry(), Request::post("/probe", "ready?"));
+            match reply {
+                Ok(reply) if reply.status == 200 => return Ok(()),
+                _ if Instant::now() < deadline => thread::sleep(READY_PAUSE),
+                Ok(reply) => bail!("no call goes through: {}", reply.text()),
+                Err(e) => bail!("no call goes through: {e}"),
+            }
+        }
+    }
+}
+
+fn start_node(dir: &Path, instance: &str, log: SocketAddr) -> anyhow::Result<Process<NodeReady>> {
+    let any_port = "127.0.0.1:0";
+    let settings = json!({
+        "instance": instance,
+        "zone": "zone-1",
+        "region": "region-1",
+        "listen": {
+            "callers": any_port,
+            "backend": any_port,
+            "peers": any_port,
+            "operators": any_port,
+        },
+        "log_service": format!("http://{log}"),
+    });
+    let file = dir.join(format!("{instance}.json"));
+    fs::write(&file, settings.to_string())?;
+    Process::start([Path::new("node"), Path::new("--settings"), &file])
+}
+
+/// Starts a backend server with room for every pattern, so that its queue isn't
+/// measured.
+fn start_backend(dir: &Path, node: SocketAddr) -> anyhow::Result<Process<StandinReady>> {
+    let settings = json!({
+        "service": "probe",
+        "version": "v1",
+        "node": node,
+        "slots": BACKEND_SLOTS,
+        "connections": BACKEND_CONNECTIONS,
+    });
+    let file = dir.join("backend.json");
+    fs::write(&file, settings.to_string())?;
+    Process::start([Path::new("standin"), Path::new("backend"), Path::new("--settings"), &file])
+}
+
+fn publish(client: &Client, log: SocketAddr) -> anyhow::Result<()> {
+    let record =
+        json!({ "format": 1, "id": "bench-1", "base": 0, "configuration": configuration() });
+    let req = Request::post("/v1/streams/configuration/records", record.to_string());
+    let reply = client.call(log, req)?;
+    anyhow::ensure!(reply.status == 201, "the log answered {}", reply.status);
+    Ok(())
+}
+
+fn configuration() -> Value {
+    json!({
+        "format": 1,
+        "services": { "probe": { "version": "v1" } },
+        "routes": [{
+            "name": "probe",
+            "match": { "path": "/probe" },
+            "service": "probe",
+            "idempotent": true,
+        }],
+    })
+}
--- /dev/null
+++ b/crates/bench/src/latency/mod.rs
@@ -0,0 +1,62 @@
+//! Latency that two nodes add to a call.
+//!
+//! Calls go straight to a backend server and through two nodes to the same one,
+//! in alternating rounds of one run, so that both see the same machine. Every
+//! process is a real one on loopback.
+
+mod load;
+mod mesh;
+mod report;
+
+use std::time::Duration;
+
+use argh::FromArgs;
+
+use load::Pattern;
+use mesh::Mesh;
+use report::Comparison;
+
+/// Rate of calls of a node at the target size, in calls a second.
+const TARGET_RATE: u32 = 400;
+
+/// Measure the latency that two nodes add to a call.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "latency")]
+pub struct Args {
+    /// seconds of each round (default 2)
+    #[argh(option, default = "2")]
+    seconds: u64,
+
+    /// rounds of each pattern, direct and through the nodes in turn (default 5)
+    #[argh(option, default = "5")]
+    rounds: u32,
+
+    /// bytes in the body of each request (default 256)
+    #[argh(option, default = "256")]
+    body_bytes: usize,
+}
+
+/// Runs the measurement and prints its table.
+pub fn run(args: &Args) -> anyhow::Result<()> {
+    let mesh = Mesh::start()?;
+    let patterns =
+        [Pattern::AtOnce(1), Pattern::AtOnce(16), Pattern::AtOnce(64), Pattern::Rate(TARGET_RATE)];
+    println!("{}", Comparison::HEADING);
+    for pattern in patterns {
+        let comparison = compare(args, &mesh, pattern)?;
+        println!("{comparison}");
+    }
+    Ok(())
+}
+
+fn compare(args: &Args, mesh: &Mesh, pattern: Pattern) -> anyhow::Result<Comparison> {
+    let span = Duration::from_secs(args.seconds);
+    let mut comparison = Comparison::new(pattern)?;
+    for _ in 0..args.rounds {
+        comparison.direct.add(&load::run(mesh.backend(), pattern, span, args.body_bytes)?)?;
+        let node_time = mesh.node_time()?;
+        comparison.meshed.add(&load::run(mesh.entry(), pattern, span, args.body_bytes)?)?;
+        comparison.node_time += mesh.node_time()? - node_time;
+    }
+    Ok(comparison)
+}
--- /dev/null
+++ b/crates/bench/src/latency/report.rs
@@ -0,0 +1,111 @@
+//! The table of a latency measurement.
+
+use std::{fmt, time::Duration};
+
+use hdrhistogram::Histogram;
+
+use super::load::{Pattern, Round};
+
+/// Largest latency that the histogram takes, in nanoseconds.
+const MAX_NANOS: u64 = 60_000_000_000;
+
+/// Digits kept by the histogram.
+const DIGITS: u8 = 3;
+
+/// Latencies of one way over all rounds.
+pub struct Side {
+    nanos: Histogram<u64>,
+    span: Duration,
+    failures: u64,
+    /// 99th percentiles of the rounds, in microseconds.
+    round_p99s: Vec<f64>,
+}
+
+impl Side {
+    fn new() -> anyhow::Result<Self> {
+        let nanos = Histogram::new_with_bounds(1, MAX_NANOS, DIGITS)?;
+        Ok(Self { nanos, span: Duration::ZERO, failures: 0, round_p99s: Vec::new() })
+    }
+
+    /// Adds a round.
+    pub fn add(&mut self, round: &Round) -> anyhow::Result<()> {
+        let mut sorted: Vec<f64> = round.latencies.iter().map(Duration::as_secs_f64).collect();
+        sorted.sort_by(f64::total_cmp);
+        if let Some(p99) = sorted.get(sorted.len() * 99 / 100) {
+            self.round_p99s.push(p99 * 1e6);
+        }
+        for latency in &round.latencies {
+            self.nanos.record(latency.as_nanos() as u64)?;
+        }
+        self.span += round.span;
+        self.failures += round.failures;
+        Ok(())
+    }
+
+    fn micros(&self, quantile: f64) -> f64 {
+        self.nanos.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+
+    fn rate(&self) -> f64 {
+        self.nanos.len() as f64 / self.span.as_secs_f64()
+    }
+}
+
+/// One pattern of calls, straight and through the nodes.
+pub struct Comparison {
+    pattern: Pattern,
+    /// Straight to the backend server.
+    pub direct: Side,
+    /// Through two nodes.
+    pub meshed: Side,
+    /// Processor time of both nodes.
+    pub node_time: Duration,
+}
+
+impl Comparison {
+    /// Heading of the table that the rows of `Display` belong to.
+    pub const HEADING: &str = "\
+pattern        way      calls  calls/s  failed  p50 us  p99 us  p99.9 us  added p50  added p99  \
+quietest  node cpu us";
+
+    /// A comparison without rounds.
+    pub fn new(pattern: Pattern) -> anyhow::Result<Self> {
+        Ok(Self { pattern, direct: Side::new()?, meshed: Side::new()?, node_time: Duration::ZERO })
+    }
+}
+
+impl Comparison {
+    /// Returns what is added at the 99th percentile in the pair of rounds whose
+    /// calls through the nodes were the fastest: other work on the machine
+    /// disturbed that pair least.
+    fn quietest_added_p99(&self) -> f64 {
+        let pairs = self.meshed.round_p99s.iter().zip(&self.direct.round_p99s);
+        let quietest = pairs.min_by(|a, b| a.0.total_cmp(b.0));
+        quietest.map_or(f64::NAN, |(meshed, direct)| meshed - direct)
+    }
+}
+
+impl fmt::Display for Comparison {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = self.pattern.to_string();
+        for (way, side) in [("direct", &self.direct), ("2 nodes", &self.meshed)] {
+            write!(
+                f,
+                "{name:<14} {way:<7} {:>6} {:>8.0} {:>7} {:>7.0} {:>7.0} {:>9.0}",
+                side.nanos.len(),
+                side.rate(),
+                side.failures,
+                side.micros(0.5),
+                side.micros(0.99),
+                side.micros(0.999),
+            )?;
+            if way == "direct" {
+                writeln!(f)?;
+            }
+        }
+        let added = |quantile| self.meshed.micros(quantile) - self.direct.micros(quantile);
+        write!(f, "  {:>9.0}  {:>9.0}", added(0.5), added(0.99))?;
+        let node_micros = self.node_time.as_secs_f64() * 1e6 / self.meshed.nanos.len() as f64;
+        write!(f, "  {:>9.0}  {:>11.0}", self.quietest_added_p99(), node_micros)
+    }
+}
