--- /dev/null
+++ b/crates/core/demo/configuration.rs
@@ -0,0 +1,70 @@
+//! The configurations that the demo publishes.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use jiff::{SignedDuration, Timestamp};
+use savorykeel_policy::config::{
+    model::CONFIGURATION_FORMAT,
+    raw::{RawConfiguration, RawLimits, RawMatch, RawObjective, RawRoute, RawService},
+};
+
+/// Service whose new version is good.
+pub const GATE: &str = "gate";
+
+/// Service whose new version is bad.
+pub const HISTORY: &str = "history";
+
+/// Version that both services run at first.
+pub const OLD: &str = "v1";
+
+/// Version that both services move to.
+pub const NEW: &str = "v2";
+
+/// Versions that the two services should run.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted {
+    /// Version of the gate service.
+    pub gate: &'static str,
+    /// Version of the history service.
+    pub history: &'static str,
+    /// Time from now within which moves should end.
+    pub within: Option<Duration>,
+}
+
+/// Returns the whole configuration.
+pub fn configuration(wanted: Wanted) -> anyhow::Result<RawConfiguration> {
+    let by = wanted.within.map(by).transpose()?;
+    let services = [(GATE, wanted.gate), (HISTORY, wanted.history)]
+        .map(|(name, version)| (name.to_owned(), service(version, by.clone())));
+    Ok(RawConfiguration {
+        format: CONFIGURATION_FORMAT,
+        services: BTreeMap::from(services),
+        routes: vec![
+            route("gate-open", GATE, "/gate/open", false),
+            route("gate", GATE, "/gate", true),
+            route("history", HISTORY, "/history", true),
+        ],
+        limits: RawLimits::default(),
+    })
+}
+
+fn by(within: Duration) -> anyhow::Result<String> {
+    let at = Timestamp::now().checked_add(SignedDuration::try_from(within)?)?;
+    Ok(at.to_string())
+}
+
+fn service(version: &str, by: Option<String>) -> RawService {
+    RawService { version: version.to_owned(), by, objective: RawObjective::default() }
+}
+
+fn route(name: &str, service: &str, path: &str, idempotent: bool) -> RawRoute {
+    RawRoute {
+        name: name.to_owned(),
+        matches: RawMatch { path: path.to_owned(), ..RawMatch::default() },
+        service: service.to_owned(),
+        idempotent,
+        urgent: false,
+        timeout_ms: 5_000,
+        body_limit_bytes: 1 << 20,
+    }
+}
--- /dev/null
+++ b/crates/core/demo/mesh.rs
@@ -0,0 +1,185 @@
+//! The demo's mesh: log service, nodes and backend servers in one process.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, anyhow};
+use savorykeel_node::{
+    Addresses,
+    settings::{RawAdvertise, RawLimits, RawListen, RawOperators, RawSettings, Settings},
+};
+use savorykeel_standins::{
+    backend::{self, Behaviour, Run},
+    caller::{Client, Request},
+    log,
+};
+use slog::{Discard, Logger, o};
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait until a node listens.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest wait until calls through every node are answered.
+const ANSWERS_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Pause between two looks at that.
+const ANSWERS_POLL: Duration = Duration::from_millis(20);
+
+/// One instance to start.
+#[derive(Debug, Clone)]
+pub struct InstanceSpec {
+    /// Service of its backend server.
+    pub service: &'static str,
+    /// Version of its backend server.
+    pub version: &'static str,
+    /// Number of its availability zone, from 1.
+    pub zone: u8,
+    /// How its backend server behaves.
+    pub behaviour: Behaviour,
+}
+
+impl InstanceSpec {
+    fn name(&self) -> String {
+        format!("{}-{}-zone-{}", self.service, self.version, self.zone)
+    }
+}
+
+/// A node on threads of this process; dropping it stops it gracefully.
+struct NodeThread {
+    addresses: Addresses,
+    stop: CancellationToken,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl NodeThread {
+    fn start(settings: Settings) -> anyhow::Result<Self> {
+        let stop = CancellationToken::new();
+        let (ready_tx, ready_rx) = mpsc::channel();
+        let failed_tx = ready_tx.clone();
+        let token = stop.clone();
+        let name = settings.instance.as_str().to_owned();
+        let body = move || {
+            let log = Logger::root(Discard, o!());
+            let on_ready = move |addresses: &Addresses| {
+                let _ = ready_tx.send(Ok(addresses.clone()));
+            };
+            if let Err(e) = savorykeel_node::run(settings, log, token, on_ready) {
+                let _ = failed_tx.send(Err(e));
+            }
+        };
+        let thread = thread::Builder::new().name(name.clone()).spawn(body)?;
+        let ready = ready_rx.recv_timeout(READY_TIMEOUT);
+        let addresses = ready.with_context(|| format!("node {name} doesn't listen"))??;
+        Ok(Self { addresses, stop, thread: Some(thread) })
+    }
+}
+
+impl Drop for NodeThread {
+    fn drop(&mut self) {
+        self.stop.cancel();
+        if let Some(thread) = self.thread.take() {
+            // A panic was already printed by the thread itself.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Everything that runs; dropping it stops all of it.
+pub struct Mesh {
+    backends: Vec<backend::Handle>,
+    nodes: Vec<NodeThread>,
+    _log: log::Handle,
+}
+
+impl Mesh {
+    /// Starts a node and a backend server for each instance.
+    pub fn start(instances: &[InstanceSpec], token_file: &Path) -> anyhow::Result<Self> {
+        let log = log::start(log::Settings::default())?;
+        let mut mesh = Self { backends: Vec::new(), nodes: Vec::new(), _log: log };
+        for spec in instances {
+            let settings = node_settings(spec, &mesh._log.url(), token_file)?;
+            let node = NodeThread::start(settings)?;
+            let backend = backend::Settings::new(spec.service, spec.version)
+                .named(&spec.name())
+                .beside(node.addresses.backend)
+                .behaving(spec.behaviour.clone());
+            mesh.nodes.push(node);
+            mesh.backends.push(backend::start(backend)?);
+        }
+        Ok(mesh)
+    }
+
+    /// Returns the nodes' addresses for callers.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.addresses.callers).collect()
+    }
+
+    /// Waits until each node answers a `GET` on each path, and tells whether all
+    /// did in time.
+    pub fn wait_answers(&self, paths: &[&str]) -> anyhow::Result<bool> {
+        let client = Client::start()?;
+        let deadline = Instant::now() + ANSWERS_TIMEOUT;
+        for entry in self.entries() {
+            for path in paths {
+                let is_answered =
+                    || client.call(entry, Request::get(path)).is_ok_and(|reply| reply.status == 200);
+                while !is_answered() {
+                    if Instant::now() > deadline {
+                        return Ok(false);
+                    }
+                    thread::sleep(ANSWERS_POLL);
+                }
+            }
+        }
+        Ok(true)
+    }
+
+    /// Returns the nodes' addresses for operators.
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.addresses.operators).collect()
+    }
+
+    /// Returns every run of every backend server.
+    pub fn runs(&self) -> Vec<Run> {
+        self.backends.iter().flat_map(backend::Handle::ledger).collect()
+    }
+
+    /// Stops every node at the same time, gracefully.
+    pub fn stop(self) {
+        for node in &self.nodes {
+            node.stop.cancel();
+        }
+    }
+}
+
+fn node_settings(
+    spec: &InstanceSpec,
+    log_service: &str,
+    token_file: &Path,
+) -> anyhow::Result<Settings> {
+    let any_port = || SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).to_string();
+    let raw = RawSettings {
+        instance: spec.name(),
+        zone: format!("zone-{}", spec.zone),
+        region: "region-1".into(),
+        listen: RawListen {
+            callers: any_port(),
+            backend: any_port(),
+            peers: any_port(),
+            operators: any_port(),
+        },
+        advertise: RawAdvertise::default(),
+        log_service: log_service.to_owned(),
+        metrics: None,
+        operators: RawOperators { token_file: Some(token_file.to_owned()) },
+        journal_file: None,
+        workers: 1,
+        limits: RawLimits::default(),
+    };
+    Settings::try_from(raw).map_err(|refusals| anyhow!("the demo's settings: {refusals:?}"))
+}
--- /dev/null
+++ b/crates/core/demo/mod.rs
@@ -0,0 +1,271 @@
+//! `savorykeel demo`: the whole product in one process, with an account of what
+//! was observed.
+//!
+//! It publishes a configuration, makes calls all the time, moves one service to
+//! a good version and one to a bad version, and reads the burn report. It prints
+//! nothing that it did not observe and ends well only if every claim held.
+
+mod account;
+mod configuration;
+mod mesh;
+mod operators;
+mod shares;
+
+use std::{fs, path::PathBuf, thread, time::Duration};
+
+use savorykeel_policy::{
+    ids::ConfigVersion,
+    moves::status::{MoveReport, Phase},
+};
+use savorykeel_standins::{
+    backend::Behaviour,
+    caller::{Load, Plan, Tally, Template},
+};
+
+use crate::{exit::Exit, flags::DemoFlags, report};
+
+use account::Account;
+use configuration::{GATE, HISTORY, NEW, OLD, Wanted, configuration};
+use mesh::{InstanceSpec, Mesh};
+use operators::{Accepted, Operators};
+
+/// Availability zones.
+const ZONES: u8 = 2;
+
+/// Time for which calls are made before the first move.
+const BEFORE_MOVES: Duration = Duration::from_secs(3);
+
+/// Time within which the good move should end.
+const GOOD_MOVE_WITHIN: Duration = Duration::from_secs(12);
+
+/// Time within which the bad move would end if it weren't bad.
+const BAD_MOVE_WITHIN: Duration = Duration::from_secs(12);
+
+/// Longest wait for the end of a move.
+const MOVE_WAIT: Duration = Duration::from_secs(18);
+
+/// Time for which calls are made after the last move.
+const AFTER_MOVES: Duration = Duration::from_secs(2);
+
+/// Time within which the whole demo must end.
+const DEMO_LIMIT: Duration = Duration::from_secs(60);
+
+/// Share of the bad version's calls that fail.
+const BAD_FAILURE_RATE: f64 = 0.5;
+
+/// Time after a version was taken back from which it must get no call.
+const SETTLING: Duration = Duration::from_secs(1);
+
+/// Time that a backend server takes for a call.
+const LATENCY_MS: u64 = 2;
+
+/// Callers, each with one call at a time.
+const CALLERS: usize = 8;
+
+/// Runs the demo.
+pub fn run(_: DemoFlags) -> anyhow::Result<Exit> {
+    let dir = TokenDir::create()?;
+    let mut demo = Demo::start(&dir)?;
+    let load = demo.start_load()?;
+    thread::sleep(BEFORE_MOVES);
+    demo.move_to_good(&load)?;
+    demo.move_to_bad(&load)?;
+    thread::sleep(AFTER_MOVES);
+    demo.report_burn()?;
+    let held = demo.finish(load);
+    Ok(if held { Exit::Done } else { Exit::Failed })
+}
+
+/// Directory that holds the operators' token while the demo runs.
+struct TokenDir {
+    dir: PathBuf,
+}
+
+impl TokenDir {
+    fn create() -> anyhow::Result<Self> {
+        let dir = std::env::temp_dir().join(format!("savorykeel-demo-{}", std::process::id()));
+        fs::create_dir_all(&dir)?;
+        let created = Self { dir };
+        fs::write(created.file(), "demo-token")?;
+        Ok(created)
+    }
+
+    fn file(&self) -> PathBuf {
+        self.dir.join("token")
+    }
+}
+
+impl Drop for TokenDir {
+    fn drop(&mut self) {
+        // Nothing is lost when a temporary directory stays behind.
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// What the demo holds besides its callers.
+struct Demo {
+    account: Account,
+    operators: Operators,
+    mesh: Mesh,
+    version: ConfigVersion,
+}
+
+impl Demo {
+    /// Starts the mesh and publishes the first configuration.
+    fn start(dir: &TokenDir) -> anyhow::Result<Self> {
+        let account = Account::begin();
+        let instances = instances();
+        let mesh = Mesh::start(&instances, &dir.file())?;
+        account.tell(format!(
+            "started a log service, {} nodes in {ZONES} availability zones and a backend server \
+             beside each: {GATE} and {HISTORY}, versions {OLD} and {NEW}",
+            instances.len()
+        ));
+        let operators = Operators::new(mesh.operators(), &dir.file());
+        let mut demo = Self { account, operators, mesh, version: ConfigVersion::default() };
+        demo.publish(Wanted { gate: OLD, history: OLD, within: None })?;
+        Ok(demo)
+    }
+
+    /// Publishes and waits until the version is in force everywhere.
+    fn publish(&mut self, wanted: Wanted) -> anyhow::Result<Accepted> {
+        let accepted = self.operators.publish(self.version, configuration(wanted)?)?;
+        let version = accepted.version;
+        self.version = version;
+        self.account.tell(format!(
+            "published {GATE} {} and {HISTORY} {}: accepted as version {version}",
+            wanted.gate, wanted.history
+        ));
+        let took = self.operators.wait_in_force(accepted)?;
+        let after = took.map_or("not in time".to_owned(), |took| {
+            format!("{:.2} s after the publish", took.as_secs_f64())
+        });
+        self.account.claim(
+            took.is_some(),
+            format!("version {version} in force on every node, {after}"),
+        );
+        Ok(accepted)
+    }
+
+    /// Starts callers once every node answers on both services.
+    fn start_load(&mut self) -> anyhow::Result<Load> {
+        let answers = self.mesh.wait_answers(&["/gate", "/history"])?;
+        self.account.claim(answers, "every node answers calls to both services");
+        let plan = Plan { callers: CALLERS, ..Plan::new("demo", self.mesh.entries(), mix()) };
+        self.account.tell(format!("{CALLERS} callers begin, each through every node in turn"));
+        Ok(Load::start(plan)?)
+    }
+
+    fn move_to_good(&mut self, load: &Load) -> anyhow::Result<()> {
+        let since = load.since_start();
+        let within = Some(GOOD_MOVE_WITHIN);
+        let accepted = self.publish(Wanted { gate: NEW, history: OLD, within })?;
+        let ended = self.follow(GATE, accepted)?;
+        let took = accepted.sent.elapsed();
+        self.account.shares(
+            &format!("{GATE} {NEW}"),
+            &shares::by_second(&load.observations(), "/gate", NEW, since),
+        );
+        let is_done = ended.is_some_and(|report| report.phase == Phase::Done);
+        let text = format!("{GATE} {NEW} is done {:.1} s after the publish", took.as_secs_f64());
+        self.account.claim(is_done, text);
+        self.account.claim(
+            is_done && took <= GOOD_MOVE_WITHIN,
+            format!("done within the {} s that the configuration gave", GOOD_MOVE_WITHIN.as_secs()),
+        );
+        Ok(())
+    }
+
+    fn move_to_bad(&mut self, load: &Load) -> anyhow::Result<()> {
+        let since = load.since_start();
+        let within = Some(BAD_MOVE_WITHIN);
+        let accepted = self.publish(Wanted { gate: NEW, history: NEW, within })?;
+        let ended = self.follow(HISTORY, accepted)?;
+        let took = accepted.sent.elapsed();
+        let is_taken_back = ended.is_some_and(|report| report.phase == Phase::TakenBack);
+        let text =
+            format!("{HISTORY} {NEW} is taken back {:.1} s after the publish", took.as_secs_f64());
+        self.account.claim(is_taken_back, text);
+        thread::sleep(SETTLING + AFTER_MOVES);
+        let observations = load.observations();
+        self.account.shares(
+            &format!("{HISTORY} {NEW}"),
+            &shares::by_second(&observations, "/history", NEW, since),
+        );
+        let settled = since + took + SETTLING;
+        let late = shares::by_second(&observations, "/history", NEW, settled);
+        let late: usize = late.values().map(|second| second.version).sum();
+        let text = format!(
+            "{late} calls reached {HISTORY} {NEW} later than {} s after that",
+            SETTLING.as_secs()
+        );
+        self.account.claim(late == 0, text);
+        Ok(())
+    }
+
+    /// Follows a move to its end and tells its evidence.
+    fn follow(&self, service: &str, accepted: Accepted) -> anyhow::Result<Option<MoveReport>> {
+        let mut phase = None;
+        let ended = self.operators.wait_move(accepted, MOVE_WAIT, |report| {
+            if phase != Some(report.phase) {
+                phase = Some(report.phase);
+                self.account.tell(format!("the move of {service} is {}", report.phase));
+            }
+        })?;
+        if let Some(report) = &ended {
+            self.account.tell(format!(
+                "evidence: old version {} of {} calls failed, new version {} of {}",
+                report.old.failed, report.old.run, report.new.failed, report.new.run
+            ));
+        }
+        Ok(ended)
+    }
+
+    fn report_burn(&mut self) -> anyhow::Result<()> {
+        let burn = self.operators.burn()?;
+        self.account.tell("burn report:");
+        print!("{}", report::text(&burn));
+        Ok(())
+    }
+
+    /// Lets callers finish, holds what they saw against the ledgers and closes
+    /// the account.
+    fn finish(mut self, load: Load) -> bool {
+        let observations = load.finish();
+        let tally = Tally::of(&observations, &self.mesh.runs());
+        self.account.calls(&tally);
+        self.mesh.stop();
+        let elapsed = self.account.elapsed();
+        let text = format!("all of it took {:.0} s", elapsed.as_secs_f64());
+        self.account.claim(elapsed < DEMO_LIMIT, text);
+        self.account.close()
+    }
+}
+
+/// Two services, each in an old and a new version, in every availability zone.
+fn instances() -> Vec<InstanceSpec> {
+    let bad = Behaviour { failure_rate: BAD_FAILURE_RATE, ..Behaviour::default() };
+    let kinds = [
+        (GATE, OLD, Behaviour::default()),
+        (GATE, NEW, Behaviour::default()),
+        (HISTORY, OLD, Behaviour::default()),
+        (HISTORY, NEW, bad),
+    ];
+    let in_zone = |zone| {
+        kinds.clone().map(|(service, version, behaviour)| {
+            let behaviour = Behaviour { latency_ms: LATENCY_MS, ..behaviour };
+            InstanceSpec { service, version, zone, behaviour }
+        })
+    };
+    (1..=ZONES).flat_map(in_zone).collect()
+}
+
+/// Calls of the demo: half to each service, those that open a gate with a key.
+fn mix() -> Vec<Template> {
+    vec![
+        Template::new("GET", "/gate/log"),
+        Template::new("GET", "/history/today"),
+        Template::new("POST", "/gate/open"),
+        Template::new("GET", "/history/week"),
+    ]
+}
--- /dev/null
+++ b/crates/core/demo/shares.rs
@@ -0,0 +1,42 @@
+//! Share of a service's calls by version and second, as callers saw it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use savorykeel_standins::caller::{Observation, Seen};
+
+/// Answered calls of one second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Second {
+    /// Calls answered by the version in question.
+    pub version: usize,
+    /// Calls answered by any version.
+    pub all: usize,
+}
+
+impl Second {
+    /// Returns the version's share in whole percent.
+    pub fn percent(self) -> usize {
+        (self.version * 100).checked_div(self.all).unwrap_or(0)
+    }
+}
+
+/// Counts, second by second from `since` on, how many calls below a path a
+/// version answered.
+pub fn by_second(
+    observations: &[Observation],
+    path: &str,
+    version: &str,
+    since: Duration,
+) -> BTreeMap<u64, Second> {
+    let mut seconds: BTreeMap<u64, Second> = BTreeMap::new();
+    for observation in observations {
+        let Seen::Answered { version: answering, .. } = &observation.seen else { continue };
+        if observation.at < since || !observation.target.starts_with(path) {
+            continue;
+        }
+        let second = seconds.entry((observation.at - since).as_secs()).or_default();
+        second.all += 1;
+        second.version += usize::from(answering == version);
+    }
+    seconds
+}
--- a/crates/standins/src/caller/load.rs
+++ b/crates/standins/src/caller/load.rs
@@ -118,6 +118,11 @@
         *self.shared.entries.lock() = entries;
     }
 
+    /// Returns the time since the start, the clock of [`Observation::at`].
+    pub fn since_start(&self) -> Duration {
+        self.shared.started.elapsed()
+    }
+
     /// Returns the number of calls that ended so far.
     pub fn calls(&self) -> usize {
         self.shared.observations.lock().len()
