--- a/crates/core/flags/mod.rs
+++ b/crates/core/flags/mod.rs
@@ -3,13 +3,20 @@
 
 mod check;
 mod node;
+mod publish;
+mod report;
+mod status;
 
 use std::ffi::OsString;
 
 use argh::FromArgs;
+use savorykeel_policy::ids::PublishId;
 
 pub use check::{CheckFlags, CheckTarget};
 pub use node::NodeFlags;
+pub use publish::PublishFlags;
+pub use report::{BurnFlags, ReportFlags, ReportKind};
+pub use status::StatusFlags;
 
 use crate::standin::StandinCommand;
 
@@ -33,6 +40,12 @@
     Check(CheckFlags),
     /// Runs a node.
     Node(NodeFlags),
+    /// Publishes a configuration.
+    Publish(PublishFlags),
+    /// Shows the mesh.
+    Status(StatusFlags),
+    /// Reports what nodes recorded.
+    Report(ReportFlags),
     /// Runs a stand-in.
     Standin(StandinCommand),
 }
@@ -67,6 +80,10 @@
     }
 }
 
+fn publish_id(raw: &str) -> Result<PublishId, String> {
+    PublishId::try_from(raw).map_err(|e| e.to_string())
+}
+
 fn version() -> String {
     format!("savorykeel {}", env!("CARGO_PKG_VERSION"))
 }
--- a/crates/node/src/calls/dispatch.rs
+++ b/crates/node/src/calls/dispatch.rs
@@ -97,6 +97,7 @@
     ledger: Option<&mut KeyedRun<'_>>,
 ) -> Result<Aimed, Stop> {
     let endpoint = endpoint_at(journey, i).ok_or(Stop::Try(Code::NoBackendServer))?;
+    *journey.last_tried.borrow_mut() = Some(endpoint.clone());
     let aimed = attempt::aim(worker, &endpoint).await.map_err(Stop::Try)?;
     let Some(ledger) = ledger else { return Ok(aimed) };
     match ledger.claim(&aimed).await {
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -1,8 +1,14 @@
 //! Feature tests by theme.
 
+mod admin_api;
 mod binary;
+mod burn_report;
 mod calls_outcomes;
 mod check_configuration;
+mod check_docs;
 mod cli_usage;
+mod config_recovery;
 mod config_spread;
 mod harness;
+mod membership_failure;
+mod publish_outcomes;
