Add savorykeel demo

One process runs the log stand-in, eight nodes in two availability zones and a backend server beside each: two services in an old and a new version. It publishes, calls all the time, moves one service to a good and one to a bad version, and prints only what it observed; every claim counts for the exit code.

--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -9,12 +9,13 @@
 use savorykeel_node::admin::api::PublishOutcome;
 use savorykeel_policy::code::Code;
 
-use crate::{client::ClientError, exit::Exit, flags::Command, standin};
+use crate::{client::ClientError, demo, exit::Exit, flags::Command, standin};
 
 /// Runs a command.
 pub fn run(command: Command) -> Exit {
     let result = match command {
         Command::Check(flags) => check::run(flags),
+        Command::Demo(flags) => demo::run(flags),
         Command::Node(flags) => node::run(flags),
         Command::Publish(flags) => publish::run(flags),
         Command::Status(flags) => status::run(flags),
--- a/crates/core/demo/account.rs
+++ b/crates/core/demo/account.rs
@@ -65,7 +65,10 @@
         self.claim(tally.mismatched == 0, format!("{} got another's answer", tally.mismatched));
         let ran = tally.ran_all_the_same;
         self.claim(ran == 0, format!("{ran} answered not run that ran"));
-        self.claim(tally.unaccounted == 0, format!("{} answered that never ran", tally.unaccounted));
+        self.claim(
+            tally.unaccounted == 0,
+            format!("{} answered that never ran", tally.unaccounted),
+        );
     }
 
     /// Returns the time since the start.
--- a/crates/core/demo/mesh.rs
+++ b/crates/core/demo/mesh.rs
@@ -8,16 +8,17 @@
     time::{Duration, Instant},
 };
 
-use anyhow::{Context, anyhow};
+use anyhow::Context;
 use savorykeel_node::{
     Addresses,
-    settings::{RawAdvertise, RawLimits, RawListen, RawOperators, RawSettings, Settings},
+    settings::{self, Settings},
 };
 use savorykeel_standins::{
     backend::{self, Behaviour, Run},
     caller::{Client, Request},
     log,
 };
+use serde_json::json;
 use slog::{Discard, Logger, o};
 use tokio_util::sync::CancellationToken;
 
@@ -126,8 +127,9 @@
         let deadline = Instant::now() + ANSWERS_TIMEOUT;
         for entry in self.entries() {
             for path in paths {
-                let is_answered =
-                    || client.call(entry, Request::get(path)).is_ok_and(|reply| reply.status == 200);
+                let is_answered = || {
+                    client.call(entry, Request::get(path)).is_ok_and(|reply| reply.status == 200)
+                };
                 while !is_answered() {
                     if Instant::now() > deadline {
                         return Ok(false);
@@ -148,38 +150,37 @@
     pub fn runs(&self) -> Vec<Run> {
         self.backends.iter().flat_map(backend::Handle::ledger).collect()
     }
+}
 
-    /// Stops every node at the same time, gracefully.
-    pub fn stop(self) {
+impl Drop for Mesh {
+    /// Tells every node to stop before the first is waited for.
+    fn drop(&mut self) {
         for node in &self.nodes {
             node.stop.cancel();
         }
     }
 }
 
+/// Settings as an operator would write them, checked like a file.
 fn node_settings(
     spec: &InstanceSpec,
     log_service: &str,
     token_file: &Path,
 ) -> anyhow::Result<Settings> {
-    let any_port = || SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).to_string();
-    let raw = RawSettings {
-        instance: spec.name(),
-        zone: format!("zone-{}", spec.zone),
-        region: "region-1".into(),
-        listen: RawListen {
-            callers: any_port(),
-            backend: any_port(),
-            peers: any_port(),
-            operators: any_port(),
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).to_string();
+    let document = json!({
+        "instance": spec.name(),
+        "zone": format!("zone-{}", spec.zone),
+        "region": "region-1",
+        "listen": {
+            "callers": any_port,
+            "backend": any_port,
+            "peers": any_port,
+            "operators": any_port,
         },
-        advertise: RawAdvertise::default(),
-        log_service: log_service.to_owned(),
-        metrics: None,
-        operators: RawOperators { token_file: Some(token_file.to_owned()) },
-        journal_file: None,
-        workers: 1,
-        limits: RawLimits::default(),
-    };
-    Settings::try_from(raw).map_err(|refusals| anyhow!("the demo's settings: {refusals:?}"))
+        "log_service": log_service,
+        "operators": { "token_file": token_file },
+        "workers": 1,
+    });
+    Ok(settings::parse(Path::new("demo"), &document.to_string())?)
 }
--- a/crates/core/demo/mod.rs
+++ b/crates/core/demo/mod.rs
@@ -29,6 +29,9 @@
 use mesh::{InstanceSpec, Mesh};
 use operators::{Accepted, Operators};
 
+/// Bearer token of the demo's operator.
+const TOKEN: &str = "token-of-the-demo";
+
 /// Availability zones.
 const ZONES: u8 = 2;
 
@@ -86,7 +89,7 @@
         let dir = std::env::temp_dir().join(format!("savorykeel-demo-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
         let created = Self { dir };
-        fs::write(created.file(), "demo-token")?;
+        fs::write(created.file(), TOKEN)?;
         Ok(created)
     }
 
@@ -140,10 +143,8 @@
         let after = took.map_or("not in time".to_owned(), |took| {
             format!("{:.2} s after the publish", took.as_secs_f64())
         });
-        self.account.claim(
-            took.is_some(),
-            format!("version {version} in force on every node, {after}"),
-        );
+        self.account
+            .claim(took.is_some(), format!("version {version} in force on every node, {after}"));
         Ok(accepted)
     }
 
@@ -234,7 +235,7 @@
         let observations = load.finish();
         let tally = Tally::of(&observations, &self.mesh.runs());
         self.account.calls(&tally);
-        self.mesh.stop();
+        drop(self.mesh);
         let elapsed = self.account.elapsed();
         let text = format!("all of it took {:.0} s", elapsed.as_secs_f64());
         self.account.claim(elapsed < DEMO_LIMIT, text);
--- a/crates/core/demo/operators.rs
+++ b/crates/core/demo/operators.rs
@@ -17,7 +17,7 @@
         raw::RawConfiguration,
         record::{RECORD_FORMAT, RawPublish},
     },
-    ids::{ConfigVersion, PublishId},
+    ids::ConfigVersion,
     moves::status::{MoveReport, Phase},
 };
 
@@ -67,7 +67,7 @@
         configuration: RawConfiguration,
     ) -> anyhow::Result<Accepted> {
         self.published += 1;
-        let id = PublishId::try_from(format!("demo-{}", self.published).as_str())?;
+        let id = format!("demo-{}", self.published);
         let request = RawPublish { format: RECORD_FORMAT, id, base, configuration };
         let api = ApiClient::new(self.addrs[0]).with_token_file(&self.token_file)?;
         let path = format!("{PUBLISHES_PATH}?wait_ms={}", PUBLISH_WAIT.as_millis());
--- a/crates/core/flags/mod.rs
+++ b/crates/core/flags/mod.rs
@@ -2,6 +2,7 @@
 //! its checks.
 
 mod check;
+mod demo;
 mod node;
 mod publish;
 mod report;
@@ -13,6 +14,7 @@
 use savorykeel_policy::ids::PublishId;
 
 pub use check::{CheckFlags, CheckTarget};
+pub use demo::DemoFlags;
 pub use node::NodeFlags;
 pub use publish::PublishFlags;
 pub use report::{BurnFlags, ReportFlags, ReportKind};
@@ -38,6 +40,8 @@
 pub enum Command {
     /// Checks a settings or a configuration file.
     Check(CheckFlags),
+    /// Runs a small mesh in this process and tells what was observed.
+    Demo(DemoFlags),
     /// Runs a node.
     Node(NodeFlags),
     /// Publishes a configuration.
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod commands;
 mod configuration;
+mod demo;
 mod exit;
 mod flags;
 mod report;
