--- a/crates/core/flags/mod.rs
+++ b/crates/core/flags/mod.rs
@@ -2,14 +2,23 @@
 //! its checks.
 
 mod check;
+mod demo;
 mod node;
+mod publish;
+mod report;
+mod status;
 
 use std::ffi::OsString;
 
 use argh::FromArgs;
+use savorykeel_policy::ids::PublishId;
 
 pub use check::{CheckFlags, CheckTarget};
+pub use demo::DemoFlags;
 pub use node::NodeFlags;
+pub use publish::PublishFlags;
+pub use report::{BurnFlags, ReportFlags, ReportKind};
+pub use status::StatusFlags;
 
 use crate::standin::StandinCommand;
 
@@ -31,8 +40,16 @@
 pub enum Command {
     /// Checks a settings or a configuration file.
     Check(CheckFlags),
+    /// Runs a small mesh in this process and tells what was observed.
+    Demo(DemoFlags),
     /// Runs a node.
     Node(NodeFlags),
+    /// Publishes a configuration.
+    Publish(PublishFlags),
+    /// Shows the mesh.
+    Status(StatusFlags),
+    /// Reports what nodes recorded.
+    Report(ReportFlags),
     /// Runs a stand-in.
     Standin(StandinCommand),
 }
@@ -67,6 +84,10 @@
     }
 }
 
+fn publish_id(raw: &str) -> Result<PublishId, String> {
+    PublishId::try_from(raw).map_err(|e| e.to_string())
+}
+
 fn version() -> String {
     format!("savorykeel {}", env!("CARGO_PKG_VERSION"))
 }
