Stop a node without cutting requests, and answer broken HTTP with a code

Found beside it: a request with Upgrade or CONNECT hung for ever; Expect was passed on, so that an interim response was taken for the answer and the caller hung for 75 s; HEAD lost its length; broken HTTP was answered without a code; an early refusal reset the connection.

--- a/crates/adapters/src/backend.rs
+++ b/crates/adapters/src/backend.rs
@@ -35,6 +35,9 @@
     "upgrade",
 ];
 
+/// States the length of a body; an answer to HEAD has it without a body.
+pub const LENGTH_HEADER: &str = "content-length";
+
 /// Largest answer of a backend server, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -72,7 +75,7 @@
         copy_headers(&req.headers, out.headers_mut());
         let exchange = async {
             let response = out.send_body(req.body.clone()).await.map_err(classify)?;
-            read_answer(response, timeout).await
+            read_answer(response, req.method == "HEAD", timeout).await
         };
         match ntex::time::timeout(timeout, exchange).await {
             Ok(result) => result,
@@ -96,7 +99,7 @@
 ///
 /// `Connection` may name further headers that end with the connection. The
 /// length is left out too, because every message is passed on whole and framed
-/// anew.
+/// anew, and so is `Expect`, which the node itself answered.
 pub fn end_to_end_headers(headers: &HeaderMap) -> Vec<Header> {
     let named: Vec<String> = headers
         .get_all("connection")
@@ -109,7 +112,8 @@
         .filter(|(name, _)| {
             let name = name.as_str();
             !HOP_BY_HOP_HEADERS.contains(&name)
-                && name != "content-length"
+                && name != LENGTH_HEADER
+                && name != "expect"
                 && !named.iter().any(|other| other == name)
         })
         .map(|(name, value)| Header {
@@ -121,10 +125,19 @@
 
 async fn read_answer(
     response: ClientResponse,
+    is_head: bool,
     timeout: Millis,
 ) -> Result<HttpAnswer, BackendError> {
     let status = response.status().as_u16();
-    let headers = end_to_end_headers(response.headers());
+    if response.status().is_informational() {
+        // The client takes the first response for the last one, so what follows
+        // an interim response is lost.
+        return Err(BackendError::BadAnswer(format!("interim response {status}")));
+    }
+    let mut headers = end_to_end_headers(response.headers());
+    if is_head {
+        headers.extend(length_header(response.headers()));
+    }
     let body = response
         .body()
         .limit(MAX_ANSWER_BYTES)
@@ -134,6 +147,12 @@
     Ok(HttpAnswer { status, headers, body: body.to_vec() })
 }
 
+/// Returns the length that an answer to HEAD states without having a body.
+fn length_header(headers: &HeaderMap) -> Option<Header> {
+    let value = headers.get(LENGTH_HEADER)?.as_bytes().to_vec();
+    Some(Header { name: LENGTH_HEADER.to_owned(), value })
+}
+
 fn classify(error: ClientError) -> BackendError {
     let problem = error.to_string();
     match error {
--- a/crates/node/src/admin/publish.rs
+++ b/crates/node/src/admin/publish.rs
@@ -25,6 +25,9 @@
 /// Longest time that a request may wait for an outcome.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
+/// Longest time that a published configuration may take to arrive.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Time between two looks at whether the outcome is known.
 const OUTCOME_POLL: Duration = Duration::from_millis(20);
 
@@ -37,13 +40,14 @@
     let allowed = token::check(state.settings.token_file.as_deref(), req.headers());
     // The body is read even when the request is denied: an answer that goes out
     // while bytes are left unread is lost when the connection is reset.
-    let payload = req.take_payload();
-    let body = match read_body(payload, MAX_RECORD_BYTES).await {
+    let mut payload = req.take_payload();
+    let body = match read_body(&mut payload, MAX_RECORD_BYTES, RECORD_TIMEOUT).await {
         Ok(body) => body,
         Err(BodyError::TooLarge) => {
             return error(Code::BodyTooLarge, format!("use at most {MAX_RECORD_BYTES} bytes"));
         }
         Err(BodyError::Broken) => return error(Code::BadRequest, "the body ended early"),
+        Err(BodyError::TooSlow) => return error(Code::BadRequest, "the body came too slowly"),
     };
     if let Err(denied) = allowed {
         return error(Code::Unauthorized, denied.to_string());
--- a/crates/node/src/calls/announce.rs
+++ b/crates/node/src/calls/announce.rs
@@ -24,6 +24,9 @@
 /// Largest announcement, in bytes.
 const MAX_ANNOUNCEMENT_BYTES: usize = 16 << 10;
 
+/// Longest time that an announcement may take to arrive.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Leases that may pass before a silent backend server counts as gone.
 ///
 /// A backend server whose process is paused for a moment keeps its place; calls
@@ -87,8 +90,9 @@
 pub(crate) async fn handle(state: &NodeState, mut req: Request) -> HttpResult {
     match *req.method() {
         Method::PUT => {
-            let payload = req.take_payload();
-            let Ok(body) = read_body(payload, MAX_ANNOUNCEMENT_BYTES).await else {
+            let mut payload = req.take_payload();
+            let read = read_body(&mut payload, MAX_ANNOUNCEMENT_BYTES, ANNOUNCEMENT_TIMEOUT);
+            let Ok(body) = read.await else {
                 return Ok(code_response(Code::BadRequest, "the announcement can't be read"));
             };
             match serde_json::from_slice(&body) {
--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use ntex::http::{Request, Response};
+use ntex::http::{Payload, Request, Response};
 use savorykeel_policy::{
     calls::deadline::{next_depth, time_left},
     code::Code,
@@ -18,7 +18,7 @@
     calls::{dispatch::dispatch, journey::Journey},
     http::{
         BodyError, DEADLINE_HEADER, DEPTH_HEADER, HttpResult, answer_response, code_response,
-        number_header, read_body, to_port_request,
+        discard_body, number_header, read_body, to_port_request,
     },
     state::InFlight,
     worker::Worker,
@@ -27,12 +27,21 @@
 /// Answers a request from a caller or from the backend server beside the node.
 pub(crate) async fn handle(worker: Rc<Worker>, req: Request, caller: String) -> HttpResult {
     let _in_flight = InFlight::enter(&worker.state.entered);
-    Ok(answer(&worker, req, caller).await.unwrap_or_else(|failure| failure))
+    let mut req = req;
+    let mut payload = req.take_payload();
+    match answer(&worker, &req, &mut payload, caller).await {
+        Ok(response) => Ok(response),
+        Err(failure) => {
+            discard_body(&mut payload).await;
+            Ok(failure)
+        }
+    }
 }
 
 async fn answer(
     worker: &Rc<Worker>,
-    mut req: Request,
+    req: &Request,
+    payload: &mut Payload,
     caller: String,
 ) -> Result<Response, Response> {
     let started = Instant::now();
@@ -50,10 +59,9 @@
     let left = number_header::<u64>(req.headers(), DEADLINE_HEADER).map(Duration::from_millis);
     let timeout = time_left(route.timeout, left);
     let limit = usize::try_from(route.body_limit).unwrap_or(usize::MAX);
-    let payload = req.take_payload();
-    let body = read_body(payload, limit).await.map_err(|e| body_failure(&e, limit))?;
+    let body = read_body(payload, limit, timeout).await.map_err(|e| body_failure(&e, limit))?;
     let journey = Journey {
-        request: to_port_request(&req, body),
+        request: to_port_request(req, body),
         deadline: started + timeout,
         table,
         route,
@@ -92,6 +100,7 @@
             code_response(Code::BodyTooLarge, format!("the route takes {limit} bytes"))
         }
         BodyError::Broken => code_response(Code::BadRequest, "the body ended early"),
+        BodyError::TooSlow => code_response(Code::DeadlineBeforeStart, "the body came too slowly"),
     }
 }
 
--- /dev/null
+++ b/crates/node/src/front/protocol.rs
@@ -0,0 +1,47 @@
+//! Answers to requests that break HTTP, with a numbered code like any other.
+
+use std::io;
+
+use ntex::{
+    http::{
+        Method, Response,
+        error::DecodeError,
+        h1::{Control, ControlAck, ProtocolError, control::Reason},
+    },
+    io::Base,
+};
+use savorykeel_policy::code::Code;
+
+use crate::http::code_response;
+
+/// Decides on the events of one HTTP/1 connection.
+pub(super) async fn control(
+    event: Control<Base, io::Error>,
+) -> Result<ControlAck<Base>, io::Error> {
+    Ok(match event {
+        // A request that asks for another protocol would wait for ever, because
+        // the node switches to none.
+        Control::Request(req) if req.get_ref().upgrade() => {
+            let what =
+                if req.get_ref().method() == Method::CONNECT { "CONNECT" } else { "Upgrade" };
+            req.fail_with(code_response(Code::BadRequest, format!("{what} isn't served")))
+        }
+        Control::Disconnect(Reason::ProtocolError(error)) => {
+            let response = protocol_response(error.err());
+            error.fail_with(response)
+        }
+        other => other.ack(),
+    })
+}
+
+fn protocol_response(error: &ProtocolError) -> Response {
+    let code = match error {
+        ProtocolError::Decode(DecodeError::MaxHeaders | DecodeError::TooLarge(_)) => {
+            Code::HeadersTooLarge
+        }
+        _ => Code::BadRequest,
+    };
+    let mut response = code_response(code, error.to_string());
+    response.head_mut().set_connection_type(ntex::http::ConnectionType::Close);
+    response
+}
--- /dev/null
+++ b/crates/node/src/front/service.rs
@@ -0,0 +1,117 @@
+//! Serves accepted connections on a worker thread.
+
+use std::rc::Rc;
+
+use async_channel::Receiver;
+use ntex::{
+    Pipeline, Service, ServiceFactory, SharedCfg, fn_service,
+    http::{ConnectionType, HttpService, HttpServiceConfig, Request},
+    io::Io,
+    time::Seconds,
+};
+use savorykeel_adapters::peer::{PeerHandler, serve_connection};
+use slog::debug;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    calls::{announce, entry},
+    http::HttpResult,
+    settings::Limits,
+    worker::Worker,
+};
+
+use super::{Accepted, Origin, protocol};
+
+/// Time after which an idle connection of a caller is closed.
+const CALLER_KEEP_ALIVE: Seconds = Seconds(75);
+
+/// Serves connections until the channel closes.
+pub(crate) async fn serve(
+    worker: Rc<Worker>,
+    handler: PeerHandler,
+    accepted: Receiver<Accepted>,
+    cancel: CancellationToken,
+) {
+    let limits = worker.state.settings.limits;
+    let (for_callers, for_backend) = (worker.clone(), worker.clone());
+    let callers = http_service(&limits, move |req| handle_caller(for_callers.clone(), req)).await;
+    let backend = http_service(&limits, move |req| handle_backend(for_backend.clone(), req)).await;
+    let (Some(callers), Some(backend)) = (callers, backend) else { return };
+    while let Ok(accepted) = accepted.recv().await {
+        match accepted.origin {
+            Origin::Caller => serve_http(callers.clone(), accepted),
+            Origin::Backend => serve_http(backend.clone(), accepted),
+            Origin::Peer => serve_peer(&worker, handler.clone(), accepted, cancel.clone()),
+        }
+    }
+}
+
+/// Returns how HTTP connections are held.
+pub(crate) fn http_config(limits: &Limits) -> HttpServiceConfig {
+    HttpServiceConfig::new()
+        .set_keepalive_timeout(CALLER_KEEP_ALIVE)
+        .set_max_buf_size(limits.header_bytes)
+}
+
+async fn http_service<F, R>(
+    limits: &Limits,
+    handle: F,
+) -> Option<Pipeline<impl Service<Io, Response = ()> + use<F, R>>>
+where
+    F: Fn(Request) -> R + Clone + 'static,
+    R: Future<Output = HttpResult> + 'static,
+{
+    let service = HttpService::h1(fn_service(move |req: Request| handle(req)))
+        .control(fn_service(protocol::control));
+    service.pipeline(SharedCfg::new("http").add(http_config(limits)).into()).await.ok()
+}
+
+fn serve_http<S>(service: Pipeline<S>, accepted: Accepted)
+where
+    S: Service<Io, Response = ()> + 'static,
+{
+    let Ok(io) = ntex::rt::from_tcp_stream(accepted.stream, SharedCfg::new("http").into()) else {
+        return;
+    };
+    let open = accepted.open;
+    ntex::rt::spawn(async move {
+        // A connection that ends with an error has no one left to tell.
+        let _ = service.call(io).await;
+        drop(open);
+    })
+    .detach();
+}
+
+fn serve_peer(
+    worker: &Worker,
+    handler: PeerHandler,
+    accepted: Accepted,
+    cancel: CancellationToken,
+) {
+    let log = worker.state.log.clone();
+    ntex::rt::spawn(async move {
+        if let Err(e) = serve_connection(accepted.stream, handler, cancel).await {
+            debug!(log, "connection of another node ended"; "error" => %e);
+        }
+        drop(accepted.open);
+    })
+    .detach();
+}
+
+async fn handle_caller(worker: Rc<Worker>, req: Request) -> HttpResult {
+    let caller = req.peer_addr().map_or_else(String::new, |addr| addr.ip().to_string());
+    let mut response = entry::handle(worker.clone(), req, caller).await?;
+    if worker.state.is_leaving() {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    Ok(response)
+}
+
+async fn handle_backend(worker: Rc<Worker>, req: Request) -> HttpResult {
+    if req.path() == announce::ANNOUNCEMENT_PATH {
+        return announce::handle(&worker.state, req).await;
+    }
+    let caller = worker.state.service();
+    let caller = caller.map_or_else(String::new, |service| service.as_str().to_owned());
+    entry::handle(worker, req, caller).await
+}
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,9 +1,22 @@
 //! HTTP towards callers and the backend server: requests in, answers out.
 
-use std::io;
+use std::{
+    error::Error,
+    io,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
 
-use ntex::http::{Payload, Request, Response, StatusCode, header::HeaderMap};
-use savorykeel_adapters::backend::{copy_headers, end_to_end_headers};
+use ntex::{
+    http::{
+        Payload, Request, Response, StatusCode,
+        body::{Body, BodySize, MessageBody},
+        header::{HeaderMap, HeaderName, HeaderValue},
+    },
+    util::Bytes,
+};
+use savorykeel_adapters::backend::{LENGTH_HEADER, copy_headers, end_to_end_headers};
 use savorykeel_policy::code::Code;
 use savorykeel_ports::peer::{HttpAnswer, HttpRequest};
 use serde::Serialize;
@@ -23,6 +36,12 @@
 /// Carries the attempt's id towards the backend server.
 pub(crate) const REQUEST_ID_HEADER: &str = "savorykeel-request-id";
 
+/// Most bytes of an unwanted body that are read before the answer.
+const MAX_DISCARDED_BYTES: usize = 32 << 20;
+
+/// Longest time that an unwanted body is read for.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// JSON body of the node's own answers.
 #[derive(Serialize)]
 struct CodeBody {
@@ -38,21 +57,49 @@
     TooLarge,
     /// The caller broke off or broke the protocol.
     Broken,
+    /// It didn't arrive in time.
+    TooSlow,
 }
 
-/// Reads a whole body of at most `limit` bytes.
-pub(crate) async fn read_body(mut payload: Payload, limit: usize) -> Result<Vec<u8>, BodyError> {
+/// Reads a whole body of at most `limit` bytes within a time.
+pub(crate) async fn read_body(
+    payload: &mut Payload,
+    limit: usize,
+    within: Duration,
+) -> Result<Vec<u8>, BodyError> {
     let mut body = Vec::new();
-    while let Some(chunk) = payload.recv().await {
-        let chunk = chunk.map_err(|_| BodyError::Broken)?;
-        if body.len() + chunk.len() > limit {
-            return Err(BodyError::TooLarge);
+    let read = async {
+        while let Some(chunk) = payload.recv().await {
+            let chunk = chunk.map_err(|_| BodyError::Broken)?;
+            if body.len() + chunk.len() > limit {
+                return Err(BodyError::TooLarge);
+            }
+            body.extend_from_slice(&chunk);
         }
-        body.extend_from_slice(&chunk);
-    }
+        Ok(())
+    };
+    tokio::time::timeout(within, read).await.unwrap_or(Err(BodyError::TooSlow))?;
     Ok(body)
 }
 
+/// Reads and drops what is left of a body, bounded in size and time.
+///
+/// A connection that closes with unread bytes is reset, and a reset may destroy
+/// the answer before the caller has read it.
+pub(crate) async fn discard_body(payload: &mut Payload) {
+    let mut left = MAX_DISCARDED_BYTES;
+    let discard = async {
+        while let Some(Ok(chunk)) = payload.recv().await {
+            left = left.saturating_sub(chunk.len());
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    // A body that takes longer costs its caller the answer, not the node.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard).await;
+}
+
 /// Makes a port request of an HTTP request whose body was read.
 pub(crate) fn to_port_request(req: &Request, body: Vec<u8>) -> HttpRequest {
     let target = req.uri().path_and_query().map_or("/", |target| target.as_str());
@@ -69,18 +116,42 @@
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
+/// The body of an answer to HEAD: a length without bytes.
+struct StatedLength(u64);
+
+impl MessageBody for StatedLength {
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.0)
+    }
+
+    fn poll_next_chunk(
+        &mut self,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Rc<dyn Error>>>> {
+        Poll::Ready(None)
+    }
+}
+
 /// Makes the response for a backend server's answer.
 pub(crate) fn answer_response(answer: HttpAnswer) -> Response {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = Response::build(status).body(answer.body);
+    let body = match stated_length(&answer) {
+        Some(length) => Body::from_message(StatedLength(length)),
+        None => Body::from(answer.body),
+    };
+    let mut response = Response::build(status).body(body);
     copy_headers(&answer.headers, response.headers_mut());
-    response.headers_mut().insert(
-        ntex::http::header::HeaderName::from_static(OUTCOME_HEADER),
-        ntex::http::header::HeaderValue::from_static("answered"),
-    );
+    let outcome = HeaderName::from_static(OUTCOME_HEADER);
+    response.headers_mut().insert(outcome, HeaderValue::from_static("answered"));
     response
 }
 
+/// Returns the length that an answer to HEAD states; no other answer has one here.
+fn stated_length(answer: &HttpAnswer) -> Option<u64> {
+    let header = answer.headers.iter().find(|header| header.name == LENGTH_HEADER)?;
+    std::str::from_utf8(&header.value).ok()?.parse().ok()
+}
+
 /// Makes the response for a result code.
 pub(crate) fn code_response(code: Code, detail: impl Into<String>) -> Response {
     let status =
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 mod burn;
 mod calls;
 pub mod control;
+mod front;
 mod http;
 mod run;
 pub mod settings;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -2,8 +2,7 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpListener, TcpStream},
-    rc::Rc,
+    net::{SocketAddr, TcpListener},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -11,13 +10,12 @@
     time::{Duration, Instant},
 };
 
-use async_channel::Sender;
 use ntex::{
     SharedCfg,
-    http::{HttpService, HttpServiceConfig, Request},
+    http::{HttpService, Request},
     rt::{DefaultRuntime, JoinHandle, System},
     server::Server,
-    time::{Seconds, sleep},
+    time::{Millis, sleep},
 };
 use savorykeel_adapters::metrics::{Metrics, MetricsError};
 use savorykeel_ports::clock::Clock;
@@ -28,11 +26,12 @@
 use crate::{
     admin,
     burn::BurnState,
-    calls::{announce, entry, state::CallState},
+    calls::{announce, state::CallState},
     control::{
         self,
         state::{ControlState, Identity},
     },
+    front::{self, Acceptor, Origin},
     settings::Settings,
     state::NodeState,
     worker::{Worker, WorkerSeed},
@@ -44,12 +43,18 @@
 /// Time between two looks at the backend server's lease.
 const LEASE_POLL: Duration = Duration::from_millis(200);
 
-/// Time for which a leaving node still takes calls as an entry, so that callers
-/// that keep connections open learn that they close.
+/// Time for which a leaving node still takes new connections of callers, so that
+/// other nodes and callers learn that it leaves before it refuses them.
 const LINGER: Duration = Duration::from_millis(1_500);
 
-/// Time after which an idle connection of a caller is closed.
-const CALLER_KEEP_ALIVE: Seconds = Seconds(75);
+/// Time for which a leaving node waits for callers to close idle connections.
+const IDLE_CONNECTIONS: Duration = Duration::from_secs(3);
+
+/// Most connections of other nodes.
+const MAX_PEERS: usize = 65_536;
+
+/// Longest time that operators' requests in flight hold up a node that stops.
+const OPERATORS_SHUTDOWN: Millis = Millis(1_000);
 
 /// Addresses that a node is bound to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -158,15 +163,24 @@
     let cancel = CancellationToken::new();
     let (accepted_tx, accepted_rx) = async_channel::unbounded();
     let seed = WorkerSeed { state: state.clone(), accepted: accepted_rx, cancel: cancel.clone() };
-    let servers = start_servers(&seed, &listeners)?;
-    spawn_peer_acceptor(listeners.peers, accepted_tx, cancel.clone())?;
+    let servers = start_servers(&seed, listeners.operators)?;
+    let limit = state.settings.limits.caller_connections;
+    let mut callers =
+        Acceptor::start(listeners.callers, Origin::Caller, limit, accepted_tx.clone())?;
+    let mut backend =
+        Acceptor::start(listeners.backend, Origin::Backend, limit, accepted_tx.clone())?;
+    let mut peers = Acceptor::start(listeners.peers, Origin::Peer, MAX_PEERS, accepted_tx)?;
     spawn_lease_watch(state.clone(), cancel.clone());
     let control_cancel = CancellationToken::new();
     let control = spawn_control(&state, &control_cancel);
     info!(state.log, "node started"; "callers" => %addresses.callers, "peers" => %addresses.peers);
     on_ready(&addresses);
     stop.cancelled().await;
-    let ending = leave(&state).await;
+    announce_leaving(&state).await;
+    callers.stop().await;
+    let ending = drain(&state, &callers).await;
+    backend.stop().await;
+    peers.stop().await;
     servers.stop(true).await;
     control_cancel.cancel();
     let _ = control.await;
@@ -211,79 +225,23 @@
     Metrics::to_statsd(metrics.statsd, &metrics.prefix, settings.instance.as_str())
 }
 
-fn start_servers(seed: &WorkerSeed, listeners: &Listeners) -> io::Result<Server> {
+/// Starts the worker threads with the operators' API on them.
+fn start_servers(seed: &WorkerSeed, operators: TcpListener) -> io::Result<Server> {
     let limits = &seed.state.settings.limits;
-    let http_config = || {
-        HttpServiceConfig::new()
-            .set_keepalive_timeout(CALLER_KEEP_ALIVE)
-            .set_max_buf_size(limits.header_bytes)
-    };
-    let (for_callers, for_backend, for_operators) = (seed.clone(), seed.clone(), seed.clone());
+    let seed_of_worker = seed.clone();
     let server = ntex::server::build()
         .workers(seed.state.settings.workers)
-        .maxconn(limits.caller_connections)
         .disable_signals()
-        .shutdown_timeout(ntex::time::Millis(limits.drain.as_millis() as u32))
-        .listen("callers", listeners.callers.try_clone()?, async move |_| {
-            let worker = Worker::current(&for_callers);
-            HttpService::new(move |req: Request| {
-                let caller = req.peer_addr().map_or_else(String::new, |addr| addr.ip().to_string());
-                entry::handle(worker.clone(), req, caller)
-            })
-        })?
-        .listen("backend", listeners.backend.try_clone()?, async move |_| {
-            let worker = Worker::current(&for_backend);
-            HttpService::new(move |req: Request| handle_backend(worker.clone(), req))
-        })?
-        .listen("operators", listeners.operators.try_clone()?, async move |_| {
-            let worker = Worker::current(&for_operators);
+        .shutdown_timeout(OPERATORS_SHUTDOWN)
+        .listen("operators", operators, async move |_| {
+            let worker = Worker::current(&seed_of_worker);
             HttpService::new(move |req: Request| admin::handle(worker.clone(), req))
         })?
-        .config("callers", SharedCfg::new("callers").add(http_config()))
-        .config("backend", SharedCfg::new("backend").add(http_config()))
-        .config("operators", SharedCfg::new("operators").add(http_config()))
+        .config("operators", SharedCfg::new("operators").add(front::http_config(limits)))
         .run();
     Ok(server)
 }
 
-async fn handle_backend(worker: Rc<Worker>, req: Request) -> crate::http::HttpResult {
-    if req.path() == announce::ANNOUNCEMENT_PATH {
-        return announce::handle(&worker.state, req).await;
-    }
-    let caller = worker.state.backend.lock().as_ref().map(|backend| backend.record.service.clone());
-    let caller = caller.map_or_else(String::new, |service| service.as_str().to_owned());
-    entry::handle(worker, req, caller).await
-}
-
-/// Accepts connections of other nodes and shares them out among the workers.
-fn spawn_peer_acceptor(
-    listener: TcpListener,
-    accepted: Sender<TcpStream>,
-    cancel: CancellationToken,
-) -> io::Result<()> {
-    listener.set_nonblocking(true)?;
-    let listener = tokio::net::TcpListener::from_std(listener)?;
-    ntex::rt::spawn(async move {
-        loop {
-            let stream = tokio::select! {
-                result = listener.accept() => result,
-                () = cancel.cancelled() => return,
-            };
-            let Ok((stream, _)) = stream else {
-                // Accepting fails while the process is out of file descriptors;
-                // without a pause the loop would spin.
-                sleep(ntex::time::Millis(50)).await;
-                continue;
-            };
-            if let Ok(stream) = stream.into_std() {
-                let _ = accepted.send(stream).await;
-            }
-        }
-    })
-    .detach();
-    Ok(())
-}
-
 fn spawn_lease_watch(state: Arc<NodeState>, cancel: CancellationToken) {
     ntex::rt::spawn(async move {
         while !cancel.is_cancelled() {
@@ -302,14 +260,21 @@
     ntex::rt::spawn(control::start(shared, control, log_service, source, cancel.clone()))
 }
 
-/// Announces that the node leaves and waits until its calls have ended.
-async fn leave(state: &NodeState) -> Ending {
+/// Announces that the node leaves and lets callers learn of it.
+async fn announce_leaving(state: &NodeState) {
     info!(state.log, "node is leaving");
     state.control.begin_leaving();
     state.leaving.store(true, Ordering::Release);
+    sleep(LINGER).await;
+}
+
+/// Waits until the calls in flight have ended and callers closed their
+/// connections, which every answer now asks them to do.
+async fn drain(state: &NodeState, callers: &Acceptor) -> Ending {
     let started = Instant::now();
     while started.elapsed() < state.settings.limits.drain {
-        if started.elapsed() >= LINGER && state.is_idle() {
+        let is_closed = callers.open() == 0 || started.elapsed() >= IDLE_CONNECTIONS;
+        if state.is_idle() && is_closed {
             return Ending::Graceful;
         }
         sleep(DRAIN_POLL).await;
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::{OnceCell, RefCell},
-    net::{SocketAddr, TcpStream},
+    net::SocketAddr,
     rc::Rc,
     sync::{Arc, atomic::Ordering},
 };
@@ -12,14 +12,14 @@
 use rand::{SeedableRng, rngs::StdRng};
 use savorykeel_adapters::{
     backend::HttpBackend,
-    peer::{LinkSettings, PeerHandler, RpcLinks, serve_connection},
+    peer::{LinkSettings, PeerHandler, RpcLinks},
 };
 use savorykeel_ports::backend::BackendError;
-use slog::debug;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     calls::{ledger, ledger_loop, serve},
+    front::{self, Accepted},
     state::NodeState,
 };
 
@@ -32,8 +32,8 @@
 pub(crate) struct WorkerSeed {
     /// State of the node.
     pub(crate) state: Arc<NodeState>,
-    /// Connections that other nodes opened, shared out among the workers.
-    pub(crate) accepted: Receiver<TcpStream>,
+    /// Connections that others opened, shared out among the workers.
+    pub(crate) accepted: Receiver<Accepted>,
     /// Ends the worker's tasks.
     pub(crate) cancel: CancellationToken,
 }
@@ -69,7 +69,9 @@
             rng: RefCell::new(StdRng::from_rng(&mut rand::rng())),
             backend: RefCell::default(),
         });
-        ntex::rt::spawn(accept_peers(worker.clone(), seed.clone())).detach();
+        let (handler, accepted) = (peer_handler(&worker), seed.accepted.clone());
+        ntex::rt::spawn(front::serve(worker.clone(), handler, accepted, seed.cancel.clone()))
+            .detach();
         if !seed.state.calls.has_ledger_loop.swap(true, Ordering::AcqRel) {
             ntex::rt::spawn(ledger_loop::run(worker.clone(), seed.cancel.clone())).detach();
         }
@@ -113,20 +115,6 @@
     }
 }
 
-async fn accept_peers(worker: Rc<Worker>, seed: WorkerSeed) {
-    let handler = peer_handler(&worker);
-    while let Ok(stream) = seed.accepted.recv().await {
-        let (handler, cancel) = (handler.clone(), seed.cancel.clone());
-        let log = worker.state.log.clone();
-        ntex::rt::spawn(async move {
-            if let Err(e) = serve_connection(stream, handler, cancel).await {
-                debug!(log, "connection of another node ended"; "error" => %e);
-            }
-        })
-        .detach();
-    }
-}
-
 fn peer_handler(worker: &Rc<Worker>) -> PeerHandler {
     let (for_call, for_settle, for_cancel) = (worker.clone(), worker.clone(), worker.clone());
     let (for_control, for_stamp, for_ledger) = (worker.clone(), worker.clone(), worker.clone());
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -10,6 +10,7 @@
 mod config_recovery;
 mod config_spread;
 mod harness;
+mod http_semantics;
 mod membership_failure;
 mod publish_outcomes;
 mod session;
