Close callers' connections in a graceful shutdown before the listener

Cause: a leaving node answered on kept connections as before, so callers never learned that they end; and a second handle of each listener stayed open until the process ended, so that the kernel took connections that nobody accepted. Change: a leaving node answers with connection: close, and the servers own the only handle of their listeners.

--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use ntex::http::{Request, Response};
+use ntex::http::{ConnectionType, Request, Response};
 use savorykeel_policy::{
     calls::deadline::{next_depth, time_left},
     code::Code,
@@ -27,7 +27,12 @@
 /// Answers a request from a caller or from the backend server beside the node.
 pub(crate) async fn handle(worker: Rc<Worker>, req: Request, caller: String) -> HttpResult {
     let _in_flight = InFlight::enter(&worker.state.entered);
-    Ok(answer(&worker, req, caller).await.unwrap_or_else(|failure| failure))
+    let mut response = answer(&worker, req, caller).await.unwrap_or_else(|failure| failure);
+    if worker.state.is_leaving() {
+        // Callers that keep connections open learn that this one ends.
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    Ok(response)
 }
 
 async fn answer(
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -158,8 +158,9 @@
     let cancel = CancellationToken::new();
     let (accepted_tx, accepted_rx) = async_channel::unbounded();
     let seed = WorkerSeed { state: state.clone(), accepted: accepted_rx, cancel: cancel.clone() };
-    let servers = start_servers(&seed, &listeners)?;
-    spawn_peer_acceptor(listeners.peers, accepted_tx, cancel.clone())?;
+    let Listeners { callers, backend, peers, operators } = listeners;
+    let servers = start_servers(&seed, callers, backend, operators)?;
+    spawn_peer_acceptor(peers, accepted_tx, cancel.clone())?;
     spawn_lease_watch(state.clone(), cancel.clone());
     let control_cancel = CancellationToken::new();
     let control = spawn_control(&state, &control_cancel);
@@ -211,7 +212,14 @@
     Metrics::to_statsd(metrics.statsd, &metrics.prefix, settings.instance.as_str())
 }
 
-fn start_servers(seed: &WorkerSeed, listeners: &Listeners) -> io::Result<Server> {
+/// Starts the servers, which own their listeners: a listener that outlived its
+/// server would take connections that nobody accepts.
+fn start_servers(
+    seed: &WorkerSeed,
+    callers: TcpListener,
+    backend: TcpListener,
+    operators: TcpListener,
+) -> io::Result<Server> {
     let limits = &seed.state.settings.limits;
     let http_config = || {
         HttpServiceConfig::new()
@@ -224,18 +232,18 @@
         .maxconn(limits.caller_connections)
         .disable_signals()
         .shutdown_timeout(ntex::time::Millis(limits.drain.as_millis() as u32))
-        .listen("callers", listeners.callers.try_clone()?, async move |_| {
+        .listen("callers", callers, async move |_| {
             let worker = Worker::current(&for_callers);
             HttpService::new(move |req: Request| {
                 let caller = req.peer_addr().map_or_else(String::new, |addr| addr.ip().to_string());
                 entry::handle(worker.clone(), req, caller)
             })
         })?
-        .listen("backend", listeners.backend.try_clone()?, async move |_| {
+        .listen("backend", backend, async move |_| {
             let worker = Worker::current(&for_backend);
             HttpService::new(move |req: Request| handle_backend(worker.clone(), req))
         })?
-        .listen("operators", listeners.operators.try_clone()?, async move |_| {
+        .listen("operators", operators, async move |_| {
             let worker = Worker::current(&for_operators);
             HttpService::new(move |req: Request| admin::handle(worker.clone(), req))
         })?
