Check the guide's session against a golden file

Three nodes, the log service and three backend servers as processes: a call before any configuration, publish, status, calls with and without a route, a keyed request sent twice, a publish with an old base (conflict), a route to an unknown service (refused, the reason names the route), and SIGTERM to a node under load, with callers' answers held against the ledgers.

--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -12,3 +12,4 @@
 mod harness;
 mod membership_failure;
 mod publish_outcomes;
+mod session;
--- /dev/null
+++ b/tests/feature/session.rs
@@ -0,0 +1,250 @@
+//! The session of `docs/GUIDE.md`, word for word against a golden file: three
+//! nodes, the log service and three backend servers as processes.
+
+use std::{fs, net::SocketAddr, path::Path};
+
+use savorykeel_standins::{
+    backend::Run,
+    caller::{Client, Load, Plan, Request, Tally, Template},
+};
+use tempfile::TempDir;
+
+use crate::harness::{
+    command::savorykeel,
+    deployment::route,
+    process::NodeProcess,
+    settings::{Place, node_settings, token_file},
+    standin::StandinProcess,
+    transcript::Transcript,
+    wait::eventually,
+};
+use savorykeel_policy::config::raw::{RawConfiguration, RawLimits, RawObjective, RawService};
+
+/// Calls made before and after the node is stopped, each.
+const CALLS: usize = 300;
+
+/// Everything that runs in the session.
+struct Session {
+    transcript: Transcript,
+    client: Client,
+    // Dropped in this order: backend servers before the nodes, the log last.
+    backends: Vec<StandinProcess>,
+    nodes: Vec<NodeProcess>,
+    _log: StandinProcess,
+    dir: TempDir,
+}
+
+impl Session {
+    fn start() -> Self {
+        let dir = TempDir::new().unwrap();
+        let log = StandinProcess::start(&["log", "--listen", "127.0.0.1:0"]);
+        let mut session = Self {
+            transcript: Transcript::default(),
+            client: Client::start().unwrap(),
+            backends: Vec::new(),
+            nodes: Vec::new(),
+            _log: log,
+            dir,
+        };
+        for (instance, service, zone, number) in
+            [("gate-1", "gate", 1, 1), ("gate-2", "gate", 2, 1), ("history-1", "history", 1, 2)]
+        {
+            session.start_instance(instance, service, zone, number);
+        }
+        session
+    }
+
+    fn start_instance(&mut self, instance: &str, service: &str, zone: u8, number: u8) {
+        let place = Place { instance: instance.into(), zone, number };
+        let log_service = format!("http://{}", self._log.addr());
+        let settings = node_settings(self.dir.path(), &place, &log_service, None);
+        let node = NodeProcess::start(self.dir.path(), &settings);
+        let ready = node.ready().clone();
+        let node_addr = ready.backend.to_string();
+        let backend = StandinProcess::start(&[
+            "backend",
+            "--service",
+            service,
+            "--name",
+            instance,
+            "--node",
+            &node_addr,
+        ]);
+        // Which instance answers is drawn at random.
+        let answering = format!("\"instance\":\"{instance}\"");
+        self.transcript.replace(answering, &format!("\"instance\":\"{service}-N\""));
+        self.transcript.replace(ready.operators, &format!("{instance}:operators"));
+        self.transcript.replace(ready.callers, &format!("{instance}:callers"));
+        self.nodes.push(node);
+        self.backends.push(backend);
+    }
+
+    fn node(&self, instance: &str) -> &NodeProcess {
+        self.nodes.iter().find(|node| node.ready().instance == instance).unwrap()
+    }
+
+    fn operators(&self, instance: &str) -> String {
+        self.node(instance).ready().operators.to_string()
+    }
+
+    /// Runs a command and adds it to the transcript.
+    fn run(&mut self, args: &[&str]) {
+        let dir = self.dir.path().display().to_string();
+        let ended = savorykeel(args, "");
+        self.transcript.replace(format!("{dir}/"), "");
+        self.transcript.command(args, &ended);
+    }
+
+    fn publish(&mut self, instance: &str, id: &str, base: &str, configuration: &RawConfiguration) {
+        let file = self.dir.path().join(format!("{id}.json"));
+        fs::write(&file, serde_json::to_vec_pretty(configuration).unwrap()).unwrap();
+        let operators = self.operators(instance);
+        let token = token_file(self.dir.path());
+        let text = |path: &Path| path.to_str().unwrap().to_owned();
+        let (token, file) = (text(&token), text(&file));
+        self.run(&[
+            "publish",
+            "--operators",
+            &operators,
+            "--token-file",
+            &token,
+            "--id",
+            id,
+            "--base",
+            base,
+            "--wait-ms",
+            "30000",
+            &file,
+        ]);
+    }
+
+    fn call(&mut self, instance: &str, req: Request) {
+        let addr = self.node(instance).ready().callers;
+        let shown = format!("{} {} by {instance}", req.method, req.target);
+        let reply = self.client.call(addr, req).unwrap();
+        self.transcript.exchange(&shown, &reply);
+    }
+
+    /// Waits until each node answers a path and sees every member alive.
+    fn wait_settled(&self) {
+        for node in &self.nodes {
+            let ready = node.ready();
+            for path in ["/gate", "/history"] {
+                eventually(&format!("{} answers {path}", ready.instance), || {
+                    let reply = self.client.call(ready.callers, Request::get(path));
+                    reply.is_ok_and(|reply| reply.status == 200)
+                });
+            }
+            eventually(&format!("{} sees three members at version 1", ready.instance), || {
+                self.sees_all_alive(ready.operators)
+            });
+        }
+    }
+
+    fn sees_all_alive(&self, operators: SocketAddr) -> bool {
+        let Ok(reply) = self.client.call(operators, Request::get("/v1/status")) else {
+            return false;
+        };
+        let status: serde_json::Value = reply.json().unwrap();
+        let members = status["members"].as_array().unwrap();
+        let is_settled = |m: &serde_json::Value| m["liveness"] == "alive" && m["applied"] == 1;
+        members.len() == 3 && members.iter().all(is_settled)
+    }
+
+    /// Returns every run of every backend server, over HTTP.
+    fn runs(&self) -> Vec<Run> {
+        let ledger = |backend: &StandinProcess| -> Vec<Run> {
+            let req = Request::get("/standin/ledger");
+            self.client.call(backend.addr(), req).unwrap().json().unwrap()
+        };
+        self.backends.iter().flat_map(ledger).collect()
+    }
+
+    /// Stops gate-2 by a signal while callers use every node.
+    fn stop_under_load(&mut self) {
+        let entries = self.nodes.iter().map(|node| node.ready().callers).collect();
+        let mix = vec![
+            Template::new("GET", "/gate/log"),
+            Template::new("POST", "/gate/unlock"),
+            Template::new("GET", "/history/today"),
+        ];
+        let load = Load::start(Plan::new("load", entries, mix)).unwrap();
+        eventually("calls are made", || load.calls() >= CALLS);
+        let node = &mut self.nodes[1];
+        node.term();
+        let code = node.wait_exit().code();
+        let before = load.calls();
+        eventually("calls go on", || load.calls() >= before + CALLS);
+        let tally = Tally::of(&load.finish(), &self.runs());
+        assert!(tally.holds(), "{tally:?}");
+        self.transcript.line("SIGTERM to gate-2 while callers use every node");
+        self.transcript.line(format!("gate-2 ended with code {}", code.unwrap()));
+        for (what, count) in [
+            ("doubled", tally.doubled),
+            ("cut", tally.cut),
+            ("lost", tally.lost),
+            ("answered with another's answer", tally.mismatched),
+            ("answered not run that ran", tally.ran_all_the_same),
+            ("answered unknown", tally.unknown),
+            ("answered not run", tally.not_run),
+        ] {
+            self.transcript.line(format!("{count} calls {what}"));
+        }
+    }
+}
+
+fn configuration() -> RawConfiguration {
+    let service =
+        || RawService { version: "v1".into(), by: None, objective: RawObjective::default() };
+    RawConfiguration {
+        format: 1,
+        services: [("gate", service()), ("history", service())]
+            .map(|(name, service)| (name.to_owned(), service))
+            .into(),
+        routes: vec![
+            route("unlock", "gate", "/gate/unlock", false),
+            route("gate", "gate", "/gate", true),
+            route("history", "history", "/history", true),
+        ],
+        limits: RawLimits::default(),
+    }
+}
+
+#[test]
+fn guide_session_is_the_golden_one() {
+    let mut session = Session::start();
+    session.transcript.step("A call before any configuration");
+    session.call("gate-1", Request::get("/gate/log"));
+
+    session.transcript.step("Publish, by any node");
+    session.publish("gate-1", "session-1", "0", &configuration());
+    session.wait_settled();
+
+    session.transcript.step("Status, as another node sees it");
+    let operators = session.operators("gate-2");
+    session.run(&["status", "--operators", &operators]);
+
+    session.transcript.step("Calls, by any node");
+    let unlock = Request::post("/gate/unlock", "door 7").tag("t1").key("k1");
+    session.call("history-1", unlock.clone());
+    session.transcript.line("the same request once more, with its key:");
+    session.call("gate-1", unlock);
+    session.call("gate-1", Request::get("/history/today").tag("t2"));
+    session.call("gate-1", Request::get("/billing"));
+
+    session.transcript.step("A publish that was derived from an older version");
+    session.publish("gate-2", "session-2", "0", &configuration());
+
+    session.transcript.step("A route to a service that isn't there");
+    let mut wrong = configuration();
+    wrong.routes.push(route("billing", "billing", "/billing", true));
+    session.publish("history-1", "session-3", "1", &wrong);
+
+    session.transcript.step("The outcome of the first publish, asked again");
+    let operators = session.operators("history-1");
+    session.run(&["status", "--operators", &operators, "--publish", "session-1"]);
+
+    session.transcript.step("Stop a node under load");
+    session.stop_under_load();
+    session.transcript.assert_golden("session.txt");
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -18,4 +18,6 @@
 pub mod promises;
 pub mod publish;
 pub mod settings;
+pub mod standin;
+pub mod transcript;
 pub mod wait;
