--- a/tests/feature/session.rs
+++ b/tests/feature/session.rs
@@ -70,6 +70,9 @@
             "--node",
             &node_addr,
         ]);
+        // Which instance answers is drawn at random.
+        let answering = format!("\"instance\":\"{instance}\"");
+        self.transcript.replace(answering, &format!("\"instance\":\"{service}-N\""));
         self.transcript.replace(ready.operators, &format!("{instance}:operators"));
         self.transcript.replace(ready.callers, &format!("{instance}:callers"));
         self.nodes.push(node);
