Look up what is held before asking for the whole state

A trial with 10 nodes moved 20 KB a publish and node where the delta has 138 bytes: while a pull ran, the log brought the same record, the delta no longer fitted and the whole state was asked for with the old position. The position is now looked up for each question. A node without the duty looks for it five times a second.

--- a/crates/node/src/control/gossip.rs
+++ b/crates/node/src/control/gossip.rs
@@ -164,7 +164,7 @@
         let mut next = Some((position, holder));
         while let Some((position, holder)) = next {
             if position > cx.state.applied_position() {
-                pull(&cx, &holder).await;
+                pull(&cx, &holder, position).await;
             }
             next = pending.ahead.take();
         }
@@ -173,17 +173,22 @@
     .detach();
 }
 
-async fn pull<L, P: PeerLinks>(cx: &ControlContext<L, P>, holder: &Contact) {
-    let mut held = cx.state.with_fold(|fold| Held::by(fold));
+/// Asks for a delta and, when it doesn't fit, for the whole state.
+///
+/// What is held is looked up anew each time, because the log or another node may
+/// have brought the same news in the meantime.
+async fn pull<L, P: PeerLinks>(cx: &ControlContext<L, P>, holder: &Contact, position: Position) {
     for wants_whole in [false, true] {
-        held.wants_whole = wants_whole;
+        let held = cx.state.with_fold(|fold| Held { wants_whole, ..Held::by(fold) });
+        if held.position >= position {
+            return;
+        }
         match pull_once(cx, holder, held).await {
             Ok(true) => {
                 cx.state.rebuild();
                 cx.state.emit(Event::Advanced);
                 return;
             }
-            Ok(false) if wants_whole => return,
             Ok(false) => {}
             Err(e) => {
                 debug!(cx.state.logger, "no configuration pulled"; "instance" => holder.instance.as_str(), "problem" => %e);
--- a/crates/node/src/control/reader.rs
+++ b/crates/node/src/control/reader.rs
@@ -74,7 +74,7 @@
 }
 
 /// Time between two looks at whether this node has to read the log.
-const DUTY_CHECK: Duration = Duration::from_millis(50);
+const DUTY_CHECK: Duration = Duration::from_millis(200);
 
 /// Number of times that the wait after a failure grows.
 const MAX_BACKOFF_STEPS: u32 = 8;
