--- a/crates/node/src/control/context.rs
+++ b/crates/node/src/control/context.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
+use savorykeel_adapters::metrics::Metrics;
 use serde::{Deserialize, Serialize};
 
 use super::state::ControlState;
@@ -71,6 +72,8 @@
     pub links: P,
     /// Closes the link to a node, so that the next message opens a new one.
     pub reset_link: Rc<dyn Fn(SocketAddr)>,
+    /// Where metrics go.
+    pub metrics: Metrics,
     /// How configuration reaches the node.
     pub mode: ControlMode,
     /// Periods of the loops.
--- /dev/null
+++ b/crates/node/src/control/metrics.rs
@@ -0,0 +1,80 @@
+//! Reports what the control loops count.
+
+use std::{
+    rc::Rc,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use ntex::time::sleep;
+use savorykeel_adapters::metrics::{Counter, Gauge, Metrics, Tag};
+
+use super::{
+    context::ControlContext,
+    reader::to_millis,
+    state::{ControlState, MemberCounts},
+};
+
+/// Time between two reports.
+const PERIOD: Duration = Duration::from_secs(10);
+
+/// Reports for ever.
+pub(super) async fn report<L, P>(cx: Rc<ControlContext<L, P>>) {
+    let mut last = Counts::default();
+    loop {
+        sleep(to_millis(PERIOD)).await;
+        let now = Counts::of(&cx.state);
+        now.report_since(&last, &cx.metrics);
+        last = now;
+        let snapshot = cx.state.snapshot();
+        cx.metrics.gauge(Gauge::ConfigurationVersion, snapshot.version.0, &[]);
+        report_members(&cx.metrics, snapshot.members);
+    }
+}
+
+/// The counters at one moment.
+#[derive(Debug, Clone, Copy, Default)]
+struct Counts {
+    bytes_sent: u64,
+    bytes_received: u64,
+    log_records: u64,
+    log_appends: u64,
+    applied: u64,
+}
+
+impl Counts {
+    fn of(state: &ControlState) -> Self {
+        let counters = &state.counters;
+        let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Self {
+            bytes_sent: load(&counters.bytes_sent),
+            bytes_received: load(&counters.bytes_received),
+            log_records: load(&counters.log_records),
+            log_appends: load(&counters.log_appends),
+            applied: load(&counters.applied),
+        }
+    }
+
+    fn report_since(&self, last: &Self, metrics: &Metrics) {
+        metrics.count(Counter::ControlBytesSent, self.bytes_sent - last.bytes_sent, &[]);
+        metrics.count(
+            Counter::ControlBytesReceived,
+            self.bytes_received - last.bytes_received,
+            &[],
+        );
+        metrics.count(Counter::LogRecords, self.log_records - last.log_records, &[]);
+        metrics.count(Counter::LogAppends, self.log_appends - last.log_appends, &[]);
+        metrics.count(Counter::Applied, self.applied - last.applied, &[]);
+    }
+}
+
+fn report_members(metrics: &Metrics, counts: MemberCounts) {
+    let report = |liveness, value: usize| {
+        let tag = Tag { key: "liveness", value: liveness };
+        metrics.gauge(Gauge::Members, value as u64, &[tag]);
+    };
+    report("alive", counts.alive);
+    report("suspect", counts.suspect);
+    report("unreachable", counts.unreachable);
+    report("gone", counts.gone);
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod heard;
 pub mod journal;
 mod maintain;
+mod metrics;
 mod presence;
 mod probe;
 mod reader;
@@ -53,6 +54,7 @@
             maintain::revive(cx.clone()),
             maintain::clean_up(cx.clone()),
             checkpoints::write(cx.clone()),
+            metrics::report(cx.clone()),
         );
     };
     tokio::select! {
--- a/crates/node/src/control/start.rs
+++ b/crates/node/src/control/start.rs
@@ -5,6 +5,7 @@
 use ntex::time::sleep;
 use savorykeel_adapters::{
     log::HttpLog,
+    metrics::Metrics,
     peer::{LinkSettings, RpcLinks},
 };
 use slog::error;
@@ -38,6 +39,7 @@
     settings: ControlSettings,
     log_service: Arc<str>,
     source: IpAddr,
+    metrics: Metrics,
     cancel: CancellationToken,
 ) {
     let log = loop {
@@ -54,6 +56,7 @@
         log,
         links,
         reset_link: Rc::new(move |addr| for_reset.retain(|other| *other != addr)),
+        metrics,
         mode: settings.mode,
         times: ControlTimes {
             checkpoint: settings.checkpoint,
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -79,6 +79,8 @@
     pub bytes_received: AtomicU64,
     /// Control messages sent.
     pub messages_sent: AtomicU64,
+    /// Versions that came into force.
+    pub applied: AtomicU64,
     /// Records read from the log service.
     pub log_records: AtomicU64,
     /// Reads of the log service.
@@ -446,6 +448,7 @@
         };
         if self.applied_version() != table.version {
             info!(self.logger, "configuration applied"; "version" => table.version.0);
+            Counters::add(&self.counters.applied, 1);
             self.write_journal(&fold, &table);
         }
         self.table.store(Some(Arc::new(table)));
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -299,7 +299,14 @@
     let control = state.settings.control;
     let log_service = state.settings.log_service.clone();
     let shared = state.control.clone();
-    ntex::rt::spawn(control::start(shared, control, log_service, source, cancel.clone()))
+    ntex::rt::spawn(control::start(
+        shared,
+        control,
+        log_service,
+        source,
+        state.metrics.clone(),
+        cancel.clone(),
+    ))
 }
 
 /// Announces that the node leaves and waits until its calls have ended.
