Measure fleets of node processes and tables of full size

savorykeel-bench fleet starts real nodes behind proxies that add 1.5 ms each way between availability zones and count the bytes of the control links; it measures convergence from the nodes' journals, rest, publishes, leaving and crashes, with gossip and with the baseline in which every node polls the log. savorykeel-bench fullsize feeds one node's policy code with full-size tables, each size in a process of its own.

--- /dev/null
+++ b/crates/bench/src/fleet/configuration.rs
@@ -0,0 +1,59 @@
+//! The configurations that a measured fleet gets.
+
+use savorykeel_policy::{
+    config::{
+        raw::{RawConfiguration, RawLimits, RawMatch, RawObjective, RawRoute, RawService},
+        record::{RECORD_FORMAT, RawPublish},
+    },
+    ids::ConfigVersion,
+};
+
+/// Routes of each service.
+const ROUTES_PER_SERVICE: usize = 3;
+
+/// Returns a configuration in which publish `n` changes one service's version.
+pub(crate) fn configuration(services: usize, n: u64) -> RawConfiguration {
+    let changed = usize::try_from(n).unwrap_or_default() % services;
+    let service = |i: usize| {
+        let version = if i == changed { format!("v{}", n + 2) } else { "v1".to_owned() };
+        (service_name(i), RawService { version, by: None, objective: RawObjective::default() })
+    };
+    RawConfiguration {
+        format: 1,
+        services: (0..services).map(service).collect(),
+        routes: (0..services).flat_map(routes).collect(),
+        limits: RawLimits::default(),
+    }
+}
+
+/// Returns the publish record of a configuration.
+pub(crate) fn publish_record(n: u64, services: usize) -> Vec<u8> {
+    let record = RawPublish {
+        format: RECORD_FORMAT,
+        id: format!("bench-{n}"),
+        base: ConfigVersion(n),
+        configuration: configuration(services, n),
+    };
+    serde_json::to_vec(&record).expect("a record is JSON")
+}
+
+/// Returns the name of a service.
+pub(crate) fn service_name(i: usize) -> String {
+    format!("service-{i:03}")
+}
+
+fn routes(i: usize) -> impl Iterator<Item = RawRoute> {
+    (0..ROUTES_PER_SERVICE).map(move |n| RawRoute {
+        name: format!("{}-{n}", service_name(i)),
+        matches: RawMatch {
+            host: None,
+            path: format!("/{}/{n}", service_name(i)),
+            methods: vec!["GET".into(), "POST".into()],
+        },
+        service: service_name(i),
+        idempotent: n == 0,
+        urgent: false,
+        timeout_ms: 5_000,
+        body_limit_bytes: 1 << 20,
+    })
+}
--- /dev/null
+++ b/crates/bench/src/fleet/mod.rs
@@ -0,0 +1,116 @@
+//! `fleet`: convergence, control bytes and cost of real node processes.
+//!
+//! Every node is reached through a proxy that adds the delay between availability
+//! zones and counts the bytes of the control links, framing included. How the
+//! figures are used is in `docs/CAPACITY.md`.
+
+mod configuration;
+mod observer;
+mod process;
+mod publishing;
+mod report;
+mod site;
+
+use std::{path::PathBuf, thread, time::Duration};
+
+use anyhow::Context;
+use argh::FromArgs;
+use savorykeel_node::control::ControlMode;
+
+pub(crate) use self::configuration::{publish_record, service_name};
+
+use self::{
+    publishing::measure_publishes,
+    report::{FleetFigures, print_table},
+    site::Site,
+};
+
+/// Measures fleets of real node processes on loopback.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+pub(crate) struct Args {
+    /// numbers of nodes, separated by commas
+    #[argh(option, default = "String::from(\"25,50,100\")")]
+    nodes: String,
+
+    /// number of availability zones
+    #[argh(option, default = "5")]
+    zones: u8,
+
+    /// number of services in the configuration
+    #[argh(option, default = "290")]
+    services: usize,
+
+    /// number of publishes measured in each fleet
+    #[argh(option, default = "20")]
+    publishes: u64,
+
+    /// seconds for which each fleet is watched at rest
+    #[argh(option, default = "10")]
+    rest_seconds: u64,
+
+    /// ways of distribution, separated by commas: gossip, poll
+    #[argh(option, default = "String::from(\"gossip,poll\")")]
+    modes: String,
+
+    /// the savorykeel binary; beside this program when absent
+    #[argh(option)]
+    binary: Option<PathBuf>,
+}
+
+/// How one fleet is built and measured.
+#[derive(Debug, Clone)]
+pub(crate) struct Plan {
+    nodes: usize,
+    zones: u8,
+    services: usize,
+    publishes: u64,
+    rest: Duration,
+    mode: ControlMode,
+    binary: PathBuf,
+}
+
+/// Measures every fleet that the arguments name.
+pub(crate) fn run(args: &Args) -> anyhow::Result<()> {
+    let mut rows = Vec::new();
+    for mode in args.modes.split(',') {
+        let mode: ControlMode = mode.parse().with_context(|| format!("mode {mode:?}"))?;
+        for nodes in args.nodes.split(',') {
+            let nodes = nodes.parse().with_context(|| format!("number of nodes {nodes:?}"))?;
+            let figures = measure(&plan(args, nodes, mode)?)?;
+            println!("{}", serde_json::to_string(&figures)?);
+            rows.push(figures);
+        }
+    }
+    print_table(&rows);
+    Ok(())
+}
+
+fn plan(args: &Args, nodes: usize, mode: ControlMode) -> anyhow::Result<Plan> {
+    let beside = || anyhow::Ok(std::env::current_exe()?.with_file_name("savorykeel"));
+    let binary = args.binary.clone().map_or_else(beside, Ok)?;
+    Ok(Plan {
+        nodes,
+        zones: args.zones,
+        services: args.services,
+        publishes: args.publishes,
+        rest: Duration::from_secs(args.rest_seconds),
+        mode,
+        binary,
+    })
+}
+
+fn measure(plan: &Plan) -> anyhow::Result<FleetFigures> {
+    let mut site = Site::start(plan)?;
+    let started = site.publish_and_wait(0)?;
+    site.announce_backends()?;
+    // Announcements and the first comparison of tables end before rest begins.
+    thread::sleep(SETTLING);
+    let rest = site.watch(plan.rest)?;
+    let publishes = measure_publishes(&mut site, plan.publishes)?;
+    let membership = observer::measure_membership(&mut site)?;
+    Ok(FleetFigures::new(plan, started, rest, publishes, membership))
+}
+
+/// Time after the start before a fleet counts as at rest.
+const SETTLING: Duration = Duration::from_secs(8);
--- /dev/null
+++ b/crates/bench/src/fullsize.rs
@@ -0,0 +1,218 @@
+//! `fullsize`: what the full-size tables cost a single node.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    process::Command,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, ensure};
+use argh::FromArgs;
+use savorykeel_policy::{
+    config::{checkpoint::Checkpoint, fold::Fold},
+    distribution::{
+        duty::rank,
+        message::{MessageBody, ReplyBody, encode},
+        update::{FoldUpdate, Held},
+    },
+    ids::{ConfigVersion, InstanceName},
+    membership::{
+        entry::{BackendRecord, NodeRecord, Stamp},
+        members::Members,
+        merge::Entry,
+        rings::Neighbours,
+    },
+    table::Table,
+    time::Tick,
+};
+use serde::Serialize;
+
+use crate::fleet::{publish_record, service_name};
+
+/// Feeds the policy code with tables of full size.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fullsize")]
+pub(crate) struct Args {
+    /// numbers of nodes, separated by commas
+    #[argh(option, default = "String::from(\"800,1600,3200\")")]
+    nodes: String,
+
+    /// number of services
+    #[argh(option, default = "290")]
+    services: usize,
+}
+
+/// Repetitions of each timed step.
+const REPETITIONS: u32 = 200;
+
+/// Publishes that are folded.
+const PUBLISHES: u64 = 300;
+
+/// What one size costs.
+#[derive(Debug, Clone, Serialize)]
+struct Figures {
+    nodes: usize,
+    /// Resident memory that the fold with its history added, in kilobytes.
+    fold_rss_kb: u64,
+    /// Resident memory that the membership table added, in kilobytes.
+    members_rss_kb: u64,
+    /// Resident memory that two request tables added, in kilobytes; one is in
+    /// force and one still in use by a request.
+    tables_rss_kb: u64,
+    /// One merge of a changed entry, in microseconds.
+    merge_us: f64,
+    /// The digest of the table, which goes with every message, in microseconds.
+    digest_us: f64,
+    /// The neighbours on the rings, in microseconds.
+    neighbours_us: f64,
+    /// The rank in the availability zone, in microseconds.
+    rank_us: f64,
+    /// A look for suspicions that aged, in microseconds.
+    expire_us: f64,
+    /// A request table, in microseconds.
+    table_us: f64,
+    /// Folding one publish, in microseconds.
+    fold_us: f64,
+    /// Making the delta for one publish, in microseconds.
+    delta_us: f64,
+    /// Bytes of every entry, for a first sync.
+    members_bytes: usize,
+    /// Bytes of one entry as news.
+    entry_bytes: usize,
+    /// Bytes of the digests in a comparison.
+    compare_bytes: usize,
+    /// Bytes of a publish record.
+    record_bytes: usize,
+    /// Bytes of the whole configuration between nodes.
+    whole_bytes: usize,
+    /// Bytes of the delta for one publish.
+    delta_bytes: usize,
+    /// Bytes of a checkpoint.
+    checkpoint_bytes: usize,
+}
+
+/// Measures each size.
+pub(crate) fn run(args: &Args) -> anyhow::Result<()> {
+    let sizes: Vec<&str> = args.nodes.split(',').collect();
+    if let [nodes] = sizes[..] {
+        let nodes = nodes.parse().with_context(|| format!("number of nodes {nodes:?}"))?;
+        println!("{}", serde_json::to_string(&measure(nodes, args.services)?)?);
+        return Ok(());
+    }
+    // Each size gets a process of its own, because memory that was freed stays
+    // resident and would hide what the next size needs.
+    for nodes in sizes {
+        let services = args.services.to_string();
+        let command = ["fullsize", "--nodes", nodes, "--services", &services];
+        let status = Command::new(std::env::current_exe()?).args(command).status()?;
+        ensure!(status.success(), "size {nodes} failed");
+    }
+    Ok(())
+}
+
+fn measure(nodes: usize, services: usize) -> anyhow::Result<Figures> {
+    let at_start = rss_kb()?;
+    let mut members = fill(nodes, services);
+    let with_members = rss_kb()?;
+    let (mut fold, fold_us) = fold_publishes(services);
+    let with_fold = rss_kb()?;
+    let configuration = fold.configuration().context("nothing was accepted")?.clone();
+    let build = || Table::build(fold.version(), configuration.clone(), members.records());
+    let tables = [build(), build()];
+    let with_tables = rss_kb()?;
+    drop(tables);
+    let own = members.own().record.clone();
+    let everyone: Vec<Entry> = members.entries().cloned().collect();
+    let held = Held::by(&fold);
+    fold.apply(PUBLISHES, &publish_record(PUBLISHES, services));
+    let delta = FoldUpdate::for_holder(&fold, held);
+    let whole = FoldUpdate::for_holder(&fold, Held { wants_whole: true, ..held });
+    Ok(Figures {
+        nodes,
+        fold_rss_kb: with_fold.saturating_sub(with_members),
+        members_rss_kb: with_members.saturating_sub(at_start),
+        tables_rss_kb: with_tables.saturating_sub(with_fold),
+        merge_us: time_merges(&mut members, nodes, services),
+        digest_us: time(|| members.digest()),
+        neighbours_us: time(|| Neighbours::of(&own.instance, &members)),
+        rank_us: time(|| rank(&members, &own.zone, &own.instance)),
+        expire_us: time(|| members.expire(Tick(2))),
+        table_us: time(|| Table::build(fold.version(), configuration.clone(), members.records())),
+        fold_us,
+        delta_us: time(|| FoldUpdate::for_holder(&fold, held)),
+        members_bytes: encode(&ReplyBody::Entries(everyone.clone())).len(),
+        entry_bytes: encode(&MessageBody::News { entries: everyone[..1].to_vec() }).len(),
+        compare_bytes: encode(&MessageBody::Compare { digests: members.digests().to_vec() }).len(),
+        record_bytes: publish_record(PUBLISHES, services).len(),
+        whole_bytes: encode(&whole).len(),
+        delta_bytes: encode(&delta).len(),
+        checkpoint_bytes: Checkpoint::of(&fold).to_bytes().len(),
+    })
+}
+
+fn fold_publishes(services: usize) -> (Fold, f64) {
+    let mut fold = Fold::default();
+    let mut spent = Duration::ZERO;
+    for offset in 0..PUBLISHES {
+        let body = publish_record(offset, services);
+        let started = Instant::now();
+        fold.apply(offset, &body);
+        spent += started.elapsed();
+    }
+    (fold, micros(spent) / PUBLISHES as f64)
+}
+
+fn fill(nodes: usize, services: usize) -> Members {
+    let mut members = Members::new(record(0, 0, services), Tick(0));
+    for n in 1..nodes {
+        members.merge(Entry::alive(record(n, 0, services)), Tick(0));
+    }
+    members
+}
+
+fn time_merges(members: &mut Members, nodes: usize, services: usize) -> f64 {
+    let changed: Vec<Entry> = (1..nodes).map(|n| Entry::alive(record(n, 1, services))).collect();
+    let started = Instant::now();
+    for entry in changed {
+        members.merge(entry, Tick(1));
+    }
+    micros(started.elapsed()) / (nodes - 1) as f64
+}
+
+fn record(n: usize, sequence: u64, services: usize) -> NodeRecord {
+    let name = |text: String| InstanceName::try_from(text).expect("a name");
+    NodeRecord {
+        instance: name(format!("instance-{n:05}")),
+        stamp: Stamp { incarnation: 1_796_000_000_000, sequence },
+        zone: format!("region-{}-zone-{}", n % 7, n % 14).try_into().expect("a name"),
+        region: format!("region-{}", n % 7).try_into().expect("a name"),
+        peer_addr: SocketAddr::from(([10, 1, (n / 250) as u8, (n % 250) as u8], 7_001)),
+        leaving: false,
+        backend: Some(BackendRecord {
+            service: service_name(n % services).try_into().expect("a name"),
+            version: "v1".try_into().expect("a name"),
+            slots: 20,
+            draining: false,
+        }),
+        applied: ConfigVersion(12_345),
+    }
+}
+
+fn time<T>(mut step: impl FnMut() -> T) -> f64 {
+    let started = Instant::now();
+    for _ in 0..REPETITIONS {
+        std::hint::black_box(step());
+    }
+    micros(started.elapsed()) / f64::from(REPETITIONS)
+}
+
+fn micros(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e6
+}
+
+fn rss_kb() -> anyhow::Result<u64> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let rss = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    Ok(rss.and_then(|rest| rest.split_whitespace().next()).context("no VmRSS")?.parse()?)
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,7 @@
 //! Load and measurement tool for savorykeel; it is not shipped.
 
+mod fleet;
+mod fullsize;
 mod latency;
 mod moves;
 mod processes;
@@ -17,6 +19,8 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Fleet(fleet::Args),
+    Fullsize(fullsize::Args),
     Latency(latency::Args),
     Moves(moves::Args),
 }
@@ -24,6 +28,8 @@
 fn main() -> anyhow::Result<()> {
     let args: Args = argh::from_env();
     match args.command {
+        Command::Fleet(args) => fleet::run(&args),
+        Command::Fullsize(args) => fullsize::run(&args),
         Command::Latency(args) => latency::run(&args),
         Command::Moves(args) => moves::run(&args),
     }
