--- a/crates/adapters/src/metrics.rs
+++ b/crates/adapters/src/metrics.rs
@@ -25,6 +25,8 @@
     Calls,
     /// Tries at a call on a backend server after the first one, by service.
     Retries,
+    /// Configuration versions applied.
+    Applied,
     /// Reads of the log service.
     LogReads,
     /// Records read from the log service.
--- a/crates/node/src/control/metrics.rs
+++ b/crates/node/src/control/metrics.rs
@@ -22,13 +22,13 @@
 pub(super) async fn report<L, P>(cx: Rc<ControlContext<L, P>>) {
     let mut last = Counts::default();
     loop {
-        sleep(to_millis(PERIOD)).await;
         let now = Counts::of(&cx.state);
         now.report_since(&last, &cx.metrics);
         last = now;
         let snapshot = cx.state.snapshot();
         cx.metrics.gauge(Gauge::ConfigurationVersion, snapshot.version.0, &[]);
         report_members(&cx.metrics, snapshot.members);
+        sleep(to_millis(PERIOD)).await;
     }
 }
 
@@ -37,8 +37,10 @@
 struct Counts {
     bytes_sent: u64,
     bytes_received: u64,
+    log_reads: u64,
     log_records: u64,
     log_appends: u64,
+    log_failures: u64,
     applied: u64,
 }
 
@@ -49,8 +51,10 @@
         Self {
             bytes_sent: load(&counters.bytes_sent),
             bytes_received: load(&counters.bytes_received),
+            log_reads: load(&counters.log_reads),
             log_records: load(&counters.log_records),
             log_appends: load(&counters.log_appends),
+            log_failures: load(&counters.log_failures),
             applied: load(&counters.applied),
         }
     }
@@ -62,6 +66,8 @@
             self.bytes_received - last.bytes_received,
             &[],
         );
+        metrics.count(Counter::LogReads, self.log_reads - last.log_reads, &[]);
+        metrics.count(Counter::LogFailures, self.log_failures - last.log_failures, &[]);
         metrics.count(Counter::LogRecords, self.log_records - last.log_records, &[]);
         metrics.count(Counter::LogAppends, self.log_appends - last.log_appends, &[]);
         metrics.count(Counter::Applied, self.applied - last.applied, &[]);
