--- a/crates/bench/src/moves.rs
+++ b/crates/bench/src/moves.rs
@@ -1,6 +1,28 @@
 //! `moves`: how good and bad versions fare, over many seeds.
+//!
+//! It runs the decision code of `savorykeel_policy::moves` against one service's
+//! calls, drawn at random: no network and no cluster. The families, the model of
+//! the calls and the figures are in `docs/design/0007-judge.md`.
+
+mod family;
+mod plot;
+mod report;
+mod stats;
+mod strategy;
+mod world;
+
+use std::{
+    path::PathBuf,
+    sync::atomic::{AtomicUsize, Ordering},
+};
 
 use argh::FromArgs;
+use parking_lot::Mutex;
+use strum::IntoEnumIterator;
+
+use family::Family;
+use strategy::Strategy;
+use world::{Outcome, World};
 
 /// Runs the decisions about moves over families of versions.
 #[derive(FromArgs)]
@@ -9,9 +31,81 @@
     /// seeds for each family
     #[argh(option, default = "200")]
     seeds: u64,
+    /// first seed
+    #[argh(option, default = "1")]
+    first_seed: u64,
+    /// only this family
+    #[argh(option)]
+    family: Option<Family>,
+    /// only this strategy
+    #[argh(option)]
+    strategy: Option<Strategy>,
+    /// threads to run on
+    #[argh(option, default = "3")]
+    threads: usize,
+    /// file for a plot as SVG
+    #[argh(option)]
+    svg: Option<PathBuf>,
 }
 
-/// Runs the experiment.
+/// One family under one strategy, over all seeds.
+struct Cell {
+    family: Family,
+    strategy: Strategy,
+    outcomes: Vec<Outcome>,
+}
+
+/// Runs the experiment and prints its table.
 pub(crate) fn run(args: &Args) -> anyhow::Result<()> {
-    anyhow::bail!("moves over {} seeds can't be run yet", args.seeds)
+    let families: Vec<Family> = match args.family {
+        Some(family) => vec![family],
+        None => Family::iter().collect(),
+    };
+    let strategies: Vec<Strategy> =
+        Strategy::iter().filter(|s| args.strategy.is_none_or(|only| only == *s)).collect();
+    let pairs = families.iter().flat_map(|family| strategies.iter().map(|s| (*family, *s)));
+    let cells = run_cells(pairs, args);
+    report::print(&cells, args.seeds);
+    if let Some(path) = &args.svg {
+        plot::write(path, &cells)?;
+    }
+    Ok(())
+}
+
+/// One move to run.
+struct Job {
+    cell: usize,
+    seed: u64,
+}
+
+fn run_cells(pairs: impl Iterator<Item = (Family, Strategy)>, args: &Args) -> Vec<Cell> {
+    let mut cells: Vec<Cell> =
+        pairs.map(|(family, strategy)| Cell { family, strategy, outcomes: Vec::new() }).collect();
+    let seeds = args.first_seed..args.first_seed + args.seeds;
+    let jobs: Vec<Job> = (0..cells.len())
+        .flat_map(|cell| seeds.clone().map(move |seed| Job { cell, seed }))
+        .collect();
+    let next = AtomicUsize::new(0);
+    let outcomes = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..args.threads.max(1) {
+            scope.spawn(|| {
+                while let Some(job) = jobs.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let cell = &cells[job.cell];
+                    let outcome = World::new(cell.family, job.seed).run(cell.strategy);
+                    outcomes.lock().push(Done { cell: job.cell, outcome });
+                }
+            });
+        }
+    });
+    for done in outcomes.into_inner() {
+        cells[done.cell].outcomes.push(done.outcome);
+    }
+    cells
+}
+
+/// A move that was run.
+struct Done {
+    cell: usize,
+    outcome: Outcome,
 }
--- /dev/null
+++ b/crates/bench/src/moves/strategy.rs
@@ -0,0 +1,298 @@
+//! The ways of moving traffic that are compared.
+
+use std::collections::BTreeMap;
+
+use rand::{RngExt, rngs::StdRng};
+use savorykeel_policy::{
+    ids::BackendVersion,
+    moves::{
+        capacity::Capacity,
+        evidence::{Evidence, Report},
+        histogram::Histogram,
+        ramp::{Due, Proof, RampInput, next_share},
+        state::{BadKind, BadReason, MoveState, Permille},
+        watch::{Base, Look, PROOF_CALLS, Watch},
+        window::{Increments, Tally, Window},
+    },
+    time::{Tick, WallMillis},
+};
+
+use super::stats::two_proportions;
+
+/// Nodes that judge one move side by side.
+const JUDGING_NODES: usize = 2;
+
+/// Chance that a node has an instance's newest report at a look.
+const REPORT_ARRIVES: f64 = 0.8;
+
+/// Share before there is evidence.
+const UNPROVEN: Permille = Permille(50);
+
+/// Seconds of one window of the fixed-window test.
+const FIXED_WINDOW: u64 = 30;
+
+/// Level of the fixed-window test over all windows until the time asked for,
+/// routes and questions.
+const FIXED_LEVEL: f64 = 0.005;
+
+/// Calls on the new version without which a share isn't tested.
+const TESTED_CALLS: u64 = 50;
+
+/// Level of the canary's test at the end of each of its steps.
+const CANARY_LEVEL: f64 = 0.01;
+
+/// Steps of the canary in thousandths.
+const CANARY_STEPS: [u16; 4] = [50, 250, 500, 1_000];
+
+/// A way of moving traffic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumIter, strum::EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Strategy {
+    /// The judge and the ramp of the product.
+    Savorykeel,
+    /// The ramp of the product with a test of two proportions in each window.
+    FixedWindow,
+    /// Four fixed steps with a test at the end of each.
+    Canary,
+    /// A share in proportion to time, without any test.
+    Linear,
+}
+
+/// What a strategy sees each second.
+pub(crate) struct View<'a> {
+    /// Seconds since the move began.
+    pub(crate) now: u64,
+    /// Time asked for.
+    pub(crate) by: WallMillis,
+    /// Slots of both versions.
+    pub(crate) capacity: Capacity,
+    /// Reports of all instances.
+    pub(crate) reports: Vec<&'a Report>,
+    /// Source of random delays.
+    pub(crate) rng: &'a mut StdRng,
+}
+
+/// One judging node.
+#[derive(Default)]
+struct Node {
+    evidence: Evidence,
+    state: MoveState,
+    watch: Option<Watch>,
+}
+
+/// Drives one move.
+pub(crate) struct Driver {
+    strategy: Strategy,
+    routes: usize,
+    nodes: Vec<Node>,
+    state: MoveState,
+    evidence: Evidence,
+    increments: Increments,
+    window: Totals,
+    step: usize,
+    step_since: u64,
+    step_calls: u64,
+}
+
+/// Counts of both versions by route.
+#[derive(Default)]
+struct Totals {
+    new: BTreeMap<String, Tally>,
+    old: BTreeMap<String, Tally>,
+}
+
+impl Totals {
+    fn add(&mut self, window: &Window) {
+        for (route, tally) in &window.new {
+            self.new.entry(route.to_string()).or_default().add_tally(tally);
+        }
+        for (route, tally) in &window.old {
+            self.old.entry(route.to_string()).or_default().add_tally(tally);
+        }
+    }
+
+    fn whole(tallies: &BTreeMap<String, Tally>) -> Tally {
+        let mut whole = Tally::default();
+        tallies.values().for_each(|tally| whole.add_tally(tally));
+        whole
+    }
+
+    fn is_worse(&self, level: f64) -> bool {
+        let (new, old) = (Self::whole(&self.new), Self::whole(&self.old));
+        let by_route = self.new.iter().filter_map(|(route, new)| Some((new, self.old.get(route)?)));
+        by_route.chain([(&new, &old)]).any(|(new, old)| is_worse(new, old, level))
+    }
+}
+
+fn is_worse(new: &Tally, old: &Tally, level: f64) -> bool {
+    if new.run < TESTED_CALLS || old.run < TESTED_CALLS {
+        return false;
+    }
+    let failures = two_proportions(new.failed, new.run, old.failed, old.run);
+    let slow_from = slow_from(&old.latency);
+    let slowness = two_proportions(
+        new.latency.tail(slow_from),
+        new.latency.total(),
+        old.latency.tail(slow_from),
+        old.latency.total(),
+    );
+    failures < level || slowness < level
+}
+
+fn slow_from(reference: &Histogram) -> usize {
+    reference.tail_bucket(0.1)
+}
+
+impl Driver {
+    /// Starts a move of a service with `routes` routes.
+    pub(crate) fn new(strategy: Strategy, routes: usize) -> Self {
+        Self {
+            strategy,
+            routes,
+            nodes: (0..JUDGING_NODES).map(|_| Node::default()).collect(),
+            state: MoveState::default(),
+            evidence: Evidence::default(),
+            increments: Increments::default(),
+            window: Totals::default(),
+            step: 0,
+            step_since: 0,
+            step_calls: 0,
+        }
+    }
+
+    /// Returns the new version's share in thousandths.
+    pub(crate) fn share(&self) -> u16 {
+        self.state.effective_share().0
+    }
+
+    /// Tells whether all traffic reached the new version.
+    pub(crate) fn is_done(&self) -> bool {
+        self.state.done
+    }
+
+    /// Tells whether the new version was taken back.
+    pub(crate) fn is_bad(&self) -> bool {
+        self.state.bad.is_some()
+    }
+
+    /// Returns why the new version was taken back.
+    pub(crate) fn reason(&self) -> Option<BadReason> {
+        self.state.bad.clone()
+    }
+
+    /// Returns how often a finished version was compared once more.
+    pub(crate) fn rechecks(&self) -> u32 {
+        self.state.rechecks.div_ceil(2)
+    }
+
+    /// Takes in one second.
+    pub(crate) fn look(&mut self, view: &mut View<'_>) {
+        match self.strategy {
+            Strategy::Savorykeel => self.look_savorykeel(view),
+            Strategy::FixedWindow => self.look_fixed_window(view),
+            Strategy::Canary => self.look_canary(view),
+            Strategy::Linear => self.look_linear(view),
+        }
+    }
+
+    fn look_savorykeel(&mut self, view: &mut View<'_>) {
+        let (old, new) = versions();
+        for node in &mut self.nodes {
+            for report in &view.reports {
+                if view.rng.random_bool(REPORT_ARRIVES) {
+                    node.evidence.merge((*report).clone());
+                }
+            }
+            // A node hears of the others' state a second later.
+            node.state.merge(&self.state);
+            let look = Look {
+                tick: Tick(view.now * 1_000),
+                wall: WallMillis(view.now * 1_000),
+                by: Some(view.by),
+                unproven: UNPROVEN,
+                old: Some(&old),
+                base: Base::Known,
+                new: &new,
+                capacity: view.capacity,
+                evidence: &node.evidence,
+            };
+            let routes = self.routes;
+            let state = node.state.clone();
+            let watch = node.watch.get_or_insert_with(|| Watch::new(routes, &look, &state));
+            let wanted = watch.look(&look, &node.state);
+            node.state.merge(&wanted);
+        }
+        for node in &self.nodes {
+            self.state.merge(&node.state);
+        }
+    }
+
+    fn advance(&mut self, view: &View<'_>) -> Window {
+        let (old, new) = versions();
+        for report in &view.reports {
+            self.evidence.merge((*report).clone());
+        }
+        let window =
+            self.increments.advance(Tick(view.now * 1_000), &self.evidence, Some(&old), &new);
+        self.window.add(&window);
+        window
+    }
+
+    fn look_fixed_window(&mut self, view: &View<'_>) {
+        self.step_calls += self.advance(view).new_run();
+        if view.now.is_multiple_of(FIXED_WINDOW) {
+            let windows = (view.by.0 / 1_000).div_ceil(FIXED_WINDOW) as f64;
+            let questions = 2.0 * (self.routes as f64 + 1.0);
+            self.take_back_if_worse(FIXED_LEVEL / windows / questions);
+            self.window = Totals::default();
+        }
+        let due = Due::new(WallMillis(0), Some(view.by));
+        let proof = if self.step_calls >= PROOF_CALLS { Proof::Enough } else { Proof::Thin };
+        let share = next_share(&RampInput {
+            share: self.state.share,
+            in_step: std::time::Duration::from_secs(view.now - self.step_since),
+            left: due.left(WallMillis(view.now * 1_000)),
+            proof,
+            unproven: UNPROVEN,
+            ceiling: view.capacity.ceiling(),
+        });
+        if share != self.state.share {
+            self.state.share = share;
+            self.step_since = view.now;
+            self.step_calls = 0;
+        }
+        self.state.done |= share == Permille::FULL;
+    }
+
+    fn look_canary(&mut self, view: &View<'_>) {
+        self.advance(view);
+        let step_time = view.by.0 / 1_000 / CANARY_STEPS.len() as u64;
+        self.state.share = Permille(CANARY_STEPS[self.step]);
+        let is_over = view.now - self.step_since >= step_time;
+        if !is_over || self.step + 1 == CANARY_STEPS.len() {
+            return;
+        }
+        self.take_back_if_worse(CANARY_LEVEL);
+        self.window = Totals::default();
+        self.step_since = view.now;
+        self.step += 1;
+        self.state.done = self.step + 1 == CANARY_STEPS.len();
+    }
+
+    fn look_linear(&mut self, view: &View<'_>) {
+        let share = view.now as f64 * 1_000.0 / view.by.0 as f64;
+        self.state.share = Permille::from_share(share);
+        self.state.done = self.state.share == Permille::FULL;
+    }
+
+    fn take_back_if_worse(&mut self, level: f64) {
+        if self.window.is_worse(level) {
+            self.state.bad = Some(BadReason { kind: BadKind::Failing, route: None });
+        }
+    }
+}
+
+fn versions() -> (BackendVersion, BackendVersion) {
+    let version = |name| BackendVersion::try_from(name).expect("it is a valid name");
+    (version("v1"), version("v2"))
+}
--- /dev/null
+++ b/crates/bench/src/moves/world.rs
@@ -0,0 +1,402 @@
+//! One service's calls, drawn at random, under one strategy.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use savorykeel_policy::{
+    ids::{BackendVersion, InstanceName, RouteName, ServiceName, ZoneName},
+    membership::entry::Stamp,
+    moves::{
+        capacity::Capacity,
+        evidence::{COLD_START, Ending, Observation, Report},
+        state::BadReason,
+    },
+    time::WallMillis,
+};
+
+use super::{
+    family::Family,
+    strategy::{Driver, Strategy, View},
+};
+
+/// Slots of an instance.
+const SLOTS: u32 = 20;
+
+/// Availability zones of the service.
+const ZONES: usize = 3;
+
+/// Time in seconds for which moves are watched after `by`.
+const WATCHED_AFTER: u64 = 900;
+
+/// Part of an instance's load with all traffic above which the load-dependent
+/// fault shows.
+const FAULT_LOAD: f64 = 0.6;
+
+/// What became of one move.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Outcome {
+    /// Whether all traffic reached the version by the time asked for.
+    pub(crate) is_on_time: bool,
+    /// Whether it was taken back.
+    pub(crate) is_taken_back: bool,
+    /// Seconds from the fault's first call to the verdict.
+    pub(crate) verdict_after: Option<f64>,
+    /// Largest share, in thousandths, from the fault's start to the verdict.
+    pub(crate) peak_permille: u16,
+    /// Calls that met the faulty version.
+    pub(crate) exposed: u64,
+    /// Calls that failed, or took long, by its fault.
+    pub(crate) harmed: u64,
+    /// Calls a second that meet the fault with all traffic on the new version.
+    pub(crate) fault_rate: f64,
+    /// Calls on the new version until the verdict.
+    pub(crate) new_calls: u64,
+    /// Why it was taken back.
+    pub(crate) reason: Option<BadReason>,
+    /// Times that a finished version was compared once more.
+    pub(crate) rechecks: u32,
+}
+
+#[derive(Debug, Clone)]
+struct Route {
+    name: RouteName,
+    weight: f64,
+    median_ms: f64,
+    spread: f64,
+}
+
+#[derive(Debug, Clone)]
+struct Instance {
+    report: Report,
+    zone: usize,
+    is_new: bool,
+    speed: f64,
+    started: u64,
+    down_until: u64,
+    crash_at: Option<u64>,
+    busy_ms: f64,
+    load: f64,
+}
+
+/// One service.
+pub(crate) struct World {
+    family: Family,
+    rng: StdRng,
+    routes: Vec<Route>,
+    instances: Vec<Instance>,
+    rate: f64,
+    base_failures: f64,
+    new_speed: f64,
+    cold_seconds: u64,
+    bad_route: usize,
+    by: u64,
+    end: u64,
+    fault_from: u64,
+    disturbed: std::ops::Range<u64>,
+    disturbed_zone: usize,
+}
+
+impl World {
+    /// Draws a service of the family.
+    pub(crate) fn new(family: Family, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed.wrapping_mul(1_000_003) ^ family as u64);
+        let by = rng.random_range(300..1_200);
+        let rate = match family {
+            Family::GoodLowTraffic => log_uniform(&mut rng, 0.02, 0.2),
+            _ => log_uniform(&mut rng, 20.0, 200.0),
+        };
+        let fault_from = match family {
+            Family::BadAfterHours => by + rng.random_range(7_200..10_800),
+            Family::BadOneRouteLater => by + rng.random_range(60..300),
+            Family::Slow2xLater => by + 1_800,
+            _ => 0,
+        };
+        let disturbed_from = rng.random_range(10..by + 300);
+        let disturbed = disturbed_from..disturbed_from + rng.random_range(5..240);
+        let routes = (0..family.routes()).map(|i| draw_route(&mut rng, i)).collect();
+        let per_version = rng.random_range(3..6);
+        let instances =
+            (0..2 * per_version).map(|i| draw_instance(&mut rng, i, i >= per_version)).collect();
+        Self {
+            family,
+            routes,
+            instances,
+            rate,
+            base_failures: log_uniform(&mut rng, 0.000_1, 0.002),
+            new_speed: rng.random_range(0.95..1.1),
+            cold_seconds: rng.random_range(3..12),
+            bad_route: rng.random_range(0..family.routes()),
+            by,
+            end: (by + WATCHED_AFTER).max(fault_from + WATCHED_AFTER),
+            fault_from,
+            disturbed,
+            disturbed_zone: rng.random_range(0..ZONES),
+            rng,
+        }
+    }
+
+    /// Runs the move under a strategy.
+    pub(crate) fn run(mut self, strategy: Strategy) -> Outcome {
+        let mut driver = Driver::new(strategy, self.routes.len());
+        let mut outcome = Outcome { fault_rate: self.fault_rate(), ..Outcome::default() };
+        let mut first_fault: Option<u64> = None;
+        for now in 0..self.end {
+            self.crash_and_start(now);
+            let share = driver.share();
+            let harmed_before = outcome.harmed;
+            let exposed_before = outcome.exposed;
+            self.second(now, share, &mut outcome);
+            let shows = outcome.harmed > harmed_before || self.crashes_shown(now);
+            if shows && first_fault.is_none() {
+                first_fault = Some(now);
+            }
+            if first_fault.is_some() && outcome.exposed > exposed_before {
+                outcome.peak_permille = outcome.peak_permille.max(share);
+            }
+            driver.look(&mut self.view(now));
+            if now == self.by {
+                outcome.is_on_time = driver.is_done() && !driver.is_bad();
+            }
+            if driver.is_bad() {
+                outcome.is_taken_back = true;
+                outcome.reason = driver.reason();
+                let since = first_fault.unwrap_or(now);
+                outcome.verdict_after = Some((now - since) as f64 + 1.0);
+                outcome.is_on_time &= now > self.by && self.family.is_good();
+                break;
+            }
+        }
+        outcome.rechecks = driver.rechecks();
+        outcome
+    }
+
+    fn fault_rate(&self) -> f64 {
+        let total: f64 = self.routes.iter().map(|route| route.weight).sum();
+        match self.family {
+            Family::BadOneRoute | Family::BadOneRouteLater => {
+                self.rate * self.routes[self.bad_route].weight / total
+            }
+            _ => self.rate,
+        }
+    }
+
+    fn view(&mut self, now: u64) -> View<'_> {
+        let slots = |is_new: bool| {
+            let live = self.instances.iter().filter(|i| i.is_new == is_new && now >= i.down_until);
+            live.count() as u32 * SLOTS
+        };
+        View {
+            now: now + 1,
+            by: WallMillis(self.by * 1_000),
+            capacity: Capacity { new_slots: slots(true), old_slots: slots(false) },
+            reports: self.instances.iter().map(|i| &i.report).collect(),
+            rng: &mut self.rng,
+        }
+    }
+
+    fn crashes_shown(&self, now: u64) -> bool {
+        self.family == Family::CrashOnStart && self.instances.iter().any(|i| i.down_until > now)
+    }
+
+    fn crash_and_start(&mut self, now: u64) {
+        if self.family != Family::CrashOnStart {
+            return;
+        }
+        for instance in self.instances.iter_mut().filter(|i| i.is_new) {
+            let crash_at = *instance.crash_at.get_or_insert(now + self.rng.random_range(2..8));
+            if now < crash_at {
+                continue;
+            }
+            instance.report.record_crash();
+            instance.down_until = now + self.rng.random_range(5..15);
+            instance.started = instance.down_until;
+            instance.crash_at = Some(instance.down_until + self.rng.random_range(2..8));
+        }
+    }
+
+    fn second(&mut self, now: u64, share: u16, outcome: &mut Outcome) {
+        for instance in &mut self.instances {
+            instance.load = instance.busy_ms / 1_000.0 / f64::from(SLOTS);
+            instance.busy_ms = 0.0;
+        }
+        let wanted = self.rate * self.load_factor(now);
+        let calls = poisson(&mut self.rng, wanted);
+        for _ in 0..calls {
+            self.call(now, share, outcome);
+        }
+    }
+
+    fn load_factor(&self, now: u64) -> f64 {
+        let is_peak = self.family == Family::GoodPeak && now > self.by + 120;
+        let day = 1.0 + 0.4 * (now as f64 / 86_400.0 * std::f64::consts::TAU).sin();
+        if is_peak { 3.0 * day } else { day }
+    }
+
+    fn call(&mut self, now: u64, share: u16, outcome: &mut Outcome) {
+        let is_new = self.rng.random_range(0..1_000) < share;
+        let zone = self.rng.random_range(0..ZONES);
+        let Some(at) = self.choose(now, is_new, zone).or_else(|| self.choose(now, false, zone))
+        else {
+            return;
+        };
+        let route = self.draw_call_route();
+        let fault = self.fault(now, at, route);
+        let cold = now < self.instances[at].started + self.cold_seconds;
+        let is_cold_family = self.family == Family::GoodCold;
+        let (is_new, age) = {
+            let instance = &self.instances[at];
+            (instance.is_new, now.saturating_sub(instance.started))
+        };
+        let mut factor = self.instances[at].speed * fault.slowness;
+        if is_new {
+            factor *= self.new_speed;
+            outcome.new_calls += 1;
+        }
+        if is_new && is_cold_family && cold {
+            factor *= 5.0;
+        }
+        factor *= 1.0 + self.instances[at].load.min(2.0);
+        let Route { median_ms, spread, .. } = self.routes[route];
+        let took_ms = median_ms * factor * (spread * normal(&mut self.rng)).exp();
+        let failures = self.base_failures + self.disturbance(now, at);
+        let is_by_fault = self.rng.random_bool(fault.failures);
+        let is_failed = is_by_fault || self.rng.random_bool(failures.min(1.0));
+        if fault.is_on {
+            outcome.exposed += 1;
+            outcome.harmed += u64::from(is_by_fault || fault.slowness > 1.0);
+        }
+        let seen = Observation {
+            ending: if is_failed { Ending::Failed } else { Ending::Ok },
+            took: Duration::from_micros((took_ms * 1_000.0) as u64),
+            is_cold: Duration::from_secs(age) < COLD_START,
+        };
+        let instance = &mut self.instances[at];
+        instance.busy_ms += took_ms;
+        instance.report.record(&self.routes[route].name, seen);
+    }
+
+    fn choose(&mut self, now: u64, is_new: bool, zone: usize) -> Option<usize> {
+        let live = |i: &usize| {
+            let instance = &self.instances[*i];
+            instance.is_new == is_new && now >= instance.down_until
+        };
+        let all: Vec<usize> = (0..self.instances.len()).filter(live).collect();
+        let near: Vec<usize> =
+            all.iter().copied().filter(|i| self.instances[*i].zone == zone).collect();
+        let from = if near.is_empty() { &all } else { &near };
+        (!from.is_empty()).then(|| from[self.rng.random_range(0..from.len())])
+    }
+
+    fn draw_call_route(&mut self) -> usize {
+        let total: f64 = self.routes.iter().map(|route| route.weight).sum();
+        let mut at = self.rng.random_range(0.0..total);
+        for (i, route) in self.routes.iter().enumerate() {
+            at -= route.weight;
+            if at < 0.0 {
+                return i;
+            }
+        }
+        self.routes.len() - 1
+    }
+
+    fn fault(&self, now: u64, at: usize, route: usize) -> Fault {
+        let instance = &self.instances[at];
+        let is_route = match self.family {
+            Family::BadOneRoute | Family::BadOneRouteLater => route == self.bad_route,
+            _ => true,
+        };
+        let is_time = match self.family {
+            Family::Flapping => now % 60 < 10,
+            Family::BadAboveLoad => instance.load > FAULT_LOAD * self.full_load(),
+            _ => now >= self.fault_from,
+        };
+        if self.family.is_good() || !instance.is_new || !is_route || !is_time {
+            return Fault { is_on: false, failures: 0.0, slowness: 1.0 };
+        }
+        Fault { is_on: true, failures: self.family.failures(), slowness: self.family.slowness() }
+    }
+
+    /// Returns the load, in parts of the slots, of an instance when the new
+    /// version alone carries all traffic, so that the fault shows in every seed.
+    fn full_load(&self) -> f64 {
+        let weight: f64 = self.routes.iter().map(|r| r.weight).sum();
+        let busy: f64 = self.routes.iter().map(|r| r.weight * r.median_ms).sum::<f64>() / weight;
+        let instances = (self.instances.len() / 2) as f64;
+        self.rate * busy / 1_000.0 / f64::from(SLOTS) / instances
+    }
+
+    fn disturbance(&self, now: u64, at: usize) -> f64 {
+        if !self.disturbed.contains(&now) {
+            return 0.0;
+        }
+        match self.family {
+            Family::GoodDependency => 0.3,
+            Family::GoodZone if self.instances[at].zone == self.disturbed_zone => 0.5,
+            _ => 0.0,
+        }
+    }
+}
+
+struct Fault {
+    is_on: bool,
+    failures: f64,
+    slowness: f64,
+}
+
+fn draw_route(rng: &mut StdRng, i: usize) -> Route {
+    Route {
+        name: RouteName::try_from(format!("route-{i}")).expect("it is a valid name"),
+        weight: 1.0 / (1.0 + i as f64 / 4.0),
+        median_ms: log_uniform(rng, 4.0, 60.0),
+        spread: rng.random_range(0.2..0.8),
+    }
+}
+
+fn draw_instance(rng: &mut StdRng, i: usize, is_new: bool) -> Instance {
+    let zone = i % ZONES;
+    let version = if is_new { "v2" } else { "v1" };
+    let report = Report {
+        instance: InstanceName::try_from(format!("i{i}")).expect("it is a valid name"),
+        stamp: Stamp { incarnation: 1, sequence: 0 },
+        zone: ZoneName::try_from(format!("zone-{zone}")).expect("it is a valid name"),
+        service: ServiceName::try_from("gate").expect("it is a valid name"),
+        version: BackendVersion::try_from(version).expect("it is a valid name"),
+        crashes: 0,
+        routes: BTreeMap::new(),
+    };
+    Instance {
+        report,
+        zone,
+        is_new,
+        speed: rng.random_range(0.95..1.05),
+        started: 0,
+        down_until: 0,
+        crash_at: None,
+        busy_ms: 0.0,
+        load: 0.0,
+    }
+}
+
+fn log_uniform(rng: &mut StdRng, low: f64, high: f64) -> f64 {
+    rng.random_range(low.ln()..high.ln()).exp()
+}
+
+fn normal(rng: &mut StdRng) -> f64 {
+    let u: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+    let v: f64 = rng.random_range(0.0..std::f64::consts::TAU);
+    (-2.0 * u.ln()).sqrt() * v.cos()
+}
+
+fn poisson(rng: &mut StdRng, mean: f64) -> u64 {
+    if mean > 30.0 {
+        return (mean + mean.sqrt() * normal(rng)).round().max(0.0) as u64;
+    }
+    let limit = (-mean).exp();
+    let mut product: f64 = rng.random();
+    let mut count = 0;
+    while product > limit {
+        product *= rng.random::<f64>();
+        count += 1;
+    }
+    count
+}
--- a/crates/policy/src/moves/evidence.rs
+++ b/crates/policy/src/moves/evidence.rs
@@ -21,7 +21,7 @@
 pub const OTHER_ROUTES: &str = "other-routes";
 
 /// Time after its start in which a backend server's latency isn't judged.
-pub const COLD_START: Duration = Duration::from_secs(10);
+pub const COLD_START: Duration = Duration::from_secs(15);
 
 /// How a call ended, seen from the node beside the backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
--- a/crates/policy/src/moves/state.rs
+++ b/crates/policy/src/moves/state.rs
@@ -30,7 +30,10 @@
 
 /// Share that a finished version keeps while its suspected fault is compared
 /// with the old version.
-pub const RECHECK_SHARE: Permille = Permille(500);
+///
+/// The old version then carries nearly the load that the new one had, so that
+/// load alone can be told from a fault.
+pub const RECHECK_SHARE: Permille = Permille(200);
 
 /// What showed that a version is bad.
 #[derive(
@@ -54,7 +57,7 @@
     Failing,
     /// It is slower than the old version on the same routes.
     Slow,
-    /// It fails or is slow with all traffic and recovers with half of it.
+    /// It fails or is slow with all traffic and recovers with a part of it.
     UnderLoad,
     /// Its backend servers end without leaving.
     Crashing,
--- a/crates/policy/src/moves/suspicion.rs
+++ b/crates/policy/src/moves/suspicion.rs
@@ -10,8 +10,7 @@
 
 use super::{
     histogram::Histogram,
-    judge::{MIN_REFERENCE_CALLS, SLOW_MARGIN_BUCKETS, SLOW_SHARE},
-    state::MoveState,
+    judge::{MIN_REFERENCE_CALLS, SLOW_SHARE},
     window::{Tally, Window},
 };
 
@@ -27,8 +26,30 @@
 /// Factor from the known share of failures to the alternative.
 const BAD_FAILURE_FACTOR: f64 = 3.0;
 
-/// Share of slow calls of the alternative.
-const BAD_SLOW: f64 = 0.4;
+/// How slowness is tested for one version.
+#[derive(Debug, Clone, Copy)]
+struct SlowTest {
+    /// Histogram buckets above the bound for slow from which calls count.
+    margin: usize,
+    /// Share of such calls that is no change.
+    good: f64,
+    /// Share of such calls of the alternative.
+    bad: f64,
+}
+
+/// The new version must be slower by two buckets, 41%.
+const NEW_SLOW: SlowTest = SlowTest { margin: 2, good: SLOW_SHARE, bad: 0.35 };
+
+/// The old version counts as changed by much less: it carries less load in a
+/// recheck than the new one did before, and it must still be seen that it
+/// suffers from the same cause.
+const OLD_SLOW: SlowTest = SlowTest { margin: 1, good: 0.14, bad: 0.24 };
+
+/// Sum of log-likelihood ratios from which on the old version counts as changed.
+const COMMON_THRESHOLD: f64 = 3.0;
+
+/// Largest share of failures assumed before the change.
+const MAX_GOOD_FAILURES: f64 = 0.3;
 
 /// Smallest share of failures assumed before the change.
 const MIN_GOOD_FAILURES: f64 = 0.001;
@@ -37,6 +58,13 @@
 struct RouteWatch {
     before: Tally,
     reference: Histogram,
+    new: Sums,
+    old: Sums,
+}
+
+/// Cumulative sums of one version.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sums {
     failures: f64,
     slowness: f64,
 }
@@ -48,22 +76,32 @@
 }
 
 impl Suspicion {
-    /// Takes in one window.
-    pub fn look(&mut self, window: &Window, state: &MoveState) {
+    /// Takes in one window; what comes before the move is done is learned.
+    pub fn look(&mut self, window: &Window, is_done: bool) {
         for (route, tally) in &window.old {
             let watch = self.routes.entry(route.clone()).or_default();
-            watch.learn(tally);
+            if is_done {
+                watch.test_old(tally);
+            } else {
+                watch.learn(tally);
+            }
         }
         for (route, tally) in &window.new {
             let watch = self.routes.entry(route.clone()).or_default();
-            if state.done {
-                watch.test(tally);
+            if is_done {
+                watch.test_new(tally);
             } else {
                 watch.learn(tally);
             }
         }
     }
 
+    /// Tells whether the old version changed as well, so that the cause is
+    /// common to both.
+    pub fn is_common(&self) -> bool {
+        self.routes.values().any(|watch| watch.old.strongest() >= COMMON_THRESHOLD)
+    }
+
     /// Tells whether any route changed.
     pub fn is_raised(&self) -> bool {
         self.route().is_some()
@@ -71,15 +109,18 @@
 
     /// Returns the route that changed most, when any did.
     pub fn route(&self) -> Option<RouteName> {
-        let strongest = self.routes.iter().max_by(|a, b| a.1.sum().total_cmp(&b.1.sum()))?;
-        (strongest.1.sum() >= THRESHOLD).then(|| strongest.0.clone())
+        let strongest = self
+            .routes
+            .iter()
+            .max_by(|a, b| a.1.new.strongest().total_cmp(&b.1.new.strongest()))?;
+        (strongest.1.new.strongest() >= THRESHOLD).then(|| strongest.0.clone())
     }
 
     /// Forgets the sums and keeps what was known before.
     pub fn reset(&mut self) {
         for watch in self.routes.values_mut() {
-            watch.failures = 0.0;
-            watch.slowness = 0.0;
+            watch.new = Sums::default();
+            watch.old = Sums::default();
         }
     }
 }
@@ -90,22 +131,32 @@
         self.reference.add(&tally.latency);
     }
 
-    fn sum(&self) -> f64 {
-        self.failures.max(self.slowness)
+    fn test_new(&mut self, tally: &Tally) {
+        self.new = self.climbed(self.new, tally, NEW_SLOW);
+    }
+
+    fn test_old(&mut self, tally: &Tally) {
+        self.old = self.climbed(self.old, tally, OLD_SLOW);
     }
 
-    fn test(&mut self, tally: &Tally) {
+    fn climbed(&self, sums: Sums, tally: &Tally, test: SlowTest) -> Sums {
         let known = (self.before.failed + 1) as f64 / (self.before.run + 2) as f64;
-        let good = known.clamp(MIN_GOOD_FAILURES, 0.3);
+        let good = known.clamp(MIN_GOOD_FAILURES, MAX_GOOD_FAILURES);
         let bad = (good * BAD_FAILURE_FACTOR).max(MIN_BAD_FAILURES);
-        self.failures = climb(self.failures, tally.failed, tally.run, good, bad);
+        let failures = climb(sums.failures, tally.failed, tally.run, good, bad);
         if self.reference.total() < MIN_REFERENCE_CALLS {
-            return;
+            return Sums { failures, ..sums };
         }
-        let slow_from = self.reference.tail_bucket(SLOW_SHARE) + SLOW_MARGIN_BUCKETS;
+        let slow_from = self.reference.tail_bucket(SLOW_SHARE) + test.margin;
         let slow = tally.latency.tail(slow_from);
         let total = tally.latency.total();
-        self.slowness = climb(self.slowness, slow, total, SLOW_SHARE, BAD_SLOW);
+        Sums { failures, slowness: climb(sums.slowness, slow, total, test.good, test.bad) }
+    }
+}
+
+impl Sums {
+    fn strongest(&self) -> f64 {
+        self.failures.max(self.slowness)
     }
 }
 
--- a/crates/policy/src/moves/watch.rs
+++ b/crates/policy/src/moves/watch.rs
@@ -28,10 +28,11 @@
 pub const MIN_RECHECK: Duration = Duration::from_secs(20);
 
 /// Longest recheck.
-pub const MAX_RECHECK: Duration = Duration::from_secs(120);
+pub const MAX_RECHECK: Duration = Duration::from_secs(600);
 
-/// Calls on the new version that end a recheck which found nothing.
-pub const RECHECK_CALLS: u64 = 200;
+/// Calls of the new version on the suspected route that end a recheck which
+/// found nothing.
+pub const RECHECK_CALLS: u64 = 50;
 
 /// Pause before a recheck after one that found a fault of both versions.
 pub const RECHECK_PAUSE: Duration = Duration::from_secs(60);
@@ -39,7 +40,7 @@
 /// Time after a recheck within which a suspicion counts as the same one.
 pub const SAME_SUSPICION: Duration = Duration::from_secs(300);
 
-/// Rechecks in a row in which the fault went with half of the traffic.
+/// Rechecks in a row in which the fault went with most of the traffic.
 pub const MAX_RECOVERIES: u32 = 3;
 
 /// Time without any live old instance after which the new version needs no
@@ -104,6 +105,7 @@
     rechecks: u32,
     recheck_since: Tick,
     recheck_calls: u64,
+    suspected: Option<RouteName>,
     recheck_was_clean: bool,
     recheck_ended: Option<Tick>,
     recheck_pause: Duration,
@@ -130,6 +132,7 @@
             rechecks: state.rechecks,
             recheck_since: look.tick,
             recheck_calls: 0,
+            suspected: None,
             recheck_was_clean: true,
             recheck_ended: None,
             recheck_pause: RECHECK_PAUSE,
@@ -143,11 +146,11 @@
     /// this node wants; merging it is the caller's part.
     pub fn look(&mut self, look: &Look<'_>, state: &MoveState) -> MoveState {
         self.follow(look, state);
-        let window = self.increments.advance(look.evidence, look.old, look.new);
+        let window = self.increments.advance(look.tick, look.evidence, look.old, look.new);
         self.count(look.tick, &window);
         let judgement = self.judge.look(look.tick, state.rechecks, &window);
-        self.suspicion.look(&window, state);
-        self.recheck_was_clean &= !self.suspicion.is_raised();
+        self.suspicion.look(&window, state.done);
+        self.recheck_was_clean &= !self.suspicion.is_raised() && !self.suspicion.is_common();
         let mut wanted = state.clone();
         if state.bad.is_some() {
             return wanted;
@@ -157,7 +160,7 @@
             return wanted;
         }
         if state.done {
-            self.recheck(look, &mut wanted);
+            self.recheck(look, &mut wanted, judgement);
         } else {
             self.rise(look, &mut wanted, judgement);
         }
@@ -214,7 +217,10 @@
 
     fn count(&mut self, now: Tick, window: &Window) {
         self.step_calls += window.new_run();
-        self.recheck_calls += window.new_run();
+        self.recheck_calls += match &self.suspected {
+            Some(route) => window.new.get(route).map_or(0, |tally| tally.run),
+            None => window.new_run(),
+        };
         add_seen(&mut self.seen_old, &window.old);
         add_seen(&mut self.seen_new, &window.new);
         let span = now.since(self.last_look);
@@ -270,12 +276,12 @@
     }
 
     /// Compares a finished version once more while something speaks against it.
-    fn recheck(&mut self, look: &Look<'_>, wanted: &mut MoveState) {
+    fn recheck(&mut self, look: &Look<'_>, wanted: &mut MoveState, judgement: Judgement) {
         if look.old.is_none() {
             return;
         }
         if wanted.is_rechecking() {
-            self.end_recheck(look, wanted);
+            self.end_recheck(look, wanted, judgement);
             return;
         }
         let is_paused =
@@ -292,18 +298,20 @@
             wanted.bad = Some(BadReason { kind: BadKind::UnderLoad, route });
             return;
         }
+        self.suspected = self.suspicion.route();
         wanted.rechecks += 1;
     }
 
-    /// A fault that went away with half of the traffic is looked for again at
+    /// A fault that went away with most of the traffic is looked for again at
     /// once; one that hit both versions is somebody else's.
     fn pause_after(&self) -> Duration {
         if self.recoveries > 0 { Duration::ZERO } else { self.recheck_pause }
     }
 
-    fn end_recheck(&mut self, look: &Look<'_>, wanted: &mut MoveState) {
+    fn end_recheck(&mut self, look: &Look<'_>, wanted: &mut MoveState, judgement: Judgement) {
         let lasted = look.tick.since(self.recheck_since);
-        let is_enough = lasted >= MIN_RECHECK && self.recheck_calls >= RECHECK_CALLS;
+        let has_calls = lasted >= MIN_RECHECK && self.recheck_calls >= RECHECK_CALLS;
+        let is_enough = has_calls && judgement == Judgement::Clear;
         if !is_enough && lasted < MAX_RECHECK {
             return;
         }
--- a/crates/policy/src/moves/window.rs
+++ b/crates/policy/src/moves/window.rs
@@ -5,15 +5,27 @@
 //! so that a failing dependency, platform or availability zone, which hurts both
 //! versions there, says nothing about either.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use crate::ids::{BackendVersion, InstanceName, RouteName, ZoneName};
+use crate::{
+    ids::{BackendVersion, InstanceName, RouteName, ZoneName},
+    time::Tick,
+};
 
 use super::{
     evidence::{Counters, Evidence, Report},
     histogram::Histogram,
 };
 
+/// Calls of the old version that make a comparison worth while at once.
+pub const READY_OLD_CALLS: u64 = 20;
+
+/// Longest time for which counts wait for more calls.
+pub const MAX_PENDING: Duration = Duration::from_secs(10);
+
 /// Counts of one version in one stratum.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Tally {
@@ -84,21 +96,63 @@
 #[derive(Debug, Clone, Default)]
 pub struct Increments {
     last: BTreeMap<InstanceName, Report>,
+    pending: BTreeMap<Place, Pair>,
 }
 
-/// One version on one route in one availability zone.
+/// One route in one availability zone, or in all of them together.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
     route: RouteName,
-    zone: ZoneName,
+    zone: Option<ZoneName>,
 }
 
-#[derive(Default)]
+/// Counts that wait until both versions can be compared.
+#[derive(Debug, Clone)]
 struct Pair {
+    since: Tick,
     old: Tally,
     new: Tally,
 }
 
+impl Pair {
+    fn new(now: Tick) -> Self {
+        Self { since: now, old: Tally::default(), new: Tally::default() }
+    }
+
+    /// Whether a pair is ready depends on the number of calls alone, never on
+    /// how they ended, so that the choice of windows can't favour a verdict.
+    fn is_ready(&self, now: Tick) -> bool {
+        let has_both = self.old.run > 0 && self.new.run > 0;
+        has_both && (self.old.run >= READY_OLD_CALLS || now.since(self.since) >= MAX_PENDING)
+    }
+}
+
+/// The availability zones in which either version has instances.
+struct Zones {
+    both: BTreeSet<ZoneName>,
+}
+
+impl Zones {
+    fn new(evidence: &Evidence, old: Option<&BackendVersion>, new: &BackendVersion) -> Self {
+        let of = |wanted: Option<&BackendVersion>| -> BTreeSet<&ZoneName> {
+            let reports = evidence.reports().filter(|report| Some(&report.version) == wanted);
+            reports.map(|report| &report.zone).collect()
+        };
+        let (old, new) = (of(old), of(Some(new)));
+        Self { both: old.intersection(&new).map(|zone| (*zone).clone()).collect() }
+    }
+
+    /// Returns where the calls of a report are compared, or none when the zone
+    /// has one version only while others have both.
+    fn place(&self, route: &RouteName, zone: &ZoneName) -> Option<Place> {
+        let zone = match self.both.is_empty() {
+            true => None,
+            false => Some(self.both.get(zone)?.clone()),
+        };
+        Some(Place { route: route.clone(), zone })
+    }
+}
+
 impl Increments {
     /// Returns what was counted since the last call.
     ///
@@ -106,79 +160,67 @@
     /// its counts may be older than the move.
     pub fn advance(
         &mut self,
+        now: Tick,
         evidence: &Evidence,
         old: Option<&BackendVersion>,
         new: &BackendVersion,
     ) -> Window {
         let mut window = Window::default();
-        let mut places: BTreeMap<Place, Pair> = BTreeMap::new();
+        let zones = Zones::new(evidence, old, new);
         for report in evidence.reports() {
             let is_new = report.version == *new;
             if !is_new && Some(&report.version) != old {
                 continue;
             }
-            let last = self.last.insert(report.instance.clone(), report.clone());
             window.new_instances += u64::from(is_new);
+            let last = self.last.insert(report.instance.clone(), report.clone());
             let Some(last) = last else { continue };
             let starts_anew = last.version != report.version
                 || last.stamp.incarnation != report.stamp.incarnation;
             let last = (!starts_anew).then_some(last);
-            count_report(&mut window, &mut places, report, last.as_ref(), is_new);
+            self.count(now, &mut window, &zones, report, last.as_ref(), is_new);
         }
-        window.strata = comparable(places);
+        window.strata = self.take_ready(now);
         window
     }
-}
-
-fn count_report(
-    window: &mut Window,
-    places: &mut BTreeMap<Place, Pair>,
-    report: &Report,
-    last: Option<&Report>,
-    is_new: bool,
-) {
-    if is_new {
-        let before = last.map_or(0, |last| last.crashes);
-        window.new_crashes += u64::from(report.crashes.saturating_sub(before));
-    }
-    for (route, counters) in &report.routes {
-        let before = last.and_then(|last| last.routes.get(route));
-        let increase = before.map_or_else(|| counters.clone(), |before| counters.since(before));
-        if increase.run == 0 && increase.busy_ms == 0 {
-            continue;
-        }
-        window.busy_ms += increase.busy_ms;
-        let place = Place { route: route.clone(), zone: report.zone.clone() };
-        let pair = places.entry(place).or_default();
-        let (tally, total) = match is_new {
-            true => (&mut pair.new, &mut window.new),
-            false => (&mut pair.old, &mut window.old),
-        };
-        tally.add(&increase);
-        total.entry(route.clone()).or_default().add(&increase);
-    }
-}
 
-/// Compares within availability zones where any has both versions, and across
-/// them otherwise.
-fn comparable(places: BTreeMap<Place, Pair>) -> Vec<Stratum> {
-    let has_both = |pair: &Pair| pair.old.run > 0 && pair.new.run > 0;
-    let is_matched = places.values().any(has_both);
-    let mut strata: Vec<Stratum> = Vec::new();
-    for (place, pair) in places {
-        if is_matched {
-            if has_both(&pair) {
-                strata.push(Stratum { route: place.route, old: pair.old, new: pair.new });
-            }
-            continue;
+    fn count(
+        &mut self,
+        now: Tick,
+        window: &mut Window,
+        zones: &Zones,
+        report: &Report,
+        last: Option<&Report>,
+        is_new: bool,
+    ) {
+        if is_new {
+            let before = last.map_or(0, |last| last.crashes);
+            window.new_crashes += u64::from(report.crashes.saturating_sub(before));
         }
-        match strata.last_mut().filter(|last| last.route == place.route) {
-            Some(last) => {
-                last.old.add_tally(&pair.old);
-                last.new.add_tally(&pair.new);
+        for (route, counters) in &report.routes {
+            let before = last.and_then(|last| last.routes.get(route));
+            let increase = before.map_or_else(|| counters.clone(), |before| counters.since(before));
+            if increase.run == 0 && increase.busy_ms == 0 {
+                continue;
             }
-            None => strata.push(Stratum { route: place.route, old: pair.old, new: pair.new }),
+            window.busy_ms += increase.busy_ms;
+            let total = if is_new { &mut window.new } else { &mut window.old };
+            total.entry(route.clone()).or_default().add(&increase);
+            let Some(place) = zones.place(route, &report.zone) else { continue };
+            let pair = self.pending.entry(place).or_insert_with(|| Pair::new(now));
+            let tally = if is_new { &mut pair.new } else { &mut pair.old };
+            tally.add(&increase);
         }
     }
-    strata
+
+    fn take_ready(&mut self, now: Tick) -> Vec<Stratum> {
+        let ready = self.pending.extract_if(.., |_, pair| pair.is_ready(now));
+        let strata: Vec<Stratum> = ready
+            .map(|(place, pair)| Stratum { route: place.route, old: pair.old, new: pair.new })
+            .collect();
+        // Calls of one version alone say nothing; they must not wait until the
+        // other has calls of a later time.
+        self.pending.retain(|_, pair| now.since(pair.since) < MAX_PENDING);
+        strata
+    }
 }
