--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,11 +1,11 @@
 //! The savorykeel node: the call path and the control loops over the ports.
 
 mod calls;
-mod control;
+pub mod control;
 mod http;
 mod run;
 pub mod settings;
 mod state;
 mod worker;
 
-pub use run::{Addresses, NodeError, run};
+pub use run::{Addresses, Ending, NodeError, run};
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,8 +3,10 @@
 //! Time and randomness are passed in, so that every decision can be replayed
 //! from a seed. The reasons for this split are in `docs/design/0001-layout.md`.
 
+pub mod calls;
 pub mod code;
 pub mod config;
+pub mod distribution;
 pub mod ids;
 pub mod membership;
 pub mod moves;
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -1,3 +1,7 @@
 //! Feature tests by theme.
 
 mod binary;
+mod check_configuration;
+mod cli_usage;
+mod config_spread;
+mod harness;
