Let nodes take part in moves

Cause: moves were decided by nobody: calls went to any version. Change: each node counts the calls of its backend server, sends the counts to the nodes of the same service, and passes targets and states on to its neighbours. Calls choose a version first; one that names an idempotency key keeps its version when it is sent again. A breaker at the entry node answers failures in a row. Ends of moves are kept in the log by any node that doesn't see them there.

--- a/crates/node/src/calls/announce.rs
+++ b/crates/node/src/calls/announce.rs
@@ -115,10 +115,38 @@
             "slots" => record.slots, "draining" => record.draining);
         state.control.set_backend(Some(record.clone()));
     }
+    note_start(state, backend.as_ref(), &announcement);
     *backend = Some(announcement);
     accepted()
 }
 
+/// Tells the evidence on moves when another backend server than before runs.
+fn note_start(state: &NodeState, before: Option<&Announcement>, announcement: &Announcement) {
+    let is_same = |before: &Announcement| {
+        before.addr == announcement.addr
+            && before.record.service == announcement.record.service
+            && before.record.version == announcement.record.version
+    };
+    if before.is_some_and(is_same) {
+        return;
+    }
+    let is_restart =
+        before.is_some_and(|before| before.record.version == announcement.record.version);
+    if is_restart {
+        state.control.moves.backend_crashed();
+    }
+    let identity = &state.control.identity;
+    let incarnation = state.control.incarnation();
+    let (record, now) = (&announcement.record, (state.clock.tick)());
+    state.control.moves.backend_started(
+        &identity.instance,
+        incarnation,
+        &identity.zone,
+        record,
+        now,
+    );
+}
+
 fn accepted() -> Response {
     Response::build(StatusCode::OK).json(&Accepted { accepted: true })
 }
@@ -136,6 +164,7 @@
     let now = (state.clock.tick)();
     let is_expired = state.backend.lock().as_ref().is_some_and(|backend| backend.expires < now);
     if is_expired {
+        state.control.moves.backend_crashed();
         withdraw(state, "lease ended");
     }
 }
--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -11,21 +11,26 @@
 use savorykeel_policy::{
     code::{Code, Outcome},
     config::model::Route,
-    ids::RequestId,
+    ids::{BackendVersion, RequestId},
     table::{Endpoint, Table},
 };
 use savorykeel_ports::peer::{Attempt, HttpRequest, PeerCall, PeerError, PeerLinks, PeerReply};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     calls::serve,
     http::{
-        BodyError, DEADLINE_HEADER, DEPTH_HEADER, HttpResult, answer_response, code_response,
-        number_header, read_body, to_port_request,
+        BodyError, DEADLINE_HEADER, DEPTH_HEADER, HttpResult, IDEMPOTENCY_KEY_HEADER,
+        answer_response, code_response, number_header, read_body, to_port_request,
     },
+    moves::hub::VersionChoice,
     state::InFlight,
     worker::Worker,
 };
 
+/// First HTTP status that counts as a failure of the backend server.
+const FIRST_FAILURE_STATUS: u16 = 500;
+
 /// Most backend servers that one request is offered to.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -43,6 +48,8 @@
     caller: String,
     depth: u32,
     deadline: Instant,
+    /// Versions of the backend server that may take it; none when none may.
+    versions: Option<VersionChoice>,
 }
 
 async fn answer(
@@ -65,7 +72,9 @@
     let limit = usize::try_from(route.body_limit).unwrap_or(usize::MAX);
     let payload = req.take_payload();
     let body = read_body(payload, limit).await.map_err(|e| body_failure(&e, limit))?;
+    let versions = choose_versions(worker, &table, &route, &req);
     let journey = Journey {
+        versions,
         request: to_port_request(&req, body),
         deadline: started + timeout,
         table,
@@ -82,6 +91,24 @@
     }
 }
 
+/// Chooses the version that takes a request.
+///
+/// A request with an idempotency key meets the same version when it is sent
+/// again. One without is split at random: a split by caller would give a whole
+/// busy caller to a version of which little is known.
+fn choose_versions(
+    worker: &Worker,
+    table: &Table,
+    route: &Route,
+    req: &Request,
+) -> Option<VersionChoice> {
+    let service = table.services.get(&route.service)?;
+    let key = req.headers().get(IDEMPOTENCY_KEY_HEADER).map(|key| xxh3_64(key.as_bytes()));
+    let hash = key.unwrap_or_else(|| worker.rng.borrow_mut().random());
+    let control = &worker.state.control;
+    control.moves.choose(service, &route.service, &route.name, hash, control.now())
+}
+
 fn body_failure(error: &BodyError, limit: usize) -> Response {
     match error {
         BodyError::TooLarge => {
@@ -102,6 +129,7 @@
         }
         let call = peer_call(worker, journey, &endpoint, left);
         last = attempt(worker, &endpoint, call).await;
+        note_ending(worker, journey, &endpoint, &last);
         match &last {
             PeerReply::Failed(code) if code.outcome() == Outcome::NotRun => tried.push(endpoint),
             _ => break,
@@ -110,11 +138,29 @@
     last
 }
 
+/// Tells the local breaker of the endpoint's version how a call ended.
+fn note_ending(worker: &Worker, journey: &Journey, endpoint: &Endpoint, reply: &PeerReply) {
+    let is_failed = match reply {
+        PeerReply::Answered(answer) => answer.status >= FIRST_FAILURE_STATUS,
+        PeerReply::Failed(code) => code.outcome() == Outcome::Unknown,
+    };
+    let control = &worker.state.control;
+    control.moves.note_entry(&journey.route.name, &endpoint.version, is_failed, control.now());
+}
+
 fn choose(worker: &Worker, journey: &Journey, tried: &[Arc<Endpoint>]) -> Option<Arc<Endpoint>> {
     let service = journey.table.services.get(&journey.route.service)?;
+    let versions = journey.versions.as_ref()?;
     let is_untried =
         |endpoint: &&Arc<Endpoint>| !tried.iter().any(|other| other.instance == endpoint.instance);
-    let candidates: Vec<&Arc<Endpoint>> = service.endpoints.iter().filter(is_untried).collect();
+    let of_version = |version: &BackendVersion| -> Vec<&Arc<Endpoint>> {
+        let endpoints = service.endpoints.iter().filter(is_untried);
+        endpoints.filter(|endpoint| endpoint.version == *version).collect()
+    };
+    let mut candidates = of_version(&versions.version);
+    if candidates.is_empty() {
+        candidates = versions.stand_in.as_ref().map(of_version).unwrap_or_default();
+    }
     candidates.choose(&mut *worker.rng.borrow_mut()).map(|endpoint| Arc::clone(endpoint))
 }
 
--- a/crates/node/src/calls/serve.rs
+++ b/crates/node/src/calls/serve.rs
@@ -1,15 +1,23 @@
 //! The serving side of a call: beside the backend server.
 
-use std::{rc::Rc, sync::atomic::Ordering};
+use std::{
+    rc::Rc,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
 
-use savorykeel_policy::{code::Code, ids::RequestId};
+use savorykeel_policy::{
+    code::Code,
+    ids::{RequestId, RouteName},
+};
 use savorykeel_ports::{
     backend::{BackendError, BackendServer},
-    peer::{Attempt, Header, LoadHint, PeerCall, PeerReply, Settlement},
+    peer::{Attempt, Header, HttpAnswer, LoadHint, PeerCall, PeerReply, Settlement},
 };
 
 use crate::{
     http::{DEADLINE_HEADER, DEPTH_HEADER, REQUEST_ID_HEADER},
+    moves::observe::{TimeGiven, observation},
     state::InFlight,
     worker::Worker,
 };
@@ -52,12 +60,34 @@
     set_header(&mut request.headers, REQUEST_ID_HEADER, id.to_string());
     set_header(&mut request.headers, DEADLINE_HEADER, time_left.as_millis().to_string());
     set_header(&mut request.headers, DEPTH_HEADER, depth.to_string());
-    match client.run(&request, time_left).await {
+    let started = Instant::now();
+    let result = client.run(&request, time_left).await;
+    count(worker, backend, &call.route, &result, started.elapsed(), time_left);
+    match result {
         Ok(answer) => PeerReply::Answered(answer),
         Err(e) => PeerReply::Failed(failure_code(&e)),
     }
 }
 
+/// Counts a call for the moves between backend server versions.
+fn count(
+    worker: &Worker,
+    backend: &Announcement,
+    route: &RouteName,
+    result: &Result<HttpAnswer, BackendError>,
+    took: Duration,
+    left: Duration,
+) {
+    let control = &worker.state.control;
+    let Some(table) = control.table() else { return };
+    let timeout = table.configuration.routes.iter().find(|r| r.name == *route).map(|r| r.timeout);
+    let given = TimeGiven { left, timeout: timeout.unwrap_or(left) };
+    let is_cold = control.moves.is_cold(control.now());
+    if let Some(seen) = observation(result, took, given, is_cold) {
+        control.moves.record(route, &backend.record.version, seen);
+    }
+}
+
 fn failure_code(error: &BackendError) -> Code {
     match error {
         BackendError::NotSent(_) => Code::Unreachable,
--- a/crates/node/src/control/duty.rs
+++ b/crates/node/src/control/duty.rs
@@ -5,7 +5,7 @@
     membership::members::Members,
 };
 
-use super::state::Identity;
+use super::{context::ControlContext, state::Identity};
 
 /// Tells whether the node reads the log for its availability zone.
 pub(super) fn reads_log(members: &Members, identity: &Identity) -> bool {
@@ -25,3 +25,10 @@
 fn own_rank(members: &Members, identity: &Identity) -> Option<usize> {
     rank(members, &identity.zone, &identity.instance)
 }
+
+impl<L, P> ControlContext<L, P> {
+    /// Tells whether this node reads the log for its availability zone.
+    pub(crate) fn reads_log(&self) -> bool {
+        self.state.with_members(|members| reads_log(members, &self.state.identity))
+    }
+}
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -18,7 +18,7 @@
 
 /// Why an exchange gave nothing.
 #[derive(Debug, thiserror::Error)]
-pub(super) enum ExchangeError {
+pub(crate) enum ExchangeError {
     /// The link failed.
     #[error(transparent)]
     Peer(#[from] PeerError),
@@ -35,7 +35,7 @@
     ///
     /// A link on which no reply came in time is closed, because it may be silent
     /// for good while a new one works.
-    pub(super) async fn exchange(
+    pub(crate) async fn exchange(
         &self,
         addr: SocketAddr,
         body: MessageBody,
--- a/crates/node/src/control/gossip.rs
+++ b/crates/node/src/control/gossip.rs
@@ -235,7 +235,7 @@
 
 impl<L, P: PeerLinks> ControlContext<L, P> {
     /// Returns the neighbours of this node as the members stand now.
-    pub(super) fn neighbours(&self) -> Neighbours {
+    pub(crate) fn neighbours(&self) -> Neighbours {
         let own = &self.state.identity.instance;
         self.state.with_members(|members| Neighbours::of(own, members))
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -21,6 +21,7 @@
 pub mod state;
 
 pub use context::{ControlContext, ControlMode, ControlTimes};
+pub(crate) use reader::{jittered, to_millis};
 pub use start::start;
 
 use std::{rc::Rc, time::Duration};
@@ -52,6 +53,7 @@
             maintain::revive(cx.clone()),
             maintain::clean_up(cx.clone()),
             checkpoints::write(cx.clone()),
+            crate::moves::run(cx.clone()),
         );
     };
     tokio::select! {
--- a/crates/node/src/control/reader.rs
+++ b/crates/node/src/control/reader.rs
@@ -223,11 +223,12 @@
 }
 
 /// Returns a time between half of `span` and one and a half of it.
-pub(super) fn jittered(span: Duration) -> Duration {
+pub(crate) fn jittered(span: Duration) -> Duration {
     span.mul_f64(rand::rng().random_range(0.5..1.5))
 }
 
-pub(super) fn to_millis(span: Duration) -> Millis {
+/// Converts a time for the runtime's timers, which take at least 1 ms.
+pub(crate) fn to_millis(span: Duration) -> Millis {
     Millis(u32::try_from(span.as_millis()).unwrap_or(u32::MAX).max(1))
 }
 
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,7 +1,7 @@
 //! What the control loops share with the call path and the operators' API.
 //!
-//! Locks are taken in the order fold, members, recovery, floors, journal; no
-//! lock is held across an await.
+//! Locks are taken in the order fold, members, recovery, floors, journal, moves;
+//! no lock is held across an await.
 
 use std::{
     collections::BTreeMap,
@@ -39,6 +39,8 @@
 use slog::{Logger, info};
 use xxhash_rust::xxh3::xxh3_128;
 
+use crate::moves::hub::MoveHub;
+
 use super::{
     event::Event,
     heard::SharedHeard,
@@ -104,6 +106,8 @@
     pub logger: Logger,
     /// Numbers that the control loops count.
     pub counters: Counters,
+    /// Moves between backend server versions.
+    pub moves: Arc<MoveHub>,
     table: ArcSwapOption<Table>,
     fold: Mutex<Fold>,
     members: Mutex<Members>,
@@ -193,12 +197,15 @@
             applied: ConfigVersion::default(),
         };
         let journal = journal_file.map(Journal::open).transpose()?;
+        let moves = Arc::new(MoveHub::default());
+        let move_handler = crate::moves::handler(moves.clone());
         let (events, waiting) = async_channel::bounded(EVENT_QUEUE);
         Ok(Arc::new(Self {
             identity,
             clock,
             logger,
             counters: Counters::default(),
+            moves,
             table: ArcSwapOption::empty(),
             fold: Mutex::default(),
             members: Mutex::new(Members::new(own, (clock.tick)())),
@@ -206,7 +213,7 @@
             floors: Mutex::default(),
             journal: Mutex::new(journal),
             heard: SharedHeard::default(),
-            topics: Mutex::default(),
+            topics: Mutex::new(BTreeMap::from([(Topic::Moves, move_handler)])),
             is_serving: AtomicBool::new(false),
             has_joined: AtomicBool::new(false),
             started: (clock.tick)(),
@@ -368,7 +375,7 @@
         f(&mut self.fold.lock())
     }
 
-    pub(super) fn with_members<T>(&self, f: impl FnOnce(&mut Members) -> T) -> T {
+    pub(crate) fn with_members<T>(&self, f: impl FnOnce(&mut Members) -> T) -> T {
         f(&mut self.members.lock())
     }
 
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -23,6 +23,9 @@
 /// Carries the attempt's id towards the backend server.
 pub(crate) const REQUEST_ID_HEADER: &str = "savorykeel-request-id";
 
+/// Carries the caller's key for a request that it may send again.
+pub(crate) const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+
 /// JSON body of the node's own answers.
 #[derive(Serialize)]
 struct CodeBody {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 mod calls;
 pub mod control;
 mod http;
+pub mod moves;
 mod run;
 pub mod settings;
 mod state;
--- /dev/null
+++ b/crates/node/src/moves/hub.rs
@@ -0,0 +1,213 @@
+//! What a node's threads share about moves.
+//!
+//! The call path reads a snapshot of the splits. The book behind it is locked
+//! for counting a call and for taking in what other nodes say. The locks of the
+//! book and of the breakers are never held together.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Weak},
+};
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use savorykeel_policy::{
+    ids::{BackendVersion, InstanceName, RouteName, ServiceName, ZoneName},
+    membership::entry::BackendRecord,
+    moves::{
+        book::{BookRevision, MoveBook, MoveGossip},
+        breaker::Breaker,
+        evidence::{COLD_START, EvidenceKey, Observation, Report},
+        split::VersionSplit,
+        status::{MoveEnding, MoveReport},
+    },
+    table::{ServiceTable, Table},
+    time::{Tick, WallMillis},
+};
+
+/// The version that a call goes to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionChoice {
+    /// The version.
+    pub version: BackendVersion,
+    /// The version to try when no backend server of the first can take the call.
+    pub stand_in: Option<BackendVersion>,
+}
+
+/// Splits of all services as the call path reads them.
+#[derive(Default)]
+struct Splits {
+    by_service: BTreeMap<ServiceName, Option<VersionSplit>>,
+    /// What they were derived from.
+    revision: BookRevision,
+    table: Weak<Table>,
+}
+
+/// The backend server beside the node.
+struct Beside {
+    started: Tick,
+}
+
+/// What a node's threads share about moves.
+#[derive(Default)]
+pub struct MoveHub {
+    book: Mutex<MoveBook>,
+    splits: ArcSwap<Splits>,
+    breakers: Mutex<BTreeMap<EvidenceKey, Breaker>>,
+    beside: Mutex<Option<Beside>>,
+}
+
+impl MoveHub {
+    /// Returns the version that takes a call, or none when no backend server may.
+    ///
+    /// The hash stands for the call's idempotency key, so that a call which is
+    /// sent again meets the same version.
+    pub fn choose(
+        &self,
+        table: &ServiceTable,
+        service: &ServiceName,
+        route: &RouteName,
+        hash: u64,
+        now: Tick,
+    ) -> Option<VersionChoice> {
+        let splits = self.splits.load();
+        let known = splits.by_service.get(service).cloned();
+        let split = known.unwrap_or_else(|| self.book.lock().split(table, service))?;
+        let chosen = split.choose(hash);
+        let stand_in = split.stand_in(chosen);
+        match stand_in {
+            Some(old) if chosen == split.new_version() && !self.allows(route, chosen, now) => {
+                Some(VersionChoice { version: old.clone(), stand_in: None })
+            }
+            _ => Some(VersionChoice { version: chosen.clone(), stand_in: stand_in.cloned() }),
+        }
+    }
+
+    /// Notes at the entry node how a call ended, for the local breaker.
+    pub fn note_entry(
+        &self,
+        route: &RouteName,
+        version: &BackendVersion,
+        is_failed: bool,
+        now: Tick,
+    ) {
+        let key = EvidenceKey { route: route.clone(), version: version.clone() };
+        let mut breakers = self.breakers.lock();
+        if is_failed {
+            breakers.entry(key).or_default().record(true, now);
+        } else {
+            breakers.remove(&key);
+        }
+    }
+
+    fn allows(&self, route: &RouteName, version: &BackendVersion, now: Tick) -> bool {
+        let key = EvidenceKey { route: route.clone(), version: version.clone() };
+        self.breakers.lock().get(&key).is_none_or(|breaker| breaker.allows(now))
+    }
+
+    /// Counts a call that the backend server beside the node ran.
+    pub fn record(&self, route: &RouteName, version: &BackendVersion, seen: Observation) {
+        self.book.lock().record(route, version, seen);
+    }
+
+    /// Tells whether the backend server beside the node started a moment ago.
+    pub fn is_cold(&self, now: Tick) -> bool {
+        let beside = self.beside.lock();
+        beside.as_ref().is_none_or(|beside| now.since(beside.started) < COLD_START)
+    }
+
+    /// Notes that a backend server started beside the node.
+    pub fn backend_started(
+        &self,
+        instance: &InstanceName,
+        incarnation: u64,
+        zone: &ZoneName,
+        record: &BackendRecord,
+        now: Tick,
+    ) {
+        *self.beside.lock() = Some(Beside { started: now });
+        let mut book = self.book.lock();
+        book.announce(instance, incarnation, zone, &record.service, &record.version);
+    }
+
+    /// Notes that the backend server beside the node ended without leaving.
+    pub fn backend_crashed(&self) {
+        self.book.lock().record_crash();
+    }
+
+    /// Takes in what another node says.
+    pub fn merge(&self, gossip: MoveGossip) -> bool {
+        self.book.lock().merge(gossip)
+    }
+
+    /// Takes in ends of moves that the log keeps.
+    pub fn merge_endings<'a>(&self, endings: impl IntoIterator<Item = &'a MoveEnding>) {
+        let mut book = self.book.lock();
+        for ending in endings {
+            book.merge_ending(ending);
+        }
+    }
+
+    /// Returns all targets and states.
+    pub fn everything(&self) -> MoveGossip {
+        self.book.lock().delta_since(BookRevision::default())
+    }
+
+    /// Returns what changed after `revision`, with the newest revision.
+    pub fn delta_since(&self, revision: BookRevision) -> Delta {
+        let book = self.book.lock();
+        Delta { gossip: book.delta_since(revision), revision: book.revision() }
+    }
+
+    /// Returns this node's own report.
+    pub fn own_report(&self) -> Option<Report> {
+        self.book.lock().own_report().cloned()
+    }
+
+    /// Tells whether the other nodes of the service want this node's evidence.
+    pub fn wants_evidence(&self, table: &Table) -> bool {
+        self.book.lock().wants_evidence(table)
+    }
+
+    /// Looks at the move of the service beside this node; tells whether its
+    /// state changed.
+    pub fn look(&self, table: &Table, tick: Tick, wall: WallMillis) -> bool {
+        self.book.lock().look(table, tick, wall)
+    }
+
+    /// Returns the move in force of each service.
+    pub fn reports(&self, table: &Table) -> Vec<MoveReport> {
+        self.book.lock().reports(table)
+    }
+
+    /// Returns the end of the move of the service beside this node, once it ended.
+    pub fn ending(&self, table: &Table, at: WallMillis) -> Option<MoveEnding> {
+        self.book.lock().ending(table, at)
+    }
+
+    /// Follows the table in force and derives the splits anew where needed.
+    pub fn refresh(&self, table: &Arc<Table>) {
+        let mut book = self.book.lock();
+        let splits = self.splits.load();
+        let is_same_table = std::ptr::eq(splits.table.as_ptr(), Arc::as_ptr(table));
+        if !is_same_table {
+            book.follow(table.version, &table.configuration);
+        }
+        if is_same_table && splits.revision == book.revision() {
+            return;
+        }
+        let services = table.services.iter();
+        let by_service =
+            services.map(|(name, service)| (name.clone(), book.split(service, name))).collect();
+        let revision = book.revision();
+        self.splits.store(Arc::new(Splits { by_service, revision, table: Arc::downgrade(table) }));
+    }
+}
+
+/// What changed in a book.
+pub struct Delta {
+    /// The changes.
+    pub gossip: MoveGossip,
+    /// The newest revision.
+    pub revision: BookRevision,
+}
--- /dev/null
+++ b/crates/node/src/moves/message.rs
@@ -0,0 +1,21 @@
+//! What two nodes say to each other about moves.
+
+use savorykeel_policy::moves::book::MoveGossip;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// A message about moves.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(super) enum MoveMessage {
+    /// Tells what changed; the reply is empty.
+    Push(MoveGossip),
+    /// Asks for all targets and states; the reply is a [`MoveGossip`].
+    PullAll,
+}
+
+pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_stdvec(value).unwrap_or_default()
+}
+
+pub(super) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    postcard::from_bytes(bytes).ok()
+}
--- /dev/null
+++ b/crates/node/src/moves/observe.rs
@@ -0,0 +1,41 @@
+//! What a call at the backend server beside the node tells of its version.
+
+use std::time::Duration;
+
+use savorykeel_policy::moves::evidence::{Ending, Observation};
+use savorykeel_ports::{backend::BackendError, peer::HttpAnswer};
+
+/// First HTTP status that counts as a failure.
+const FIRST_FAILURE_STATUS: u16 = 500;
+
+/// Part of the route's timeout that a call must have had for running out of time
+/// to count against the version.
+const FULL_TIME_PART: f64 = 0.9;
+
+/// How long a call could take.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TimeGiven {
+    /// Time left when the call was started.
+    pub(crate) left: Duration,
+    /// Timeout of the route.
+    pub(crate) timeout: Duration,
+}
+
+/// Returns what a call tells; none when the backend server never saw it.
+pub(crate) fn observation(
+    result: &Result<HttpAnswer, BackendError>,
+    took: Duration,
+    given: TimeGiven,
+    is_cold: bool,
+) -> Option<Observation> {
+    let ending = match result {
+        Ok(answer) if answer.status < FIRST_FAILURE_STATUS => Ending::Ok,
+        Ok(_) | Err(BackendError::Lost(_) | BackendError::BadAnswer(_)) => Ending::Failed,
+        Err(BackendError::TimedOut) if given.left >= given.timeout.mul_f64(FULL_TIME_PART) => {
+            Ending::TimedOut
+        }
+        Err(BackendError::TimedOut) => Ending::Cancelled,
+        Err(BackendError::NotSent(_)) => return None,
+    };
+    Some(Observation { ending, took, is_cold })
+}
--- /dev/null
+++ b/crates/node/src/moves/spread.rs
@@ -0,0 +1,220 @@
+//! Looks at moves and tells other nodes what changed.
+//!
+//! Targets and states go to the ring neighbours and to the nodes of the same
+//! service, and on from each node to which they are new, so they reach every
+//! node in a few steps. Reports of evidence go to the nodes of the same service.
+
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use ntex::time::{Millis, sleep};
+use rand::seq::IteratorRandom;
+use savorykeel_policy::{
+    distribution::message::{MessageBody, ReplyBody, Topic},
+    ids::{InstanceName, ServiceName},
+    membership::{entry::NodeRecord, rings::Contact},
+    moves::{
+        book::{BookRevision, MoveGossip},
+        evidence::Report,
+    },
+    table::Table,
+    time::Tick,
+};
+use savorykeel_ports::peer::PeerLinks;
+use slog::{debug, info};
+
+use crate::control::ControlContext;
+
+use super::message::{MoveMessage, decode, encode};
+
+/// Time between two rounds.
+const ROUND: Millis = Millis(100);
+
+/// Time between two looks at the evidence.
+const LOOK_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time between two reports of evidence to the same node.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time between two attempts to learn everything from one node, until one
+/// succeeds.
+const FIRST_PULL_PERIOD: Duration = Duration::from_millis(300);
+
+/// Time between two pulls afterwards; they mend what pushes may have missed.
+const PULL_PERIOD: Duration = Duration::from_secs(30);
+
+/// Longest time that a node may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What another node is known to have.
+#[derive(Default)]
+struct Told {
+    revision: BookRevision,
+    report: Option<Report>,
+    reported: Option<Tick>,
+    is_busy: bool,
+}
+
+/// What this node told others.
+#[derive(Default)]
+struct Spread {
+    told: RefCell<BTreeMap<InstanceName, Told>>,
+    last_look: RefCell<Tick>,
+    pulled: RefCell<Option<Tick>>,
+    next_pull: RefCell<Tick>,
+}
+
+/// Runs rounds for ever.
+pub(super) async fn run<L: 'static, P: PeerLinks + 'static>(cx: Rc<ControlContext<L, P>>) {
+    let spread = Rc::new(Spread::default());
+    loop {
+        sleep(ROUND).await;
+        pull_when_due(&cx, &spread);
+        let Some(table) = cx.state.table() else { continue };
+        cx.state.moves.refresh(&table);
+        look_when_due(&cx, &spread, &table);
+        push(&cx, &spread, &table);
+    }
+}
+
+fn look_when_due<L, P>(cx: &ControlContext<L, P>, spread: &Spread, table: &Table) {
+    let now = cx.state.now();
+    if now.since(*spread.last_look.borrow()) < LOOK_PERIOD {
+        return;
+    }
+    *spread.last_look.borrow_mut() = now;
+    if !cx.state.moves.look(table, now, (cx.state.clock.wall)()) {
+        return;
+    }
+    let Some(own) = cx.state.moves.own_report() else { return };
+    let reports = cx.state.moves.reports(table);
+    if let Some(report) = reports.iter().find(|report| report.service == own.service) {
+        info!(cx.state.logger, "move went on";
+            "service" => %report.service, "move" => report.asked.0, "to" => %report.to,
+            "phase" => %report.phase, "share_permille" => report.share_permille.0,
+            "reason" => report.reason.as_ref().map(|reason| reason.kind.to_string()));
+    }
+}
+
+/// A node to tell.
+struct Target {
+    contact: Contact,
+    is_of_group: bool,
+}
+
+fn push<L: 'static, P: PeerLinks + 'static>(
+    cx: &Rc<ControlContext<L, P>>,
+    spread: &Rc<Spread>,
+    table: &Table,
+) {
+    let own = cx.state.moves.own_report();
+    let own = own.filter(|_| cx.state.moves.wants_evidence(table));
+    let group = own.as_ref().map(|own| own.service.clone());
+    for target in targets(cx, group.as_ref()) {
+        let report = own.as_ref().filter(|_| target.is_of_group);
+        push_to(cx, spread, target.contact, report);
+    }
+}
+
+fn targets<L, P: PeerLinks>(cx: &ControlContext<L, P>, group: Option<&ServiceName>) -> Vec<Target> {
+    let own = &cx.state.identity.instance;
+    let is_of_group = |record: &NodeRecord| {
+        let service = record.backend.as_ref().map(|backend| &backend.service);
+        record.instance != *own && group.is_some() && service == group
+    };
+    let of_group: Vec<Contact> = cx.state.with_members(|members| {
+        let records = members.active().filter(|record| is_of_group(record));
+        records.map(|r| Contact { instance: r.instance.clone(), addr: r.peer_addr }).collect()
+    });
+    let neighbours = cx.neighbours().all().into_iter().filter(|c| !of_group.contains(c));
+    let neighbours = neighbours.map(|contact| Target { contact, is_of_group: false });
+    let of_group = of_group.iter().cloned();
+    neighbours.chain(of_group.map(|contact| Target { contact, is_of_group: true })).collect()
+}
+
+fn push_to<L: 'static, P: PeerLinks + 'static>(
+    cx: &Rc<ControlContext<L, P>>,
+    spread: &Rc<Spread>,
+    to: Contact,
+    report: Option<&Report>,
+) {
+    let now = cx.state.now();
+    let mut all_told = spread.told.borrow_mut();
+    let told = all_told.entry(to.instance.clone()).or_default();
+    if told.is_busy {
+        return;
+    }
+    let delta = cx.state.moves.delta_since(told.revision);
+    let is_report_due = told.reported.is_none_or(|at| now.since(at) >= REPORT_PERIOD);
+    let is_news = |report: &&Report| told.report.as_ref().is_none_or(|t| t.stamp < report.stamp);
+    let report = report.filter(|_| is_report_due).filter(is_news).cloned();
+    let mut gossip: MoveGossip = delta.gossip;
+    gossip.reports.extend(report.as_ref().map(|r| r.changes_since(told.report.as_ref())));
+    if gossip.is_empty() {
+        return;
+    }
+    told.is_busy = true;
+    told.reported = report.as_ref().map(|_| now).or(told.reported);
+    let (cx, spread) = (cx.clone(), spread.clone());
+    ntex::rt::spawn(async move {
+        let is_taken = send(&cx, to.addr, &MoveMessage::Push(gossip)).await.is_some();
+        let mut all_told = spread.told.borrow_mut();
+        let told = all_told.entry(to.instance).or_default();
+        told.is_busy = false;
+        if is_taken {
+            told.revision = delta.revision;
+            told.report = report.or(told.report.take());
+        } else {
+            // The other node may be a new process that has nothing.
+            *told = Told { reported: told.reported, ..Told::default() };
+        }
+    })
+    .detach();
+}
+
+fn pull_when_due<L: 'static, P: PeerLinks + 'static>(
+    cx: &Rc<ControlContext<L, P>>,
+    spread: &Rc<Spread>,
+) {
+    let now = cx.state.now();
+    if now < *spread.next_pull.borrow() {
+        return;
+    }
+    let period = if spread.pulled.borrow().is_some() { PULL_PERIOD } else { FIRST_PULL_PERIOD };
+    *spread.next_pull.borrow_mut() = now + crate::control::jittered(period);
+    let Some(from) = random_member(cx) else { return };
+    let (cx, spread) = (cx.clone(), spread.clone());
+    ntex::rt::spawn(async move {
+        let Some(reply) = send(&cx, from.addr, &MoveMessage::PullAll).await else { return };
+        if let Some(gossip) = decode(&reply) {
+            cx.state.moves.merge(gossip);
+            *spread.pulled.borrow_mut() = Some(cx.state.now());
+        }
+    })
+    .detach();
+}
+
+fn random_member<L, P>(cx: &ControlContext<L, P>) -> Option<Contact> {
+    let own = &cx.state.identity.instance;
+    cx.state.with_members(|members| {
+        let others = members.active().filter(|record| record.instance != *own);
+        let record = others.choose(&mut rand::rng())?;
+        Some(Contact { instance: record.instance.clone(), addr: record.peer_addr })
+    })
+}
+
+/// Sends a message and returns the reply, or none when it wasn't taken.
+async fn send<L, P: PeerLinks>(
+    cx: &ControlContext<L, P>,
+    addr: SocketAddr,
+    message: &MoveMessage,
+) -> Option<Vec<u8>> {
+    let body = MessageBody::Topic { topic: Topic::Moves, body: encode(message) };
+    match cx.exchange(addr, body, TIMEOUT).await {
+        Ok(ReplyBody::Topic(reply)) => Some(reply),
+        Ok(_) => None,
+        Err(e) => {
+            debug!(cx.state.logger, "news of moves not taken"; "addr" => %addr, "problem" => %e);
+            None
+        }
+    }
+}
--- a/crates/policy/src/moves/evidence.rs
+++ b/crates/policy/src/moves/evidence.rs
@@ -148,6 +148,28 @@
         self.routes.entry(name).or_default().record(seen);
     }
 
+    /// Returns the report with those routes only that changed since `earlier`.
+    ///
+    /// Counts are cumulative, so the receiver keeps what it knows of the others.
+    pub fn changes_since(&self, earlier: Option<&Report>) -> Report {
+        let Some(earlier) = earlier.filter(|earlier| earlier.is_same_run(self)) else {
+            return self.clone();
+        };
+        let is_changed = |route: &RouteName, counters: &Counters| {
+            earlier.routes.get(route).is_none_or(|before| before != counters)
+        };
+        let routes = self.routes.iter().filter(|(route, counters)| is_changed(route, counters));
+        let routes = routes.map(|(route, counters)| (route.clone(), counters.clone())).collect();
+        Report { routes, ..self.clone() }
+    }
+
+    /// Tells whether two reports count the same backend server.
+    pub fn is_same_run(&self, other: &Report) -> bool {
+        self.stamp.incarnation == other.stamp.incarnation
+            && self.service == other.service
+            && self.version == other.version
+    }
+
     /// Counts a backend server that ended without leaving.
     pub fn record_crash(&mut self) {
         self.stamp.sequence += 1;
@@ -167,10 +189,18 @@
 
 impl Evidence {
     /// Keeps a report when it is newer than the one known of its instance.
-    pub fn merge(&mut self, report: Report) -> bool {
-        let known = self.reports.get(&report.instance);
-        if known.is_some_and(|known| known.stamp >= report.stamp) {
-            return false;
+    ///
+    /// Routes that the newer report leaves out didn't change.
+    pub fn merge(&mut self, mut report: Report) -> bool {
+        if let Some(known) = self.reports.get(&report.instance) {
+            if known.stamp >= report.stamp {
+                return false;
+            }
+            if known.is_same_run(&report) {
+                for (route, counters) in &known.routes {
+                    report.routes.entry(route.clone()).or_insert_with(|| counters.clone());
+                }
+            }
         }
         self.reports.insert(report.instance.clone(), report);
         true
--- /dev/null
+++ b/tests/feature/moves_stage.rs
@@ -0,0 +1,208 @@
+//! A deployment whose services move to version `v2` under load.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use jiff::Timestamp;
+use savorykeel_policy::{
+    config::raw::RawConfiguration,
+    moves::{state::BadReason, status::MoveEnding},
+    time::WallMillis,
+};
+use savorykeel_ports::log::MOVE_STREAM;
+use savorykeel_standins::{
+    backend::{Behaviour, Run},
+    caller::{Load, Observation, Plan, Seen, Template},
+};
+
+use crate::harness::{
+    deployment::{Deployment, ServiceSpec},
+    fleet::{Fleet, Options},
+    wait::eventually_some,
+};
+
+/// Version that every move goes to.
+pub const NEW: &str = "v2";
+
+/// Version that every move starts from.
+pub const OLD: &str = "v1";
+
+/// A deployment with instances of both versions, and callers of each service.
+pub struct Stage {
+    /// The nodes, backend servers and the log.
+    pub fleet: Fleet,
+    /// Callers by service.
+    pub loads: BTreeMap<String, Load>,
+    /// Time by which the moves are to be done.
+    pub by: WallMillis,
+    configuration: RawConfiguration,
+    first_new: usize,
+}
+
+impl Stage {
+    /// Starts both versions of every service and waits until `v1` carries calls.
+    ///
+    /// `behave` says how the new version of a service behaves.
+    #[track_caller]
+    pub fn start(deployment: &Deployment, behave: fn(&str) -> Behaviour) -> Self {
+        let options = Options {
+            adjust_backend: Box::new(move |settings| {
+                let is_new = settings.version == NEW;
+                settings.behaviour = if is_new { behave(&settings.service) } else { usual() };
+            }),
+            ..Options::default()
+        };
+        let mut fleet = Fleet::start(deployment, options);
+        let configuration = deployment.configuration();
+        fleet.publish(0, &configuration);
+        fleet.wait_version(1);
+        let first_new = fleet.members.len();
+        for spec in &deployment.services {
+            let spec = ServiceSpec { version: NEW.into(), ..spec.clone() };
+            for i in 0..spec.instances {
+                let zone = (i % usize::from(deployment.zones)) as u8 + 1;
+                fleet.add(&spec, zone, deployment.slots);
+            }
+        }
+        fleet.wait_version(1);
+        for spec in &deployment.services {
+            fleet.wait_answered(&format!("/{}", spec.name));
+        }
+        let by = WallMillis(0);
+        Self { fleet, loads: BTreeMap::new(), by, configuration, first_new }
+    }
+
+    /// Starts callers of one service, which enter by the given members.
+    pub fn call(&mut self, service: &str, callers: usize, pause: Duration, has_changes: bool) {
+        let entries = self.fleet.entries();
+        let mut mix = vec![Template::new("GET", &format!("/{service}"))];
+        if has_changes {
+            mix.push(Template::new("POST", &format!("/{service}/change")));
+        }
+        let plan = Plan { callers, pause, ..Plan::new(service, entries, mix) };
+        self.loads.insert(service.to_owned(), Load::start(plan).expect("the load starts"));
+    }
+
+    /// Publishes the move of the services to `v2` within a time.
+    #[track_caller]
+    pub fn publish_move(&mut self, services: &[&str], within: Duration) {
+        let by = Timestamp::now() + within;
+        self.by = WallMillis(by.as_millisecond() as u64);
+        for service in services {
+            let raw = self.configuration.services.get_mut(*service).expect("the service exists");
+            raw.version = NEW.into();
+            raw.by = Some(by.to_string());
+        }
+        self.fleet.publish(1, &self.configuration);
+        self.fleet.wait_version(2);
+    }
+
+    /// Returns the ends of a service's move that the log keeps.
+    pub fn endings(&self, service: &str) -> Vec<MoveEnding> {
+        let records = self.fleet.log.records(MOVE_STREAM);
+        let endings = records.iter().map(|body| serde_json::from_slice::<MoveEnding>(body));
+        let endings = endings.map(|ending| ending.expect("the record is an end of a move"));
+        endings.filter(|ending| ending.service.as_str() == service).collect()
+    }
+
+    /// Waits until the log says that the move of a service is done.
+    #[track_caller]
+    pub fn wait_done(&self, service: &str) -> MoveEnding {
+        self.wait_ending(service, "done", |ending| ending.state.done)
+    }
+
+    /// Waits until the log says that the move of a service was taken back.
+    #[track_caller]
+    pub fn wait_taken_back(&self, service: &str) -> BadReason {
+        let ending = self.wait_ending(service, "taken back", |e| e.state.bad.is_some());
+        ending.state.bad.expect("it was taken back")
+    }
+
+    #[track_caller]
+    fn wait_ending(&self, service: &str, end: &str, is: fn(&MoveEnding) -> bool) -> MoveEnding {
+        // A move lasts longer than one wait.
+        for _ in 0..PATIENCE {
+            let found = self.endings(service).into_iter().find(is);
+            if let Some(ending) = found {
+                return ending;
+            }
+            std::thread::sleep(Duration::from_millis(500));
+        }
+        eventually_some(&format!("the move of {service} is {end}"), || {
+            self.endings(service).into_iter().find(is)
+        })
+    }
+
+    /// Waits until no call of a service goes to `version` any more.
+    #[track_caller]
+    pub fn wait_no_calls(&self, service: &str, version: &str) {
+        let what = format!("no call of {service} goes to {version}");
+        eventually_some(&what, || {
+            let (before, all_before) = (self.started(service, version), self.calls(service));
+            std::thread::sleep(QUIET);
+            let is_quiet = self.started(service, version) == before;
+            (is_quiet && self.calls(service) > all_before).then_some(())
+        });
+    }
+
+    fn started(&self, service: &str, version: &str) -> u64 {
+        let members = self.fleet.of_service(service);
+        let of_version = members.filter(|m| m.backend_settings().version == version);
+        of_version.map(|m| m.backend().counts().started).sum()
+    }
+
+    fn calls(&self, service: &str) -> usize {
+        self.loads.get(service).map_or(0, Load::calls)
+    }
+
+    /// Returns the members with the new version of a service.
+    pub fn new_members(&self, service: &str) -> Vec<usize> {
+        let members = self.first_new..self.fleet.members.len();
+        members.filter(|i| self.fleet.members[*i].backend_settings().service == service).collect()
+    }
+
+    /// Returns the members with either version of a service.
+    pub fn group(&self, service: &str) -> Vec<usize> {
+        let is_of = |i: &usize| self.fleet.members[*i].backend_settings().service == service;
+        (0..self.fleet.members.len()).filter(is_of).collect()
+    }
+
+    /// Ends the callers of a service and returns what they saw.
+    pub fn finish(&mut self, service: &str) -> Vec<Observation> {
+        self.loads.remove(service).expect("the service has callers").finish()
+    }
+
+    /// Returns every run of every backend server.
+    pub fn runs(&self) -> Vec<Run> {
+        self.fleet.runs()
+    }
+}
+
+/// Time without any call that shows that none comes any more.
+const QUIET: Duration = Duration::from_secs(2);
+
+/// Looks, at 500 ms each, before the usual deadline of a wait begins.
+const PATIENCE: u32 = 180;
+
+/// How version `v1`, and a good new version, behaves.
+pub fn usual() -> Behaviour {
+    Behaviour { latency_ms: 5, ..Behaviour::default() }
+}
+
+/// Counts the calls that `version` answered.
+pub fn answered_by(calls: &[Observation], version: &str) -> usize {
+    calls.iter().filter(|call| version_of(call) == Some(version)).count()
+}
+
+/// Counts the calls that failed at `version`.
+pub fn failed_by(calls: &[Observation], wanted: &str) -> usize {
+    let is_failed = |call: &&Observation| matches!(&call.seen, Seen::Answered { status, version, .. } if *status >= 500 && version == wanted);
+    calls.iter().filter(is_failed).count()
+}
+
+/// Returns the version that answered a call.
+pub fn version_of(call: &Observation) -> Option<&str> {
+    match &call.seen {
+        Seen::Answered { version, .. } => Some(version),
+        _ => None,
+    }
+}
