--- /dev/null
+++ b/crates/core/commands/report.rs
@@ -0,0 +1,44 @@
+//! `savorykeel report`: what nodes recorded.
+
+use std::{fs, time::Duration};
+
+use anyhow::Context;
+use savorykeel_node::admin::api::BURN_PATH;
+use savorykeel_policy::burn::BurnReport;
+
+use crate::{
+    client::{self, ApiClient, ClientError},
+    exit::Exit,
+    flags::{BurnFlags, ReportFlags, ReportKind},
+    report,
+};
+
+/// Longest time that the API takes to ask the other nodes.
+const GATHERING: Duration = Duration::from_secs(20);
+
+/// Prints a report.
+pub fn run(flags: ReportFlags) -> anyhow::Result<Exit> {
+    match flags.kind {
+        ReportKind::Burn(flags) => run_burn(&flags),
+    }
+}
+
+fn run_burn(flags: &BurnFlags) -> anyhow::Result<Exit> {
+    let api = ApiClient::new(flags.operators);
+    let answer: Result<BurnReport, ClientError> =
+        client::block_on(async move { api.get(BURN_PATH, GATHERING).await });
+    let burn = match answer {
+        Ok(burn) => burn,
+        Err(e) => return Ok(super::client_failure(&e)),
+    };
+    if let Some(file) = &flags.html {
+        fs::write(file, report::html(&burn))
+            .with_context(|| format!("{} can't be written", file.display()))?;
+    }
+    if flags.json {
+        println!("{}", serde_json::to_string_pretty(&burn)?);
+    } else {
+        print!("{}", report::text(&burn));
+    }
+    Ok(Exit::Done)
+}
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -1,9 +1,12 @@
 //! The savorykeel binary: reads flags, runs one command, ends with its exit code.
 
+mod client;
 mod commands;
 mod configuration;
+mod demo;
 mod exit;
 mod flags;
+mod report;
 mod standin;
 
 use std::{env, process::ExitCode};
--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -1,24 +1,25 @@
-//! The entry side of a call: route, choose a backend server, hand over.
+//! The entry side of a call: from HTTP to a request with its route.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
 use ntex::http::{Request, Response};
-use rand::{RngExt, seq::IndexedRandom};
+use rand::RngExt;
 use savorykeel_policy::{
-    code::{Code, Outcome},
+    calls::deadline::{next_depth, time_left},
+    code::Code,
     config::model::Route,
-    ids::{BackendVersion, RequestId},
-    table::{Endpoint, Table},
+    table::Table,
 };
-use savorykeel_ports::peer::{Attempt, HttpRequest, PeerCall, PeerError, PeerLinks, PeerReply};
+use savorykeel_ports::peer::PeerReply;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    calls::serve,
+    burn::{self, EndedCall},
+    calls::{dispatch::dispatch, journey::Journey},
     http::{
         BodyError, DEADLINE_HEADER, DEPTH_HEADER, HttpResult, IDEMPOTENCY_KEY_HEADER,
         answer_response, code_response, number_header, read_body, to_port_request,
@@ -28,30 +29,12 @@
     worker::Worker,
 };
 
-/// First HTTP status that counts as a failure of the backend server.
-const FIRST_FAILURE_STATUS: u16 = 500;
-
-/// Most backend servers that one request is offered to.
-const MAX_ATTEMPTS: usize = 3;
-
 /// Answers a request from a caller or from the backend server beside the node.
 pub(crate) async fn handle(worker: Rc<Worker>, req: Request, caller: String) -> HttpResult {
     let _in_flight = InFlight::enter(&worker.state.entered);
     Ok(answer(&worker, req, caller).await.unwrap_or_else(|failure| failure))
 }
 
-/// A request on its way, with the table that it uses from start to end.
-struct Journey {
-    table: Arc<Table>,
-    route: Arc<Route>,
-    request: HttpRequest,
-    caller: String,
-    depth: u32,
-    deadline: Instant,
-    /// Versions of the backend server that may take it; none when none may.
-    versions: Option<VersionChoice>,
-}
-
 async fn answer(
     worker: &Rc<Worker>,
     mut req: Request,
@@ -66,9 +49,11 @@
         .route(req.method().as_str(), host, req.path())
         .cloned()
         .ok_or_else(|| code_response(Code::NoRoute, format!("no route for {}", req.path())))?;
-    let depth = number_header::<u32>(req.headers(), DEPTH_HEADER).unwrap_or(0);
+    let above = number_header::<u32>(req.headers(), DEPTH_HEADER).unwrap_or(0);
+    let depth = next_depth(above, table.configuration.limits.call_depth)
+        .map_err(|code| code_response(code, format!("{above} calls are above this one")))?;
     let left = number_header::<u64>(req.headers(), DEADLINE_HEADER).map(Duration::from_millis);
-    let timeout = left.map_or(route.timeout, |left| left.min(route.timeout));
+    let timeout = time_left(route.timeout, left);
     let limit = usize::try_from(route.body_limit).unwrap_or(usize::MAX);
     let payload = req.take_payload();
     let body = read_body(payload, limit).await.map_err(|e| body_failure(&e, limit))?;
@@ -81,13 +66,15 @@
         route,
         caller,
         depth,
+        last_tried: RefCell::default(),
     };
-    match run(worker, &journey).await {
+    let journey = Rc::new(journey);
+    let reply = run(worker, journey.clone()).await;
+    observe(worker, &journey, &reply, started.elapsed());
+    let name = &journey.route.name;
+    match reply {
         PeerReply::Answered(answer) => Ok(answer_response(answer)),
-        PeerReply::Failed(code) => {
-            let detail = format!("route {}: {code}", journey.route.name);
-            Err(code_response(code, detail))
-        }
+        PeerReply::Failed(code) => Err(code_response(code, format!("route {name}: {code}"))),
     }
 }
 
@@ -105,8 +92,23 @@
     let service = table.services.get(&route.service)?;
     let key = req.headers().get(IDEMPOTENCY_KEY_HEADER).map(|key| xxh3_64(key.as_bytes()));
     let hash = key.unwrap_or_else(|| worker.rng.borrow_mut().random());
-    let control = &worker.state.control;
-    control.moves.choose(service, &route.service, &route.name, hash, control.now())
+    let moves = &worker.state.control.moves;
+    moves.choose(service, &route.service, &route.name, hash, worker.state.now())
+}
+
+fn observe(worker: &Worker, journey: &Journey, reply: &PeerReply, took: Duration) {
+    let endpoint = journey.last_tried.borrow();
+    let call = EndedCall {
+        table: &journey.table,
+        route: &journey.route,
+        endpoint: endpoint.as_deref(),
+        ended: match reply {
+            PeerReply::Answered(answer) => Ok(answer.status),
+            PeerReply::Failed(code) => Err(*code),
+        },
+        took,
+    };
+    burn::observe(&worker.state, &call);
 }
 
 fn body_failure(error: &BodyError, limit: usize) -> Response {
@@ -118,76 +120,13 @@
     }
 }
 
-async fn run(worker: &Rc<Worker>, journey: &Journey) -> PeerReply {
-    let mut tried: Vec<Arc<Endpoint>> = Vec::new();
-    let mut last = PeerReply::Failed(Code::NoBackendServer);
-    while tried.len() < MAX_ATTEMPTS {
-        let Some(endpoint) = choose(worker, journey, &tried) else { break };
-        let left = journey.deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return PeerReply::Failed(Code::DeadlineBeforeStart);
-        }
-        let call = peer_call(worker, journey, &endpoint, left);
-        last = attempt(worker, &endpoint, call).await;
-        note_ending(worker, journey, &endpoint, &last);
-        match &last {
-            PeerReply::Failed(code) if code.outcome() == Outcome::NotRun => tried.push(endpoint),
-            _ => break,
-        }
-    }
-    last
-}
-
-/// Tells the local breaker of the endpoint's version how a call ended.
-fn note_ending(worker: &Worker, journey: &Journey, endpoint: &Endpoint, reply: &PeerReply) {
-    let is_failed = match reply {
-        PeerReply::Answered(answer) => answer.status >= FIRST_FAILURE_STATUS,
-        PeerReply::Failed(code) => code.outcome() == Outcome::Unknown,
-    };
-    let control = &worker.state.control;
-    control.moves.note_entry(&journey.route.name, &endpoint.version, is_failed, control.now());
-}
-
-fn choose(worker: &Worker, journey: &Journey, tried: &[Arc<Endpoint>]) -> Option<Arc<Endpoint>> {
-    let service = journey.table.services.get(&journey.route.service)?;
-    let versions = journey.versions.as_ref()?;
-    let is_untried =
-        |endpoint: &&Arc<Endpoint>| !tried.iter().any(|other| other.instance == endpoint.instance);
-    let of_version = |version: &BackendVersion| -> Vec<&Arc<Endpoint>> {
-        let endpoints = service.endpoints.iter().filter(is_untried);
-        endpoints.filter(|endpoint| endpoint.version == *version).collect()
-    };
-    let mut candidates = of_version(&versions.version);
-    if candidates.is_empty() {
-        candidates = versions.stand_in.as_ref().map(of_version).unwrap_or_default();
-    }
-    candidates.choose(&mut *worker.rng.borrow_mut()).map(|endpoint| Arc::clone(endpoint))
-}
-
-fn peer_call(worker: &Worker, journey: &Journey, endpoint: &Endpoint, left: Duration) -> PeerCall {
-    let id = RequestId(worker.rng.borrow_mut().random());
-    PeerCall {
-        attempt: Attempt { id, incarnation: endpoint.incarnation, age: Duration::ZERO },
-        service: journey.route.service.clone(),
-        route: journey.route.name.clone(),
-        idempotent: journey.route.idempotent,
-        urgent: journey.route.urgent,
-        time_left: left,
-        depth: journey.depth + 1,
-        caller: journey.caller.clone(),
-        request: journey.request.clone(),
-    }
-}
-
-async fn attempt(worker: &Rc<Worker>, endpoint: &Endpoint, call: PeerCall) -> PeerReply {
-    if endpoint.instance == worker.state.settings.instance {
-        return serve::run_detached(worker.clone(), call).await.0;
-    }
-    match worker.links.call(endpoint.peer_addr, &call).await {
-        Ok((reply, _)) => reply,
-        Err(PeerError::NotSent(_)) => PeerReply::Failed(Code::Unreachable),
-        Err(PeerError::Lost(_) | PeerError::Malformed { .. }) => {
-            PeerReply::Failed(Code::SettleFailed)
-        }
+/// Runs the request; a keyed one goes on when its caller is gone, so that the
+/// caller's next try finds the answer.
+async fn run(worker: &Rc<Worker>, journey: Rc<Journey>) -> PeerReply {
+    if journey.keyed().is_none() {
+        return dispatch(worker, &journey).await;
     }
+    let worker = worker.clone();
+    let task = ntex::rt::spawn(async move { dispatch(&worker, &journey).await });
+    task.await.unwrap_or(PeerReply::Failed(Code::SettleFailed))
 }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -39,7 +39,7 @@
 use slog::{Logger, info};
 use xxhash_rust::xxh3::xxh3_128;
 
-use crate::moves::hub::MoveHub;
+use crate::{admin::api::PublishedConfiguration, moves::hub::MoveHub};
 
 use super::{
     event::Event,
@@ -249,6 +249,13 @@
         self.fold.lock().publishes().cloned().collect()
     }
 
+    /// Returns the newest configuration that this node holds as it was published.
+    pub(crate) fn published(&self) -> Option<PublishedConfiguration> {
+        let fold = self.fold.lock();
+        let configuration = fold.raw()?.as_ref().clone();
+        Some(PublishedConfiguration { version: fold.version(), configuration })
+    }
+
     /// Returns every member that is known.
     pub fn members(&self) -> Vec<Entry> {
         self.members.lock().entries().cloned().collect()
@@ -459,10 +466,17 @@
         complete
     }
 
+    /// Counts the nodes that could answer, were there no partition.
+    ///
+    /// Nodes that nobody reaches count: the side of a partition that answers may
+    /// be the one that lags.
     fn answerers(&self) -> Answerers {
         let members = self.members.lock();
+        let is_other = |entry: &&Entry| {
+            entry.liveness != Liveness::Gone && entry.record.instance != self.identity.instance
+        };
         let others: Vec<&NodeRecord> =
-            members.active().filter(|record| record.instance != self.identity.instance).collect();
+            members.entries().filter(is_other).map(|entry| &*entry.record).collect();
         let zones: std::collections::BTreeSet<&ZoneName> =
             others.iter().map(|record| &record.zone).collect();
         Answerers { nodes: others.len(), zones: zones.len() }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,7 @@
 //! The savorykeel node: the call path and the control loops over the ports.
 
+pub mod admin;
+mod burn;
 mod calls;
 pub mod control;
 mod http;
--- a/crates/node/src/moves/observe.rs
+++ b/crates/node/src/moves/observe.rs
@@ -6,7 +6,7 @@
 use savorykeel_ports::{backend::BackendError, peer::HttpAnswer};
 
 /// First HTTP status that counts as a failure.
-const FIRST_FAILURE_STATUS: u16 = 500;
+pub(crate) const FIRST_FAILURE_STATUS: u16 = 500;
 
 /// Part of the route's timeout that a call must have had for running out of time
 /// to count against the version.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -19,13 +19,16 @@
     server::Server,
     time::{Seconds, sleep},
 };
+use savorykeel_adapters::metrics::{Metrics, MetricsError};
 use savorykeel_ports::clock::Clock;
 use serde::Serialize;
 use slog::{Logger, info, warn};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    calls::{announce, entry},
+    admin,
+    burn::BurnState,
+    calls::{announce, entry, state::CallState},
     control::{
         self,
         state::{ControlState, Identity},
@@ -88,6 +91,9 @@
     /// A server can't be started.
     #[error("the node's servers can't be started: {0}")]
     Start(#[from] io::Error),
+    /// Metrics can't be sent.
+    #[error("metrics.statsd: {0}")]
+    Metrics(#[from] MetricsError),
 }
 
 struct Listeners {
@@ -148,6 +154,7 @@
 ) -> Result<Ending, NodeError> {
     let addresses = listeners.addresses(&settings)?;
     let state = new_state(settings, log, &addresses)?;
+    admin::answer_other_nodes(&state);
     let cancel = CancellationToken::new();
     let (accepted_tx, accepted_rx) = async_channel::unbounded();
     let seed = WorkerSeed { state: state.clone(), accepted: accepted_rx, cancel: cancel.clone() };
@@ -168,7 +175,12 @@
     Ok(ending)
 }
 
-fn new_state(settings: Settings, log: Logger, addresses: &Addresses) -> io::Result<Arc<NodeState>> {
+fn new_state(
+    settings: Settings,
+    log: Logger,
+    addresses: &Addresses,
+) -> Result<Arc<NodeState>, NodeError> {
+    let metrics = start_metrics(&settings)?;
     let clock = Clock::default();
     let identity = Identity {
         instance: settings.instance.clone(),
@@ -178,11 +190,15 @@
     };
     let journal_file = settings.journal_file.as_deref();
     let control = ControlState::new(identity, clock, log.clone(), journal_file)?;
+    let calls = CallState::new(&settings, (clock.tick)());
     Ok(Arc::new(NodeState {
         settings,
         clock,
         log,
+        metrics,
+        burn: BurnState::default(),
         control,
+        calls,
         backend: parking_lot::Mutex::default(),
         leaving: AtomicBool::new(false),
         entered: AtomicU32::new(0),
@@ -190,6 +206,11 @@
     }))
 }
 
+fn start_metrics(settings: &Settings) -> Result<Metrics, MetricsError> {
+    let Some(metrics) = &settings.metrics else { return Ok(Metrics::disabled()) };
+    Metrics::to_statsd(metrics.statsd, &metrics.prefix, settings.instance.as_str())
+}
+
 fn start_servers(seed: &WorkerSeed, listeners: &Listeners) -> io::Result<Server> {
     let limits = &seed.state.settings.limits;
     let http_config = || {
@@ -197,7 +218,7 @@
             .set_keepalive_timeout(CALLER_KEEP_ALIVE)
             .set_max_buf_size(limits.header_bytes)
     };
-    let (for_callers, for_backend) = (seed.clone(), seed.clone());
+    let (for_callers, for_backend, for_operators) = (seed.clone(), seed.clone(), seed.clone());
     let server = ntex::server::build()
         .workers(seed.state.settings.workers)
         .maxconn(limits.caller_connections)
@@ -214,8 +235,13 @@
             let worker = Worker::current(&for_backend);
             HttpService::new(move |req: Request| handle_backend(worker.clone(), req))
         })?
+        .listen("operators", listeners.operators.try_clone()?, async move |_| {
+            let worker = Worker::current(&for_operators);
+            HttpService::new(move |req: Request| admin::handle(worker.clone(), req))
+        })?
         .config("callers", SharedCfg::new("callers").add(http_config()))
         .config("backend", SharedCfg::new("backend").add(http_config()))
+        .config("operators", SharedCfg::new("operators").add(http_config()))
         .run();
     Ok(server)
 }
--- a/crates/policy/src/moves/window.rs
+++ b/crates/policy/src/moves/window.rs
@@ -76,6 +76,10 @@
     pub new_crashes: u64,
     /// Instances that reported on the new version.
     pub new_instances: u64,
+    /// Backend servers of the old version that ended without leaving.
+    pub old_crashes: u64,
+    /// Instances that reported on the old version.
+    pub old_instances: u64,
     /// Time in milliseconds for which calls on either version kept a slot.
     pub busy_ms: u64,
 }
@@ -173,6 +177,7 @@
                 continue;
             }
             window.new_instances += u64::from(is_new);
+            window.old_instances += u64::from(!is_new);
             let last = self.last.insert(report.instance.clone(), report.clone());
             let Some(last) = last else { continue };
             let starts_anew = last.version != report.version
@@ -193,10 +198,9 @@
         last: Option<&Report>,
         is_new: bool,
     ) {
-        if is_new {
-            let before = last.map_or(0, |last| last.crashes);
-            window.new_crashes += u64::from(report.crashes.saturating_sub(before));
-        }
+        let before = last.map_or(0, |last| last.crashes);
+        let crashes = if is_new { &mut window.new_crashes } else { &mut window.old_crashes };
+        *crashes += u64::from(report.crashes.saturating_sub(before));
         for (route, counters) in &report.routes {
             let before = last.and_then(|last| last.routes.get(route));
             let increase = before.map_or_else(|| counters.clone(), |before| counters.since(before));
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -1,9 +1,17 @@
 //! Feature tests by theme.
 
+mod admin_api;
 mod binary;
+mod burn_report;
+mod calls_outcomes;
 mod check_configuration;
+mod check_docs;
 mod cli_usage;
+mod config_recovery;
 mod config_spread;
 mod harness;
+mod membership_failure;
 mod moves_stage;
 mod moves_whole;
+mod publish_outcomes;
+mod session;
