Merge moves between backend server versions into the call path

Change: the version is chosen after the body was read; the header with the caller's key has one name. Conclusion: calls follow the split of the move.

--- a/crates/node/src/calls/dispatch.rs
+++ b/crates/node/src/calls/dispatch.rs
@@ -13,7 +13,7 @@
 };
 use savorykeel_ports::peer::PeerReply;
 
-use crate::{burn, worker::Worker};
+use crate::{burn, moves::observe::FIRST_FAILURE_STATUS, worker::Worker};
 
 use super::{
     attempt::{self, Aimed, endpoint_at},
@@ -51,7 +51,7 @@
     let mut last = PeerReply::Failed(Code::NoBackendServer);
     let (mut tries, mut free_tries) = (0, 0);
     loop {
-        let Some(i) = choose(worker, &candidates, &tried) else { return last };
+        let Some(i) = choose_in_turn(worker, journey, &candidates, &tried) else { return last };
         if !tried.is_empty() {
             burn::count_retry(&worker.state, &journey.route.service);
         }
@@ -62,6 +62,7 @@
                 let started = Instant::now();
                 let reply = attempt::run(worker, journey, &aimed).await;
                 choice.end(call_end(&reply), started);
+                note_ending(worker, journey, &reply);
                 reply
             }
             Err(Stop::Try(code)) => {
@@ -126,6 +127,38 @@
     }
 }
 
+/// Chooses among the version that takes the request and, when none of its
+/// backend servers is left, the one that may stand in.
+fn choose_in_turn(
+    worker: &Worker,
+    journey: &Journey,
+    candidates: &[Candidate],
+    tried: &[usize],
+) -> Option<usize> {
+    let versions = journey.versions.as_ref()?;
+    let in_turn = [Some(&versions.version), versions.stand_in.as_ref()];
+    in_turn.into_iter().flatten().find_map(|version| {
+        let is_out = |i: &usize| {
+            let endpoint = endpoint_at(journey, *i);
+            tried.contains(i) || endpoint.is_none_or(|endpoint| endpoint.version != *version)
+        };
+        let out: Vec<usize> = (0..candidates.len()).filter(is_out).collect();
+        choose(worker, candidates, &out)
+    })
+}
+
+/// Tells the local breaker of the tried version how a call ended.
+fn note_ending(worker: &Worker, journey: &Journey, reply: &PeerReply) {
+    let is_failed = match reply {
+        PeerReply::Answered(answer) => answer.status >= FIRST_FAILURE_STATUS,
+        PeerReply::Failed(code) => code.outcome() == Outcome::Unknown,
+    };
+    let tried = journey.last_tried.borrow();
+    let Some(endpoint) = &*tried else { return };
+    let moves = &worker.state.control.moves;
+    moves.note_entry(&journey.route.name, &endpoint.version, is_failed, worker.state.now());
+}
+
 fn choose(worker: &Worker, candidates: &[Candidate], tried: &[usize]) -> Option<usize> {
     let mut balancer = worker.state.calls.balancer.lock();
     let rng = &mut *worker.rng.borrow_mut();
--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -7,19 +7,24 @@
 };
 
 use ntex::http::{Payload, Request, Response};
+use rand::RngExt;
 use savorykeel_policy::{
     calls::deadline::{next_depth, time_left},
     code::Code,
+    config::model::Route,
+    table::Table,
 };
 use savorykeel_ports::peer::PeerReply;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     burn::{self, EndedCall},
     calls::{dispatch::dispatch, journey::Journey},
     http::{
-        BodyError, DEADLINE_HEADER, DEPTH_HEADER, HttpResult, answer_response, code_response,
-        discard_body, number_header, read_body, to_port_request,
+        BodyError, DEADLINE_HEADER, DEPTH_HEADER, HttpResult, IDEMPOTENCY_KEY_HEADER,
+        answer_response, code_response, discard_body, number_header, read_body, to_port_request,
     },
+    moves::hub::VersionChoice,
     state::InFlight,
     worker::Worker,
 };
@@ -60,7 +65,9 @@
     let timeout = time_left(route.timeout, left);
     let limit = usize::try_from(route.body_limit).unwrap_or(usize::MAX);
     let body = read_body(payload, limit, timeout).await.map_err(|e| body_failure(&e, limit))?;
+    let versions = choose_versions(worker, &table, &route, req);
     let journey = Journey {
+        versions,
         request: to_port_request(req, body),
         deadline: started + timeout,
         table,
@@ -79,6 +86,24 @@
     }
 }
 
+/// Chooses the version that takes a request.
+///
+/// A request with an idempotency key meets the same version when it is sent
+/// again. One without is split at random: a split by caller would give a whole
+/// busy caller to a version of which little is known.
+fn choose_versions(
+    worker: &Worker,
+    table: &Table,
+    route: &Route,
+    req: &Request,
+) -> Option<VersionChoice> {
+    let service = table.services.get(&route.service)?;
+    let key = req.headers().get(IDEMPOTENCY_KEY_HEADER).map(|key| xxh3_64(key.as_bytes()));
+    let hash = key.unwrap_or_else(|| worker.rng.borrow_mut().random());
+    let moves = &worker.state.control.moves;
+    moves.choose(service, &route.service, &route.name, hash, worker.state.now())
+}
+
 fn observe(worker: &Worker, journey: &Journey, reply: &PeerReply, took: Duration) {
     let endpoint = journey.last_tried.borrow();
     let call = EndedCall {
--- a/crates/node/src/calls/serve.rs
+++ b/crates/node/src/calls/serve.rs
@@ -18,17 +18,18 @@
         settle::{Admission, Fate},
     },
     code::Code,
-    ids::RequestId,
+    ids::{BackendVersion, RequestId, RouteName},
 };
 use savorykeel_ports::{
     backend::{BackendError, BackendServer},
-    peer::{Attempt, Header, LoadHint, PeerCall, PeerReply, Settlement},
+    peer::{Attempt, Header, HttpAnswer, LoadHint, PeerCall, PeerReply, Settlement},
 };
 use tokio::sync::SemaphorePermit;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     http::{DEADLINE_HEADER, DEPTH_HEADER, REQUEST_ID_HEADER},
+    moves::observe::{TimeGiven, observation},
     state::{InFlight, NodeState},
     worker::Worker,
 };
@@ -179,7 +180,13 @@
     add_header(&mut request.headers, DEADLINE_HEADER, left.as_millis().to_string());
     add_header(&mut request.headers, DEPTH_HEADER, depth.to_string());
     let running = crashes::Running::enter(&worker.state, fingerprint);
+    let is_suspect = standing(&worker.state, fingerprint) != Ok(Standing::Clear);
+    let started = Instant::now();
     let result = client.run(&request, left).await;
+    if !is_suspect {
+        let version = &backend.record.version;
+        count(worker, &call.route, version, &result, TimeSpent { took: started.elapsed(), left });
+    }
     match &result {
         Ok(_) => running.ended_well(worker),
         Err(BackendError::Lost(_)) => running.lost_connection(worker),
@@ -192,6 +199,34 @@
     Ok(PeerReply::Answered(answer))
 }
 
+/// How long a call took and could take.
+struct TimeSpent {
+    took: Duration,
+    left: Duration,
+}
+
+/// Counts a call for the moves between backend server versions.
+///
+/// A request that is suspected of crashing backend servers says nothing about
+/// the version that runs it.
+fn count(
+    worker: &Worker,
+    route: &RouteName,
+    version: &BackendVersion,
+    result: &Result<HttpAnswer, BackendError>,
+    time: TimeSpent,
+) {
+    let control = &worker.state.control;
+    let Some(table) = control.table() else { return };
+    let route_timeout = table.configuration.routes.iter().find(|r| r.name == *route);
+    let timeout = route_timeout.map_or(time.left, |route| route.timeout);
+    let given = TimeGiven { left: time.left, timeout };
+    let is_cold = control.moves.is_cold(control.now());
+    if let Some(seen) = observation(result, time.took, given, is_cold) {
+        control.moves.record(route, version, seen);
+    }
+}
+
 fn failure_code(error: &BackendError) -> Code {
     match error {
         BackendError::NotSent(_) => Code::Unreachable,
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) mod topic;
 
 pub use context::{ControlContext, ControlMode, ControlTimes};
+pub(crate) use reader::{jittered, to_millis};
 pub use start::start;
 
 use std::{rc::Rc, time::Duration};
@@ -55,6 +56,7 @@
             maintain::clean_up(cx.clone()),
             checkpoints::write(cx.clone()),
             metrics::report(cx.clone()),
+            crate::moves::run(cx.clone()),
         );
     };
     tokio::select! {
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,7 +1,7 @@
 //! What the control loops share with the call path and the operators' API.
 //!
-//! Locks are taken in the order fold, members, recovery, floors, journal; no
-//! lock is held across an await.
+//! Locks are taken in the order fold, members, recovery, floors, journal, moves;
+//! no lock is held across an await.
 
 use std::{
     collections::BTreeMap,
@@ -39,7 +39,7 @@
 use slog::{Logger, info};
 use xxhash_rust::xxh3::xxh3_128;
 
-use crate::admin::api::PublishedConfiguration;
+use crate::{admin::api::PublishedConfiguration, moves::hub::MoveHub};
 
 use super::{
     event::Event,
@@ -108,6 +108,8 @@
     pub logger: Logger,
     /// Numbers that the control loops count.
     pub counters: Counters,
+    /// Moves between backend server versions.
+    pub moves: Arc<MoveHub>,
     table: ArcSwapOption<Table>,
     fold: Mutex<Fold>,
     members: Mutex<Members>,
@@ -197,12 +199,15 @@
             applied: ConfigVersion::default(),
         };
         let journal = journal_file.map(Journal::open).transpose()?;
+        let moves = Arc::new(MoveHub::default());
+        let move_handler = crate::moves::handler(moves.clone());
         let (events, waiting) = async_channel::bounded(EVENT_QUEUE);
         Ok(Arc::new(Self {
             identity,
             clock,
             logger,
             counters: Counters::default(),
+            moves,
             table: ArcSwapOption::empty(),
             fold: Mutex::default(),
             members: Mutex::new(Members::new(own, (clock.tick)())),
@@ -210,7 +215,7 @@
             floors: Mutex::default(),
             journal: Mutex::new(journal),
             heard: SharedHeard::default(),
-            topics: Mutex::default(),
+            topics: Mutex::new(BTreeMap::from([(Topic::Moves, move_handler)])),
             is_serving: AtomicBool::new(false),
             has_joined: AtomicBool::new(false),
             started: (clock.tick)(),
@@ -379,7 +384,7 @@
         f(&mut self.fold.lock())
     }
 
-    pub(super) fn with_members<T>(&self, f: impl FnOnce(&mut Members) -> T) -> T {
+    pub(crate) fn with_members<T>(&self, f: impl FnOnce(&mut Members) -> T) -> T {
         f(&mut self.members.lock())
     }
 
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -42,6 +42,9 @@
 /// Longest time that an unwanted body is read for.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Carries the caller's key for a request that it may send again.
+pub(crate) const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+
 /// JSON body of the node's own answers.
 #[derive(Serialize)]
 struct CodeBody {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 mod front;
 mod http;
+pub mod moves;
 mod run;
 pub mod settings;
 mod state;
--- a/crates/policy/src/moves/judge.rs
+++ b/crates/policy/src/moves/judge.rs
@@ -39,6 +39,9 @@
 /// Crashes of one instance in a day that say nothing about a version.
 pub const CRASHES_PER_DAY: f64 = 4.0;
 
+/// Factor by which the new version may crash more often than the old one.
+pub const CRASH_TOLERANCE: f64 = 1.5;
+
 /// Mass that starts with the move.
 const FIRST_MASS: f64 = 0.5;
 
@@ -125,7 +128,7 @@
 pub struct Judge {
     route_count: usize,
     questions: [Question; 2],
-    crashes: EProcess,
+    crashes: Test,
     reference: BTreeMap<RouteName, Histogram>,
     mass: f64,
     last_restart: Tick,
@@ -140,7 +143,7 @@
         let mut judge = Self {
             route_count: route_count.max(1),
             questions: [question(BadKind::Failing), question(BadKind::Slow)],
-            crashes: EProcess::default(),
+            crashes: Test::default(),
             reference: BTreeMap::new(),
             mass: 0.0,
             last_restart: now,
@@ -226,7 +229,18 @@
         self.last_look = now;
         let expected = CRASHES_PER_DAY * days * window.new_instances as f64;
         let crashes = window.new_crashes as f64;
-        self.crashes.update(&RATIOS.map(|ratio| crashes * ratio.ln() - expected * (ratio - 1.0)));
+        // A request that crashes what runs it meets each version as often as
+        // calls do; a version that crashes by itself may not get any.
+        let counts = Counts {
+            new_run: window.new_run() + window.new_instances,
+            new_hits: window.new_crashes,
+            old_run: window.old_run() + window.old_instances,
+            old_hits: window.old_crashes,
+        };
+        self.crashes.update(&Growth {
+            against_old: against_old(counts, CRASH_TOLERANCE),
+            against_rate: RATIOS.map(|ratio| crashes * ratio.ln() - expected * (ratio - 1.0)),
+        });
     }
 
     /// Learns the old version's latency after it was used for this window, so
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -13,5 +13,7 @@
 mod harness;
 mod http_semantics;
 mod membership_failure;
+mod moves_stage;
+mod moves_whole;
 mod publish_outcomes;
 mod session;
