Apply a version once most neighbours know of it

A node that crashed right after it applied a version, before any neighbour heard of it, could come back at an older one while the log was away. A new version now waits until more than half of the ring neighbours hold or know its position, at most 250 ms; a start without the log needs answers from more than half of them, so that both sets meet. Endpoints of the table in force are renewed meanwhile.

--- a/crates/node/src/control/checkpoints.rs
+++ b/crates/node/src/control/checkpoints.rs
@@ -33,7 +33,7 @@
     loop {
         sleep(to_millis(jittered(cx.times.checkpoint / LOOKS_PER_CHECKPOINT))).await;
         let is_due = cx.state.is_serving()
-            && cx.state.applied_position().0 > 0
+            && cx.state.held_position().0 > 0
             && !cx.state.is_stopped()
             && cx
                 .state
@@ -77,7 +77,7 @@
 /// Tells whether a checkpoint is recent in both records and time.
 fn is_good<L, P>(cx: &ControlContext<L, P>, newest: Option<&FoundCheckpoint>, seen: &Seen) -> bool {
     let Some(newest) = newest else { return false };
-    let behind = cx.state.applied_position().0.saturating_sub(newest.checkpoint.image.position.0);
+    let behind = cx.state.held_position().0.saturating_sub(newest.checkpoint.image.position.0);
     let age = cx.state.now().since(seen.at);
     behind < RECORDS_PER_CHECKPOINT && age < to_good(cx.times.checkpoint)
 }
--- a/crates/node/src/control/gossip.rs
+++ b/crates/node/src/control/gossip.rs
@@ -37,6 +37,9 @@
 /// Longest time that a neighbour may take to answer.
 const NEWS_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Longest time for which a new version waits until most neighbours know of it.
+const WITNESS_WAIT: Duration = Duration::from_millis(250);
+
 /// Longest time that a node may take to hand over its configuration.
 const PULL_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -66,7 +69,7 @@
     while let Ok(event) = events.recv().await {
         match event {
             Event::Changed { members, source } => note_changes(&cx, &pending, members, source),
-            Event::Advanced => announce(&cx),
+            Event::Advanced => announce_and_apply(&cx),
             Event::Behind { holder, position } => pull_from(&cx, &pending, holder, position),
             Event::Differs(contact) => note_difference(&cx, &pending, contact),
         }
@@ -113,18 +116,52 @@
     }
 }
 
-/// Tells every neighbour that may be behind how far this node has come; the
-/// position goes with every message, so the message itself is empty.
-fn announce<L: 'static, P: PeerLinks + 'static>(cx: &Rc<ControlContext<L, P>>) {
-    if cx.mode == ControlMode::Poll {
-        return;
-    }
-    let position = cx.state.applied_position();
-    for neighbour in cx.neighbours().all() {
-        let known = cx.state.with_floors(|floors| floors.of(&neighbour.instance));
-        if known < position {
-            send(cx, &neighbour, MessageBody::News { entries: Vec::new() });
+/// Tells the neighbours how far this node has come and applies it once most of
+/// them know, so that they can tell after a crash of this node.
+///
+/// A neighbour that holds the position itself needs no word of it. Neighbours
+/// that don't answer hold the node up for [`WITNESS_WAIT`] at most.
+fn announce_and_apply<L: 'static, P: PeerLinks + 'static>(cx: &Rc<ControlContext<L, P>>) {
+    let position = cx.state.held_position();
+    let cx = cx.clone();
+    ntex::rt::spawn(async move {
+        if cx.mode == ControlMode::Gossip {
+            let announcing = tell_most_neighbours(&cx, position);
+            // Past the wait, serving the accepted version goes first.
+            let _ = ntex::time::timeout(to_millis(WITNESS_WAIT), announcing).await;
+        }
+        cx.state.allow(position);
+        cx.state.rebuild();
+    })
+    .detach();
+}
+
+/// Returns once more than half of the neighbours know the position.
+async fn tell_most_neighbours<L: 'static, P: PeerLinks + 'static>(
+    cx: &Rc<ControlContext<L, P>>,
+    position: Position,
+) {
+    let neighbours = cx.neighbours().all();
+    let (told, heard) = async_channel::bounded(neighbours.len().max(1));
+    let mut knowing = 0;
+    for neighbour in &neighbours {
+        if cx.state.with_floors(|floors| floors.of(&neighbour.instance)) >= position {
+            knowing += 1;
+            continue;
         }
+        let (cx, addr, told) = (cx.clone(), neighbour.addr, told.clone());
+        ntex::rt::spawn(async move {
+            // The position goes with every message, so this one is empty.
+            let news = MessageBody::News { entries: Vec::new() };
+            if cx.exchange(addr, news, NEWS_TIMEOUT).await.is_ok() {
+                let _ = told.try_send(());
+            }
+        })
+        .detach();
+    }
+    drop(told);
+    while 2 * knowing <= neighbours.len() && heard.recv().await.is_ok() {
+        knowing += 1;
     }
 }
 
@@ -149,7 +186,7 @@
     holder: Contact,
     position: Position,
 ) {
-    if cx.mode == ControlMode::Poll || position <= cx.state.applied_position() {
+    if cx.mode == ControlMode::Poll || position <= cx.state.held_position() {
         return;
     }
     if pending.is_pulling.replace(true) {
@@ -163,7 +200,7 @@
     ntex::rt::spawn(async move {
         let mut next = Some((position, holder));
         while let Some((position, holder)) = next {
-            if position > cx.state.applied_position() {
+            if position > cx.state.held_position() {
                 pull(&cx, &holder, position).await;
             }
             next = pending.ahead.take();
@@ -185,7 +222,6 @@
         }
         match pull_once(cx, holder, held).await {
             Ok(true) => {
-                cx.state.rebuild();
                 cx.state.emit(Event::Advanced);
                 return;
             }
--- a/crates/node/src/control/handle.rs
+++ b/crates/node/src/control/handle.rs
@@ -72,7 +72,7 @@
         Heard::note(&self.heard, &from.instance, now);
         self.with_floors(|floors| floors.note(&from.instance, from.position));
         let contact = Contact { instance: from.instance.clone(), addr: from.addr };
-        if from.position > self.applied_position() {
+        if from.position > self.held_position() {
             self.emit(Event::Behind { holder: contact.clone(), position: from.position });
         }
         if from.members != self.with_members(|members| members.digest()) {
--- a/crates/node/src/control/presence.rs
+++ b/crates/node/src/control/presence.rs
@@ -171,5 +171,5 @@
         cx.state.rebuild();
         sleep(to_millis(jittered(RECOVERY_PERIOD))).await;
     }
-    info!(cx.state.logger, "recovered"; "position" => cx.state.applied_position().0);
+    info!(cx.state.logger, "recovered"; "position" => cx.state.held_position().0);
 }
--- a/crates/node/src/control/reader.rs
+++ b/crates/node/src/control/reader.rs
@@ -84,7 +84,7 @@
     cx: &ControlContext<L, P>,
     wait: Duration,
 ) -> Progress {
-    let from = cx.state.applied_position();
+    let from = cx.state.held_position();
     let asked_at = cx.state.now();
     Counters::add(&cx.state.counters.log_reads, 1);
     match cx.log.read(CONFIGURATION_STREAM, Offset(from.0), wait).await {
@@ -102,9 +102,9 @@
     let state = &cx.state;
     Counters::add(&state.counters.log_records, page.records.len());
     state.saw_log_next(page.next.0);
-    let before = state.applied_position();
+    let before = state.held_position();
     let step = fold_records(cx, &page.records);
-    let position = state.applied_position();
+    let position = state.held_position();
     if position > before {
         state.emit(Event::Advanced);
     }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -30,6 +30,7 @@
         entry::{BackendRecord, Liveness, NodeRecord, Stamp},
         members::Members,
         merge::Entry,
+        rings::Neighbours,
     },
     table::Table,
     time::Tick,
@@ -117,6 +118,7 @@
     pub(super) heard: SharedHeard,
     topics: Mutex<BTreeMap<Topic, TopicHandler>>,
     is_serving: AtomicBool,
+    allowed: AtomicU64,
     has_joined: AtomicBool,
     started: Tick,
     current_as_of: AtomicU64,
@@ -212,6 +214,7 @@
             heard: SharedHeard::default(),
             topics: Mutex::default(),
             is_serving: AtomicBool::new(false),
+            allowed: AtomicU64::new(0),
             has_joined: AtomicBool::new(false),
             started: (clock.tick)(),
             current_as_of: AtomicU64::new(NEVER),
@@ -393,7 +396,7 @@
 
     /// Describes this node to another one.
     pub(super) fn speaker(&self) -> Speaker {
-        let position = self.applied_position();
+        let position = self.held_position();
         Speaker {
             instance: self.identity.instance.clone(),
             zone: self.identity.zone.clone(),
@@ -420,31 +423,42 @@
         if as_of > self.started {
             self.recovery.lock().confirmed(position);
         }
-        if self.applied_position() < position {
+        if self.held_position() < position {
             return;
         }
         let raise = |known| (known == NEVER || known < as_of.0).then_some(as_of.0);
         let _ = self.current_as_of.fetch_update(Ordering::AcqRel, Ordering::Acquire, raise);
     }
 
-    /// Returns the position that other nodes may rely on.
-    pub(super) fn applied_position(&self) -> Position {
+    /// Returns the position of the fold; what it holds may be about to be applied.
+    pub(super) fn held_position(&self) -> Position {
         self.fold.lock().position()
     }
 
+    /// Allows the state at a position to be applied.
+    pub(super) fn allow(&self, position: Position) {
+        self.allowed.fetch_max(position.0, Ordering::AcqRel);
+    }
+
     /// Joins the configuration in force with the members and swaps the table.
     ///
     /// The fold stays locked until the table is swapped, so that two threads
-    /// can't swap in a different order than they read.
+    /// can't swap in a different order than they read. A state that isn't allowed
+    /// yet is left; the endpoints of the table in force are renewed all the same.
     pub(super) fn rebuild(&self) {
         let fold = self.fold.lock();
         if !self.may_serve(fold.position()) {
             return;
         }
-        let Some(configuration) = fold.configuration() else { return };
+        let is_allowed = fold.position().0 <= self.allowed.load(Ordering::Acquire);
+        let (version, configuration) = match (is_allowed, self.table(), fold.configuration()) {
+            (true, _, Some(configuration)) => (fold.version(), configuration.clone()),
+            (false, Some(table), _) => (table.version, table.configuration.clone()),
+            _ => return,
+        };
         let table = {
             let members = self.members.lock();
-            Table::build(fold.version(), configuration.clone(), members.records())
+            Table::build(version, configuration, members.records())
         };
         if self.applied_version() != table.version {
             info!(self.logger, "configuration applied"; "version" => table.version.0);
@@ -459,12 +473,12 @@
             return true;
         }
         let answerers = self.answerers();
-        let complete = self.recovery.lock().is_complete(position, answerers);
+        let complete = self.recovery.lock().is_complete(position, &answerers);
         self.is_serving.fetch_or(complete, Ordering::AcqRel);
         complete
     }
 
-    /// Counts the nodes that could answer, were there no partition.
+    /// Finds out which nodes could answer, were there no partition.
     ///
     /// Nodes that nobody reaches count: the side of a partition that answers may
     /// be the one that lags.
@@ -477,7 +491,12 @@
             members.entries().filter(is_other).map(|entry| &*entry.record).collect();
         let zones: std::collections::BTreeSet<&ZoneName> =
             others.iter().map(|record| &record.zone).collect();
-        Answerers { nodes: others.len(), zones: zones.len() }
+        let neighbours = Neighbours::of(&self.identity.instance, &members).all();
+        Answerers {
+            nodes: others.len(),
+            zones: zones.len(),
+            neighbours: neighbours.into_iter().map(|contact| contact.instance).collect(),
+        }
     }
 
     fn write_journal(&self, fold: &Fold, table: &Table) {
--- a/crates/policy/src/distribution/floor.rs
+++ b/crates/policy/src/distribution/floor.rs
@@ -68,12 +68,14 @@
 }
 
 /// Who could have answered a node that starts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answerers {
     /// Number of other nodes that are known and not given up.
     pub nodes: usize,
     /// Number of availability zones of these.
     pub zones: usize,
+    /// Neighbours of the node, most of which knew what it applied.
+    pub neighbours: Vec<InstanceName>,
 }
 
 impl Recovery {
@@ -118,14 +120,22 @@
     /// The end of the log is past everything that was ever applied. Without the
     /// log, answers from several nodes in several availability zones are needed; a
     /// node that doesn't know the other nodes can't tell and doesn't serve.
-    pub fn is_complete(&self, position: Position, answerers: Answerers) -> bool {
+    pub fn is_complete(&self, position: Position, answerers: &Answerers) -> bool {
         if position < self.floor {
             return false;
         }
         let has_answers = self.knows_members
             && !self.answered.is_empty()
             && self.answered.len() >= ANSWERS_WANTED.min(answerers.nodes)
-            && self.zones.len() >= ZONES_WANTED.min(answerers.zones);
+            && self.zones.len() >= ZONES_WANTED.min(answerers.zones)
+            && self.have_most_answered(&answerers.neighbours);
         self.is_confirmed || has_answers
     }
+
+    /// Tells whether more than half of the neighbours answered, so that one of
+    /// them is among those that knew what the node applied.
+    fn have_most_answered(&self, neighbours: &[InstanceName]) -> bool {
+        let answered = neighbours.iter().filter(|name| self.answered.contains(*name)).count();
+        neighbours.is_empty() || 2 * answered > neighbours.len()
+    }
 }
--- a/crates/policy/tests/membership_merge.rs
+++ b/crates/policy/tests/membership_merge.rs
@@ -271,37 +271,37 @@
 
 #[test]
 fn restarted_node_serves_only_at_its_floor() {
-    let answerers = Answerers { nodes: 10, zones: 3 };
+    let answerers = Answerers { nodes: 10, zones: 3, neighbours: vec![] };
     let mut recovery = Recovery::default();
-    assert!(!recovery.is_complete(Position(100), answerers));
+    assert!(!recovery.is_complete(Position(100), &answerers));
     recovery.answered(&speaker(1, 5, true), Position(9));
     recovery.answered(&speaker(2, 6, true), Position(0));
-    assert!(!recovery.is_complete(Position(9), answerers), "two answers don't do");
+    assert!(!recovery.is_complete(Position(9), &answerers), "two answers don't do");
     recovery.answered(&speaker(3, 6, true), Position(0));
-    assert!(!recovery.is_complete(Position(9), answerers), "nor do three of who knows how many");
+    assert!(!recovery.is_complete(Position(9), &answerers), "nor do three of who knows how many");
     recovery.learnt_members();
-    assert!(!recovery.is_complete(Position(8), answerers));
-    assert!(recovery.is_complete(Position(9), answerers));
+    assert!(!recovery.is_complete(Position(8), &answerers));
+    assert!(recovery.is_complete(Position(9), &answerers));
 }
 
 #[test]
 fn answers_from_one_zone_or_from_starting_nodes_do_not_complete_a_start() {
-    let answerers = Answerers { nodes: 10, zones: 2 };
+    let answerers = Answerers { nodes: 10, zones: 2, neighbours: vec![] };
     let mut one_zone = Recovery::default();
     one_zone.learnt_members();
     for n in [1, 5, 9] {
         one_zone.answered(&speaker(n, 6, true), Position(0));
     }
-    assert!(!one_zone.is_complete(Position(6), answerers));
+    assert!(!one_zone.is_complete(Position(6), &answerers));
     let mut starting = Recovery::default();
     starting.learnt_members();
     for n in 1..8 {
         starting.answered(&speaker(n, 0, false), Position(0));
     }
-    assert!(!starting.is_complete(Position(0), answerers));
+    assert!(!starting.is_complete(Position(0), &answerers));
     starting.confirmed(Position(4));
-    assert!(!starting.is_complete(Position(3), answerers));
-    assert!(starting.is_complete(Position(4), answerers));
+    assert!(!starting.is_complete(Position(3), &answerers));
+    assert!(starting.is_complete(Position(4), &answerers));
 }
 
 #[test]
@@ -325,3 +325,18 @@
     assert_eq!(admitted, [0, 1, 3, 7, 15, 31, 63, 127, 191]);
     assert!(damper.admit(&name(2), Tick(200_000)), "another node is suspected at once");
 }
+
+#[test]
+fn start_without_the_log_hears_most_neighbours() {
+    let neighbours = (1..=4).map(name).collect();
+    let answerers = Answerers { nodes: 10, zones: 2, neighbours };
+    let mut recovery = Recovery::default();
+    recovery.learnt_members();
+    for n in [5, 6, 7, 1, 2] {
+        recovery.answered(&speaker(n, 6, true), Position(0));
+    }
+    assert!(!recovery.is_complete(Position(6), &answerers), "half of them may not know");
+    recovery.answered(&speaker(3, 6, true), Position(8));
+    assert!(!recovery.is_complete(Position(7), &answerers));
+    assert!(recovery.is_complete(Position(8), &answerers));
+}
