--- a/tests/feature/config_recovery.rs
+++ b/tests/feature/config_recovery.rs
@@ -337,3 +337,33 @@
     assert_eq!(fleet.log.records(CONFIGURATION_STREAM).len() as u64, 2 * ROUNDS);
     referee.assert_promises(&fleet);
 }
+
+#[test]
+fn slow_log_delays_versions_and_nothing_else() {
+    let deployment = Deployment::small();
+    let mut fleet = start(&deployment);
+    let mut referee = Referee::default();
+    publish_versions(&fleet, &deployment, 1..=1);
+    fleet.log.set_slow_ms(1_500);
+    fleet.members[0].kill();
+    fleet.restart(0);
+    publish_versions(&fleet, &deployment, 2..=4);
+    referee.read(&fleet);
+    referee.assert_promises(&fleet);
+}
+
+#[test]
+fn links_that_go_silent_delay_versions_and_nothing_else() {
+    let deployment = Deployment::thyrofonia();
+    let fleet = start(&deployment);
+    let mut referee = Referee::default();
+    publish_versions(&fleet, &deployment, 1..=1);
+    for version in 2..=4 {
+        for member in &fleet.members {
+            member.proxy.as_ref().expect("every node has a proxy").silence_established();
+        }
+        publish_versions(&fleet, &deployment, version..=version);
+    }
+    referee.read(&fleet);
+    referee.assert_promises(&fleet);
+}
