Check every outcome under faults against the backend servers' ledgers

Cause: the promises to callers must hold in many faults at once, and a check that can't fail proves nothing. Change: savorykeel_bench::soak starts seven node processes behind proxies and callers that re-send keyed requests, injects eight kinds of faults in a seeded order and holds each caller's outcomes against what backend servers ran; the command `savorykeel-bench soak` is the long form, tests/feature/calls_soak.rs the short one. The tests find all three switches.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 mod latency;
 mod moves;
 mod processes;
+mod soak_command;
 
 use argh::FromArgs;
 
@@ -23,6 +24,7 @@
     Fullsize(fullsize::Args),
     Latency(latency::Args),
     Moves(moves::Args),
+    Soak(soak_command::Args),
 }
 
 fn main() -> anyhow::Result<()> {
@@ -32,5 +34,6 @@
         Command::Fullsize(args) => fullsize::run(&args),
         Command::Latency(args) => latency::run(&args),
         Command::Moves(args) => moves::run(&args),
+        Command::Soak(args) => soak_command::run(&args),
     }
 }
--- /dev/null
+++ b/crates/bench/src/mesh.rs
@@ -0,0 +1,336 @@
+//! A mesh of real `savorykeel` processes with stand-ins around them.
+
+use std::{
+    fs::{self, File},
+    io::{BufRead, BufReader},
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, ChildStdout, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, bail};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use savorykeel_node::settings::{
+    ControlSettings, RawAdvertise, RawLimits, RawListen, RawOperators, RawSettings, RawTesting,
+};
+use savorykeel_policy::config::raw::RawConfiguration;
+use savorykeel_ports::log::CONFIGURATION_STREAM;
+use savorykeel_standins::{
+    backend::{self, Run},
+    caller::{Client, Request},
+    log, proxy,
+};
+use serde::{Deserialize, Serialize};
+use tempfile::TempDir;
+
+/// Longest wait until a mesh answers.
+const START_LIMIT: Duration = Duration::from_secs(60);
+
+/// Longest time that a planned stop of a node may take.
+const STOP_LIMIT: Duration = Duration::from_secs(45);
+
+/// Pause between two looks at whether it answers.
+const START_PAUSE: Duration = Duration::from_millis(50);
+
+/// How the nodes of a mesh are set up.
+#[derive(Debug, Clone)]
+pub struct MeshOptions {
+    /// The `savorykeel` binary.
+    pub binary: PathBuf,
+    /// Limits of each node.
+    pub limits: RawLimits,
+    /// Switches for tests.
+    pub testing: Option<RawTesting>,
+    /// Whether each node is reached by others through a proxy of its own.
+    pub proxies: bool,
+    /// Worker threads of each node.
+    pub workers: usize,
+}
+
+/// One instance to start.
+#[derive(Debug, Clone)]
+pub struct MemberSpec {
+    /// Service that its backend server runs.
+    pub service: String,
+    /// Number of the availability zone, from 1.
+    pub zone: u8,
+    /// Requests that the backend server runs at once.
+    pub slots: usize,
+    /// How the backend server behaves.
+    pub behaviour: backend::Behaviour,
+}
+
+/// The ready line of a node.
+#[derive(Debug, Clone, Deserialize)]
+struct Ready {
+    callers: SocketAddr,
+    backend: SocketAddr,
+    peers: SocketAddr,
+}
+
+/// A node process; dropping it kills it.
+struct Process {
+    child: Child,
+    // Kept open, so that the node may write to it.
+    _stdout: BufReader<ChildStdout>,
+    ready: Ready,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// One instance: a node and the backend server beside it.
+pub struct Member {
+    /// Name of the instance.
+    pub name: String,
+    /// Proxy through which other nodes reach the node.
+    pub proxy: Option<proxy::Handle>,
+    backend: Option<backend::Handle>,
+    process: Option<Process>,
+    settings: RawSettings,
+    backend_settings: backend::Settings,
+    past_runs: Vec<Run>,
+}
+
+impl Member {
+    /// Returns the address for callers while the node runs.
+    pub fn callers(&self) -> Option<SocketAddr> {
+        self.process.as_ref().map(|process| process.ready.callers)
+    }
+
+    /// Returns the backend server while it runs.
+    pub fn backend(&self) -> Option<&backend::Handle> {
+        self.backend.as_ref()
+    }
+
+    /// Returns the service that its backend server runs.
+    pub fn service(&self) -> &str {
+        &self.backend_settings.service
+    }
+
+    /// Sends a signal to the node.
+    pub fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        let process = self.process.as_ref().context("the node doesn't run")?;
+        kill(Pid::from_raw(process.child.id().try_into()?), signal)?;
+        Ok(())
+    }
+
+    /// Kills node and backend server at once, as when the instance fails.
+    pub fn kill(&mut self) {
+        self.process = None;
+        self.stop_backend();
+    }
+
+    /// Waits until the node ended by itself, then ends the backend server.
+    ///
+    /// Returns false when the node had to be killed because it didn't end.
+    pub fn wait_end(&mut self) -> anyhow::Result<bool> {
+        let started = Instant::now();
+        let mut has_ended = false;
+        while let Some(process) = &mut self.process {
+            has_ended = process.child.try_wait()?.is_some();
+            if has_ended || started.elapsed() > STOP_LIMIT {
+                break;
+            }
+            thread::sleep(START_PAUSE);
+        }
+        self.kill();
+        Ok(has_ended)
+    }
+
+    /// Returns every run of its backend servers, past ones included.
+    pub fn runs(&self) -> Vec<Run> {
+        let now = self.backend.iter().flat_map(backend::Handle::ledger);
+        self.past_runs.iter().cloned().chain(now).collect()
+    }
+
+    fn stop_backend(&mut self) {
+        if let Some(backend) = self.backend.take() {
+            self.past_runs.extend(backend.ledger());
+        }
+    }
+}
+
+/// A record of the configuration stream.
+#[derive(Serialize)]
+struct PublishRecord<'a> {
+    format: u32,
+    id: &'a str,
+    base: u64,
+    configuration: &'a RawConfiguration,
+}
+
+/// A running mesh.
+pub struct Mesh {
+    /// Instances in the order in which they were added.
+    pub members: Vec<Member>,
+    /// Client for single calls.
+    pub client: Client,
+    log: log::Handle,
+    dir: TempDir,
+    options: MeshOptions,
+}
+
+impl Mesh {
+    /// Starts the instances, publishes the configuration and waits until every
+    /// node answers `probe_path`.
+    pub fn start(
+        options: MeshOptions,
+        specs: &[MemberSpec],
+        configuration: &RawConfiguration,
+        probe_path: &str,
+    ) -> anyhow::Result<Self> {
+        let log = log::start(log::Settings::default())?;
+        let record = PublishRecord { format: 1, id: "bench-1", base: 0, configuration };
+        log.append(CONFIGURATION_STREAM, serde_json::to_vec(&record)?);
+        let mut mesh = Self {
+            members: Vec::new(),
+            client: Client::start()?,
+            log,
+            dir: TempDir::new()?,
+            options,
+        };
+        for spec in specs {
+            mesh.add(spec)?;
+        }
+        for i in 0..mesh.members.len() {
+            mesh.wait_answered(i, &Request::get(probe_path))?;
+        }
+        Ok(mesh)
+    }
+
+    /// Starts what doesn't run of one instance.
+    pub fn restart(&mut self, i: usize) -> anyhow::Result<()> {
+        let dir = self.dir.path().to_owned();
+        let member = &mut self.members[i];
+        if member.process.is_none() {
+            let process = start_process(&self.options.binary, &dir, &member.settings)?;
+            if let Some(proxy) = &member.proxy {
+                proxy.set_target(process.ready.peers);
+            }
+            member.backend_settings.node = Some(process.ready.backend);
+            member.process = Some(process);
+        }
+        if member.backend.is_none() {
+            member.backend = Some(backend::start(member.backend_settings.clone())?);
+        }
+        Ok(())
+    }
+
+    /// Returns the addresses for callers of all nodes that run.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.members.iter().filter_map(Member::callers).collect()
+    }
+
+    /// Returns every run of every backend server.
+    pub fn runs(&self) -> Vec<Run> {
+        self.members.iter().flat_map(Member::runs).collect()
+    }
+
+    /// Waits until a node answers a request with status 200.
+    pub fn wait_answered(&self, i: usize, req: &Request) -> anyhow::Result<()> {
+        let started = Instant::now();
+        while started.elapsed() < START_LIMIT {
+            let entry = self.members[i].callers().context("the node doesn't run")?;
+            if self.client.call(entry, req.clone()).is_ok_and(|reply| reply.status == 200) {
+                return Ok(());
+            }
+            thread::sleep(START_PAUSE);
+        }
+        bail!("{} answers {} not in {START_LIMIT:?}", self.members[i].name, req.target)
+    }
+
+    fn add(&mut self, spec: &MemberSpec) -> anyhow::Result<()> {
+        let number = self.members.len() + 1;
+        let name = format!("{}-{number}", spec.service);
+        let ip = Ipv4Addr::new(127, 0, spec.zone, u8::try_from(number)?);
+        let proxy = match self.options.proxies {
+            true => Some(start_proxy(ip)?),
+            false => None,
+        };
+        let settings = self.settings(&name, spec.zone, ip, proxy.as_ref());
+        let mut backend_settings = backend::Settings::new(&spec.service, "v1")
+            .named(&name)
+            .behaving(spec.behaviour.clone());
+        backend_settings.slots = spec.slots;
+        let (process, backend, past_runs) = (None, None, Vec::new());
+        self.members.push(Member {
+            name,
+            proxy,
+            backend,
+            process,
+            settings,
+            backend_settings,
+            past_runs,
+        });
+        self.restart(number - 1)
+    }
+
+    fn settings(
+        &self,
+        name: &str,
+        zone: u8,
+        ip: Ipv4Addr,
+        proxy: Option<&proxy::Handle>,
+    ) -> RawSettings {
+        let any_port = || SocketAddr::from((ip, 0)).to_string();
+        RawSettings {
+            instance: name.to_owned(),
+            zone: format!("zone-{zone}"),
+            region: "region-1".into(),
+            listen: RawListen {
+                callers: any_port(),
+                backend: any_port(),
+                peers: any_port(),
+                operators: any_port(),
+            },
+            advertise: RawAdvertise { peers: proxy.map(|proxy| proxy.addr().to_string()) },
+            log_service: self.log.url(),
+            metrics: None,
+            operators: RawOperators::default(),
+            journal_file: None,
+            workers: self.options.workers,
+            control: ControlSettings::default(),
+            limits: self.options.limits.clone(),
+            testing: self.options.testing.clone(),
+        }
+    }
+}
+
+fn start_proxy(ip: Ipv4Addr) -> anyhow::Result<proxy::Handle> {
+    let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let listen = SocketAddr::from((ip, 0));
+    Ok(proxy::start(proxy::Settings { listen, ..proxy::Settings::to(nowhere) })?)
+}
+
+fn start_process(binary: &Path, dir: &Path, settings: &RawSettings) -> anyhow::Result<Process> {
+    let file = dir.join(format!("{}.json", settings.instance));
+    fs::write(&file, serde_json::to_vec(settings)?)?;
+    let log = dir.join(format!("{}.log", settings.instance));
+    let log = File::options().create(true).append(true).open(log)?;
+    let mut child = Command::new(binary)
+        .arg("node")
+        .arg("--settings")
+        .arg(&file)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(log)
+        .spawn()
+        .with_context(|| format!("can't start {}", binary.display()))?;
+    let mut stdout = BufReader::new(child.stdout.take().context("no standard output")?);
+    let mut line = String::new();
+    stdout.read_line(&mut line)?;
+    let ready = serde_json::from_str(&line)
+        .with_context(|| format!("{line:?} in place of a ready line"))?;
+    Ok(Process { child, _stdout: stdout, ready })
+}
--- /dev/null
+++ b/crates/bench/src/soak_command.rs
@@ -0,0 +1,74 @@
+//! The `soak` command.
+
+use std::{env, path::PathBuf, time::Duration};
+
+use anyhow::{Context, bail, ensure};
+use argh::FromArgs;
+use savorykeel_bench::soak::{self, Options};
+use savorykeel_node::settings::RawTesting;
+
+/// Runs callers against real processes under faults and checks every outcome.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+pub struct Args {
+    /// seed of callers and faults
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of requests
+    #[argh(option, default = "100000")]
+    requests: usize,
+    /// callers at once
+    #[argh(option, default = "32")]
+    callers: usize,
+    /// milliseconds between two faults
+    #[argh(option, default = "1000")]
+    fault_pause_ms: u64,
+    /// mechanism to switch off: settle, fences or ledger
+    #[argh(option)]
+    without: Vec<String>,
+}
+
+/// Runs the soak, prints its report and fails when a promise was broken.
+pub fn run(args: &Args) -> anyhow::Result<()> {
+    let options = Options {
+        binary: binary()?,
+        seed: args.seed,
+        requests: args.requests,
+        callers: args.callers,
+        fault_pause: Duration::from_millis(args.fault_pause_ms),
+        kinds: soak::DRAWN.to_vec(),
+        faults_per_herd: 15,
+        requests_per_crash: 2_000,
+        testing: testing(&args.without)?,
+    };
+    let report = soak::run(&options)?;
+    println!("{}", serde_json::to_string_pretty(&report)?);
+    eprintln!("share unknown: {:.4} %", report.unknown_share() * 100.0);
+    ensure!(report.violations() == 0, "{} promises were broken", report.violations());
+    Ok(())
+}
+
+/// Returns the switches for tests, if any mechanism is to be switched off.
+fn testing(without: &[String]) -> anyhow::Result<Option<RawTesting>> {
+    if without.is_empty() {
+        return Ok(None);
+    }
+    let mut testing = RawTesting { breaks_promises: true, ..RawTesting::default() };
+    for name in without {
+        match name.as_str() {
+            "settle" => testing.without_settle = true,
+            "fences" => testing.without_fences = true,
+            "ledger" => testing.without_ledger = true,
+            other => bail!("--without {other}: use settle, fences or ledger"),
+        }
+    }
+    Ok(Some(testing))
+}
+
+/// Returns the `savorykeel` binary of the same build.
+fn binary() -> anyhow::Result<PathBuf> {
+    let own = env::current_exe().context("the own path is unknown")?;
+    let binary = own.with_file_name("savorykeel");
+    ensure!(binary.exists(), "{} is missing: build it with the same profile", binary.display());
+    Ok(binary)
+}
--- /dev/null
+++ b/tests/feature/calls_soak.rs
@@ -0,0 +1,73 @@
+//! Short soaks; the long form is `savorykeel-bench soak`.
+
+use std::{path::PathBuf, time::Duration};
+
+use parking_lot::Mutex;
+use savorykeel_bench::soak::{self, Fault, Options, Report};
+use savorykeel_node::settings::RawTesting;
+
+/// Lets one soak run at a time, so that they don't starve each other.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+fn options(seed: u64, requests: usize) -> Options {
+    Options {
+        binary: PathBuf::from(env!("CARGO_BIN_EXE_savorykeel")),
+        seed,
+        requests,
+        callers: 16,
+        fault_pause: Duration::from_millis(300),
+        kinds: soak::DRAWN.to_vec(),
+        faults_per_herd: 12,
+        requests_per_crash: 500,
+        testing: None,
+    }
+}
+
+#[test]
+fn no_promise_is_broken_under_faults() {
+    let _turn = ONE_AT_A_TIME.lock();
+    let report = soak::run(&options(1, 3_000)).unwrap();
+    assert_eq!(report.violations(), 0, "{report:#?}");
+    assert_eq!(report.requests, 3_000);
+    assert!(report.faults.values().sum::<usize>() > 0, "{report:#?}");
+}
+
+/// Runs soaks with a mechanism switched off until one finds a broken promise.
+///
+/// Which seed brings it about depends on the machine's timing, so that a few
+/// are tried; with the mechanism the same faults break none.
+fn first_violation(testing: RawTesting, kinds: &[Fault], is_found: impl Fn(&Report) -> bool) {
+    let _turn = ONE_AT_A_TIME.lock();
+    let mut last = None;
+    for seed in 1..=5 {
+        let testing = Some(RawTesting { breaks_promises: true, ..testing.clone() });
+        let kinds = kinds.to_vec();
+        let report = soak::run(&Options { testing, kinds, ..options(seed, 1_500) }).unwrap();
+        if is_found(&report) {
+            return;
+        }
+        last = Some(report);
+    }
+    panic!("no soak found a broken promise: {last:#?}");
+}
+
+#[test]
+fn the_soak_finds_what_settle_prevents() {
+    let testing = RawTesting { without_settle: true, ..RawTesting::default() };
+    let kinds = [Fault::Late, Fault::Silence];
+    first_violation(testing, &kinds, |report| report.doubled + report.not_run_but_ran > 0);
+}
+
+#[test]
+fn the_soak_finds_what_fences_prevent() {
+    let testing = RawTesting { without_fences: true, ..RawTesting::default() };
+    let kinds = [Fault::Late];
+    first_violation(testing, &kinds, |report| report.doubled + report.not_run_but_ran > 0);
+}
+
+#[test]
+fn the_soak_finds_what_the_ledger_prevents() {
+    let testing = RawTesting { without_ledger: true, ..RawTesting::default() };
+    let kinds = [Fault::Kill];
+    first_violation(testing, &kinds, |report| report.doubled > 0);
+}
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -4,6 +4,7 @@
 mod binary;
 mod burn_report;
 mod calls_outcomes;
+mod calls_soak;
 mod check_configuration;
 mod check_docs;
 mod cli_usage;
