--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -3,6 +3,7 @@
 mod admin_api;
 mod binary;
 mod burn_report;
+mod calls_limits;
 mod calls_outcomes;
 mod calls_soak;
 mod check_configuration;
