--- a/crates/node/src/calls/journey.rs
+++ b/crates/node/src/calls/journey.rs
@@ -13,10 +13,7 @@
 };
 use savorykeel_ports::peer::HttpRequest;
 
-use crate::moves::hub::VersionChoice;
-
-/// Name of the header with the caller's key.
-const KEY_HEADER: &str = "idempotency-key";
+use crate::{http::IDEMPOTENCY_KEY_HEADER, moves::hub::VersionChoice};
 
 /// A request with the table that it uses from start to end.
 pub(crate) struct Journey {
@@ -60,7 +57,8 @@
         if self.route.idempotent {
             return None;
         }
-        let key = self.request.headers.iter().find(|header| header.name == KEY_HEADER)?;
+        let key =
+            self.request.headers.iter().find(|header| header.name == IDEMPOTENCY_KEY_HEADER)?;
         let (service, req) = (&self.route.service, &self.request);
         Some(Keyed {
             key: LedgerKey::of(service.as_str(), self.route.name.as_str(), &key.value),
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod heard;
 pub mod journal;
 mod maintain;
+mod metrics;
 mod presence;
 mod probe;
 mod reader;
@@ -54,6 +55,7 @@
             maintain::revive(cx.clone()),
             maintain::clean_up(cx.clone()),
             checkpoints::write(cx.clone()),
+            metrics::report(cx.clone()),
             crate::moves::run(cx.clone()),
         );
     };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,11 +4,13 @@
 mod burn;
 mod calls;
 pub mod control;
+mod front;
 mod http;
 pub mod moves;
 mod run;
 pub mod settings;
 mod state;
+mod telemetry;
 mod worker;
 
 pub use run::{Addresses, Ending, NodeError, run};
