--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -16,5 +16,6 @@
 mod membership_failure;
 mod moves_stage;
 mod moves_whole;
+mod publish_move;
 mod publish_outcomes;
 mod session;
