Accept callers' connections in the node itself, so that none is cut at the end

Cause: ntex's server closes its listener while the kernel may hold connections that nobody accepted; their callers have sent a request by then. Change: the node accepts callers on one thread and hands them to the workers, as it does for other nodes. A leaving node lets callers in for 1.5 s, closes to them, takes what the kernel completed, gives these 1 s for their first request, closes idle connections and waits for calls in flight.

Merging and closing a listener isn't atomic: a connection that completes between the last empty accept and the close, a few microseconds, can still be cut.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 mod burn;
+mod callers;
 mod calls;
 pub mod control;
 mod http;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -28,6 +28,7 @@
 use crate::{
     admin,
     burn::BurnState,
+    callers::CallerAcceptor,
     calls::{announce, entry, state::CallState},
     control::{
         self,
@@ -157,9 +158,17 @@
     admin::answer_other_nodes(&state);
     let cancel = CancellationToken::new();
     let (accepted_tx, accepted_rx) = async_channel::unbounded();
-    let seed = WorkerSeed { state: state.clone(), accepted: accepted_rx, cancel: cancel.clone() };
+    let (callers_tx, callers_rx) = async_channel::unbounded();
+    let seed = WorkerSeed {
+        state: state.clone(),
+        accepted: accepted_rx,
+        callers: callers_rx,
+        cancel: cancel.clone(),
+    };
     let Listeners { callers, backend, peers, operators } = listeners;
-    let servers = start_servers(&seed, callers, backend, operators)?;
+    let servers = start_servers(&seed, backend, operators)?;
+    let max_callers = state.settings.limits.caller_connections;
+    let callers = CallerAcceptor::start(callers, callers_tx, max_callers)?;
     spawn_peer_acceptor(peers, accepted_tx, cancel.clone())?;
     spawn_lease_watch(state.clone(), cancel.clone());
     let control_cancel = CancellationToken::new();
@@ -167,7 +176,7 @@
     info!(state.log, "node started"; "callers" => %addresses.callers, "peers" => %addresses.peers);
     on_ready(&addresses);
     stop.cancelled().await;
-    let ending = leave(&state).await;
+    let ending = leave(&state, callers).await;
     servers.stop(true).await;
     control_cancel.cancel();
     let _ = control.await;
@@ -216,29 +225,17 @@
 /// server would take connections that nobody accepts.
 fn start_servers(
     seed: &WorkerSeed,
-    callers: TcpListener,
     backend: TcpListener,
     operators: TcpListener,
 ) -> io::Result<Server> {
     let limits = &seed.state.settings.limits;
-    let http_config = || {
-        HttpServiceConfig::new()
-            .set_keepalive_timeout(CALLER_KEEP_ALIVE)
-            .set_max_buf_size(limits.header_bytes)
-    };
-    let (for_callers, for_backend, for_operators) = (seed.clone(), seed.clone(), seed.clone());
+    let http_config = || http_config(limits.header_bytes);
+    let (for_backend, for_operators) = (seed.clone(), seed.clone());
     let server = ntex::server::build()
         .workers(seed.state.settings.workers)
         .maxconn(limits.caller_connections)
         .disable_signals()
         .shutdown_timeout(ntex::time::Millis(limits.drain.as_millis() as u32))
-        .listen("callers", callers, async move |_| {
-            let worker = Worker::current(&for_callers);
-            HttpService::new(move |req: Request| {
-                let caller = req.peer_addr().map_or_else(String::new, |addr| addr.ip().to_string());
-                entry::handle(worker.clone(), req, caller)
-            })
-        })?
         .listen("backend", backend, async move |_| {
             let worker = Worker::current(&for_backend);
             HttpService::new(move |req: Request| handle_backend(worker.clone(), req))
@@ -247,13 +244,17 @@
             let worker = Worker::current(&for_operators);
             HttpService::new(move |req: Request| admin::handle(worker.clone(), req))
         })?
-        .config("callers", SharedCfg::new("callers").add(http_config()))
         .config("backend", SharedCfg::new("backend").add(http_config()))
         .config("operators", SharedCfg::new("operators").add(http_config()))
         .run();
     Ok(server)
 }
 
+/// Returns how HTTP is served to callers, backend servers and operators.
+pub(crate) fn http_config(header_bytes: usize) -> HttpServiceConfig {
+    HttpServiceConfig::new().set_keepalive_timeout(CALLER_KEEP_ALIVE).set_max_buf_size(header_bytes)
+}
+
 async fn handle_backend(worker: Rc<Worker>, req: Request) -> crate::http::HttpResult {
     if req.path() == announce::ANNOUNCEMENT_PATH {
         return announce::handle(&worker.state, req).await;
@@ -310,18 +311,24 @@
     ntex::rt::spawn(control::start(shared, control, log_service, source, cancel.clone()))
 }
 
-/// Announces that the node leaves and waits until its calls have ended.
-async fn leave(state: &NodeState) -> Ending {
+/// Announces that the node leaves, lets callers in for a while, then closes to
+/// them and waits until its calls have ended.
+async fn leave(state: &NodeState, callers: CallerAcceptor) -> Ending {
     info!(state.log, "node is leaving");
     state.control.begin_leaving();
     state.leaving.store(true, Ordering::Release);
-    let started = Instant::now();
-    while started.elapsed() < state.settings.limits.drain {
-        if started.elapsed() >= LINGER && state.is_idle() {
-            return Ending::Graceful;
-        }
+    let deadline = Instant::now() + state.settings.limits.drain;
+    let left = || deadline.saturating_duration_since(Instant::now());
+    tokio::time::sleep(LINGER.min(left())).await;
+    // Callers may call all the time, so that the node is never idle before this.
+    let mut all_ended = callers.close(left()).await;
+    while all_ended && !state.is_idle() {
+        all_ended = !left().is_zero();
         sleep(DRAIN_POLL).await;
     }
+    if all_ended {
+        return Ending::Graceful;
+    }
     warn!(state.log, "calls still in flight at the drain limit";
         "entered" => state.entered.load(Ordering::Relaxed),
         "serving" => state.serving.load(Ordering::Relaxed));
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -19,7 +19,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    callers::{self, CallerConnection},
     calls::{ledger, ledger_loop, serve},
+    run::http_config,
     state::NodeState,
 };
 
@@ -34,6 +36,8 @@
     pub(crate) state: Arc<NodeState>,
     /// Connections that other nodes opened, shared out among the workers.
     pub(crate) accepted: Receiver<TcpStream>,
+    /// Connections that callers opened, shared out among the workers.
+    pub(crate) callers: Receiver<CallerConnection>,
     /// Ends the worker's tasks.
     pub(crate) cancel: CancellationToken,
 }
@@ -70,6 +74,8 @@
             backend: RefCell::default(),
         });
         ntex::rt::spawn(accept_peers(worker.clone(), seed.clone())).detach();
+        let config = http_config(seed.state.settings.limits.header_bytes);
+        ntex::rt::spawn(callers::serve(worker.clone(), seed.callers.clone(), config)).detach();
         if !seed.state.calls.has_ledger_loop.swap(true, Ordering::AcqRel) {
             ntex::rt::spawn(ledger_loop::run(worker.clone(), seed.cancel.clone())).detach();
         }
