--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,8 +1,11 @@
 //! Load and measurement tool for savorykeel; it is not shipped.
 
+mod fleet;
+mod fullsize;
 mod latency;
 mod moves;
 mod processes;
+mod soak_command;
 
 use argh::FromArgs;
 
@@ -17,14 +20,20 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Fleet(fleet::Args),
+    Fullsize(fullsize::Args),
     Latency(latency::Args),
     Moves(moves::Args),
+    Soak(soak_command::Args),
 }
 
 fn main() -> anyhow::Result<()> {
     let args: Args = argh::from_env();
     match args.command {
+        Command::Fleet(args) => fleet::run(&args),
+        Command::Fullsize(args) => fullsize::run(&args),
         Command::Latency(args) => latency::run(&args),
         Command::Moves(args) => moves::run(&args),
+        Command::Soak(args) => soak_command::run(&args),
     }
 }
--- a/crates/node/src/admin/status.rs
+++ b/crates/node/src/admin/status.rs
@@ -5,6 +5,7 @@
 use savorykeel_policy::{
     ids::{ConfigVersion, InstanceName},
     membership::{entry::Liveness, merge::Entry},
+    moves::status::MoveReport,
 };
 
 use crate::state::NodeState;
@@ -29,11 +30,16 @@
         version: applied.get(&state.settings.instance).copied().unwrap_or_default(),
         applied: spread(&applied),
         members,
-        moves: Vec::new(),
+        moves: moves(state),
         alarms: alarms(state),
     }
 }
 
+fn moves(state: &NodeState) -> Vec<MoveReport> {
+    let table = state.control.table();
+    table.map_or_else(Vec::new, |table| state.control.moves.reports(&table))
+}
+
 fn applied_version(told: Told) -> Option<(InstanceName, ConfigVersion)> {
     match told.answer {
         Some(Answer::Applied(version)) => Some((told.instance, version)),
--- a/crates/node/src/calls/announce.rs
+++ b/crates/node/src/calls/announce.rs
@@ -24,6 +24,9 @@
 /// Largest announcement, in bytes.
 const MAX_ANNOUNCEMENT_BYTES: usize = 16 << 10;
 
+/// Longest time that an announcement may take to arrive.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Leases that may pass before a silent backend server counts as gone.
 ///
 /// A backend server whose process is paused for a moment keeps its place; calls
@@ -87,8 +90,9 @@
 pub(crate) async fn handle(state: &NodeState, mut req: Request) -> HttpResult {
     match *req.method() {
         Method::PUT => {
-            let payload = req.take_payload();
-            let Ok(body) = read_body(payload, MAX_ANNOUNCEMENT_BYTES).await else {
+            let mut payload = req.take_payload();
+            let read = read_body(&mut payload, MAX_ANNOUNCEMENT_BYTES, ANNOUNCEMENT_TIMEOUT);
+            let Ok(body) = read.await else {
                 return Ok(code_response(Code::BadRequest, "the announcement can't be read"));
             };
             match serde_json::from_slice(&body) {
@@ -115,10 +119,38 @@
             "slots" => record.slots, "draining" => record.draining);
         state.control.set_backend(Some(record.clone()));
     }
+    note_start(state, backend.as_ref(), &announcement);
     *backend = Some(announcement);
     accepted()
 }
 
+/// Tells the evidence on moves when another backend server than before runs.
+fn note_start(state: &NodeState, before: Option<&Announcement>, announcement: &Announcement) {
+    let is_same = |before: &Announcement| {
+        before.addr == announcement.addr
+            && before.record.service == announcement.record.service
+            && before.record.version == announcement.record.version
+    };
+    if before.is_some_and(is_same) {
+        return;
+    }
+    let is_restart =
+        before.is_some_and(|before| before.record.version == announcement.record.version);
+    if is_restart {
+        state.control.moves.backend_crashed();
+    }
+    let identity = &state.control.identity;
+    let incarnation = state.control.incarnation();
+    let (record, now) = (&announcement.record, (state.clock.tick)());
+    state.control.moves.backend_started(
+        &identity.instance,
+        incarnation,
+        &identity.zone,
+        record,
+        now,
+    );
+}
+
 fn accepted() -> Response {
     Response::build(StatusCode::OK).json(&Accepted { accepted: true })
 }
@@ -136,6 +168,7 @@
     let now = (state.clock.tick)();
     let is_expired = state.backend.lock().as_ref().is_some_and(|backend| backend.expires < now);
     if is_expired {
+        state.control.moves.backend_crashed();
         withdraw(state, "lease ended");
     }
 }
--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -6,20 +6,25 @@
     time::{Duration, Instant},
 };
 
-use ntex::http::{ConnectionType, Request, Response};
+use ntex::http::{Payload, Request, Response};
+use rand::RngExt;
 use savorykeel_policy::{
     calls::deadline::{next_depth, time_left},
     code::Code,
+    config::model::Route,
+    table::Table,
 };
 use savorykeel_ports::peer::PeerReply;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     burn::{self, EndedCall},
     calls::{dispatch::dispatch, journey::Journey},
     http::{
-        BodyError, DEADLINE_HEADER, DEPTH_HEADER, HttpResult, answer_response, code_response,
-        number_header, read_body, to_port_request,
+        BodyError, DEADLINE_HEADER, DEPTH_HEADER, HttpResult, IDEMPOTENCY_KEY_HEADER,
+        answer_response, code_response, discard_body, number_header, read_body, to_port_request,
     },
+    moves::hub::VersionChoice,
     state::InFlight,
     worker::Worker,
 };
@@ -27,17 +32,21 @@
 /// Answers a request from a caller or from the backend server beside the node.
 pub(crate) async fn handle(worker: Rc<Worker>, req: Request, caller: String) -> HttpResult {
     let _in_flight = InFlight::enter(&worker.state.entered);
-    let mut response = answer(&worker, req, caller).await.unwrap_or_else(|failure| failure);
-    if worker.state.is_leaving() {
-        // Callers that keep connections open learn that this one ends.
-        response.head_mut().set_connection_type(ConnectionType::Close);
+    let mut req = req;
+    let mut payload = req.take_payload();
+    match answer(&worker, &req, &mut payload, caller).await {
+        Ok(response) => Ok(response),
+        Err(failure) => {
+            discard_body(&mut payload).await;
+            Ok(failure)
+        }
     }
-    Ok(response)
 }
 
 async fn answer(
     worker: &Rc<Worker>,
-    mut req: Request,
+    req: &Request,
+    payload: &mut Payload,
     caller: String,
 ) -> Result<Response, Response> {
     let started = Instant::now();
@@ -55,10 +64,11 @@
     let left = number_header::<u64>(req.headers(), DEADLINE_HEADER).map(Duration::from_millis);
     let timeout = time_left(route.timeout, left);
     let limit = usize::try_from(route.body_limit).unwrap_or(usize::MAX);
-    let payload = req.take_payload();
-    let body = read_body(payload, limit).await.map_err(|e| body_failure(&e, limit))?;
+    let body = read_body(payload, limit, timeout).await.map_err(|e| body_failure(&e, limit))?;
+    let versions = choose_versions(worker, &table, &route, req);
     let journey = Journey {
-        request: to_port_request(&req, body),
+        versions,
+        request: to_port_request(req, body),
         deadline: started + timeout,
         table,
         route,
@@ -76,6 +86,24 @@
     }
 }
 
+/// Chooses the version that takes a request.
+///
+/// A request with an idempotency key meets the same version when it is sent
+/// again. One without is split at random: a split by caller would give a whole
+/// busy caller to a version of which little is known.
+fn choose_versions(
+    worker: &Worker,
+    table: &Table,
+    route: &Route,
+    req: &Request,
+) -> Option<VersionChoice> {
+    let service = table.services.get(&route.service)?;
+    let key = req.headers().get(IDEMPOTENCY_KEY_HEADER).map(|key| xxh3_64(key.as_bytes()));
+    let hash = key.unwrap_or_else(|| worker.rng.borrow_mut().random());
+    let moves = &worker.state.control.moves;
+    moves.choose(service, &route.service, &route.name, hash, worker.state.now())
+}
+
 fn observe(worker: &Worker, journey: &Journey, reply: &PeerReply, took: Duration) {
     let endpoint = journey.last_tried.borrow();
     let call = EndedCall {
@@ -97,6 +125,7 @@
             code_response(Code::BodyTooLarge, format!("the route takes {limit} bytes"))
         }
         BodyError::Broken => code_response(Code::BadRequest, "the body ended early"),
+        BodyError::TooSlow => code_response(Code::DeadlineBeforeStart, "the body came too slowly"),
     }
 }
 
--- a/crates/node/src/calls/journey.rs
+++ b/crates/node/src/calls/journey.rs
@@ -13,8 +13,7 @@
 };
 use savorykeel_ports::peer::HttpRequest;
 
-/// Name of the header with the caller's key.
-const KEY_HEADER: &str = "idempotency-key";
+use crate::{http::IDEMPOTENCY_KEY_HEADER, moves::hub::VersionChoice};
 
 /// A request with the table that it uses from start to end.
 pub(crate) struct Journey {
@@ -30,6 +29,8 @@
     pub(crate) depth: u32,
     /// When the caller stops waiting.
     pub(crate) deadline: Instant,
+    /// Versions of the backend server that may take it; none when none may.
+    pub(crate) versions: Option<VersionChoice>,
     /// Backend server that was tried last, for the burn report.
     pub(crate) last_tried: RefCell<Option<Arc<Endpoint>>>,
 }
@@ -56,7 +57,8 @@
         if self.route.idempotent {
             return None;
         }
-        let key = self.request.headers.iter().find(|header| header.name == KEY_HEADER)?;
+        let key =
+            self.request.headers.iter().find(|header| header.name == IDEMPOTENCY_KEY_HEADER)?;
         let (service, req) = (&self.route.service, &self.request);
         Some(Keyed {
             key: LedgerKey::of(service.as_str(), self.route.name.as_str(), &key.value),
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod heard;
 pub mod journal;
 mod maintain;
+mod metrics;
 mod presence;
 mod probe;
 mod reader;
@@ -22,6 +23,7 @@
 pub(crate) mod topic;
 
 pub use context::{ControlContext, ControlMode, ControlTimes};
+pub(crate) use reader::{jittered, to_millis};
 pub use start::start;
 
 use std::{rc::Rc, time::Duration};
@@ -53,6 +55,8 @@
             maintain::revive(cx.clone()),
             maintain::clean_up(cx.clone()),
             checkpoints::write(cx.clone()),
+            metrics::report(cx.clone()),
+            crate::moves::run(cx.clone()),
         );
     };
     tokio::select! {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,13 +2,15 @@
 
 pub mod admin;
 mod burn;
-mod callers;
 mod calls;
 pub mod control;
+mod front;
 mod http;
+pub mod moves;
 mod run;
 pub mod settings;
 mod state;
+mod telemetry;
 mod worker;
 
 pub use run::{Addresses, Ending, NodeError, run};
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -2,8 +2,7 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpListener, TcpStream},
-    rc::Rc,
+    net::{SocketAddr, TcpListener},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -11,13 +10,12 @@
     time::{Duration, Instant},
 };
 
-use async_channel::Sender;
 use ntex::{
     SharedCfg,
-    http::{HttpService, HttpServiceConfig, Request},
+    http::{HttpService, Request},
     rt::{DefaultRuntime, JoinHandle, System},
     server::Server,
-    time::{Seconds, sleep},
+    time::{Millis, sleep},
 };
 use savorykeel_adapters::metrics::{Metrics, MetricsError};
 use savorykeel_ports::clock::Clock;
@@ -28,14 +26,15 @@
 use crate::{
     admin,
     burn::BurnState,
-    callers::CallerAcceptor,
-    calls::{announce, entry, state::CallState},
+    calls::{announce, state::CallState},
     control::{
         self,
         state::{ControlState, Identity},
     },
+    front::{self, Acceptor, Origin},
     settings::Settings,
     state::NodeState,
+    telemetry,
     worker::{Worker, WorkerSeed},
 };
 
@@ -45,12 +44,18 @@
 /// Time between two looks at the backend server's lease.
 const LEASE_POLL: Duration = Duration::from_millis(200);
 
-/// Time for which a leaving node still takes calls as an entry, so that callers
-/// that keep connections open learn that they close.
+/// Time for which a leaving node still takes new connections of callers, so that
+/// other nodes and callers learn that it leaves before it refuses them.
 const LINGER: Duration = Duration::from_millis(1_500);
 
-/// Time after which an idle connection of a caller is closed.
-const CALLER_KEEP_ALIVE: Seconds = Seconds(75);
+/// Time for which a leaving node waits for callers to close idle connections.
+const IDLE_CONNECTIONS: Duration = Duration::from_secs(3);
+
+/// Most connections of other nodes.
+const MAX_PEERS: usize = 65_536;
+
+/// Longest time that operators' requests in flight hold up a node that stops.
+const OPERATORS_SHUTDOWN: Millis = Millis(1_000);
 
 /// Addresses that a node is bound to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -158,29 +163,31 @@
     admin::answer_other_nodes(&state);
     let cancel = CancellationToken::new();
     let (accepted_tx, accepted_rx) = async_channel::unbounded();
-    let (callers_tx, callers_rx) = async_channel::unbounded();
-    let seed = WorkerSeed {
-        state: state.clone(),
-        accepted: accepted_rx,
-        callers: callers_rx,
-        cancel: cancel.clone(),
-    };
-    let Listeners { callers, backend, peers, operators } = listeners;
-    let servers = start_servers(&seed, backend, operators)?;
-    let max_callers = state.settings.limits.caller_connections;
-    let callers = CallerAcceptor::start(callers, callers_tx, max_callers)?;
-    spawn_peer_acceptor(peers, accepted_tx, cancel.clone())?;
+    let seed = WorkerSeed { state: state.clone(), accepted: accepted_rx, cancel: cancel.clone() };
+    let servers = start_servers(&seed, listeners.operators)?;
+    let limit = state.settings.limits.caller_connections;
+    let mut callers =
+        Acceptor::start(listeners.callers, Origin::Caller, limit, accepted_tx.clone())?;
+    let mut backend =
+        Acceptor::start(listeners.backend, Origin::Backend, limit, accepted_tx.clone())?;
+    let mut peers = Acceptor::start(listeners.peers, Origin::Peer, MAX_PEERS, accepted_tx)?;
     spawn_lease_watch(state.clone(), cancel.clone());
+    ntex::rt::spawn(telemetry::run(state.clone(), cancel.clone())).detach();
     let control_cancel = CancellationToken::new();
     let control = spawn_control(&state, &control_cancel);
     info!(state.log, "node started"; "callers" => %addresses.callers, "peers" => %addresses.peers);
     on_ready(&addresses);
     stop.cancelled().await;
-    let ending = leave(&state, callers).await;
+    announce_leaving(&state).await;
+    callers.stop().await;
+    let ending = drain(&state, &callers).await;
+    backend.stop().await;
+    peers.stop().await;
     servers.stop(true).await;
     control_cancel.cancel();
     let _ = control.await;
     cancel.cancel();
+    state.metrics.flush();
     info!(state.log, "node stopped");
     Ok(ending)
 }
@@ -221,78 +228,23 @@
     Metrics::to_statsd(metrics.statsd, &metrics.prefix, settings.instance.as_str())
 }
 
-/// Starts the servers, which own their listeners: a listener that outlived its
-/// server would take connections that nobody accepts.
-fn start_servers(
-    seed: &WorkerSeed,
-    backend: TcpListener,
-    operators: TcpListener,
-) -> io::Result<Server> {
+/// Starts the worker threads with the operators' API on them.
+fn start_servers(seed: &WorkerSeed, operators: TcpListener) -> io::Result<Server> {
     let limits = &seed.state.settings.limits;
-    let http_config = || http_config(limits.header_bytes);
-    let (for_backend, for_operators) = (seed.clone(), seed.clone());
+    let seed_of_worker = seed.clone();
     let server = ntex::server::build()
         .workers(seed.state.settings.workers)
-        .maxconn(limits.caller_connections)
         .disable_signals()
-        .shutdown_timeout(ntex::time::Millis(limits.drain.as_millis() as u32))
-        .listen("backend", backend, async move |_| {
-            let worker = Worker::current(&for_backend);
-            HttpService::new(move |req: Request| handle_backend(worker.clone(), req))
-        })?
+        .shutdown_timeout(OPERATORS_SHUTDOWN)
         .listen("operators", operators, async move |_| {
-            let worker = Worker::current(&for_operators);
+            let worker = Worker::current(&seed_of_worker);
             HttpService::new(move |req: Request| admin::handle(worker.clone(), req))
         })?
-        .config("backend", SharedCfg::new("backend").add(http_config()))
-        .config("operators", SharedCfg::new("operators").add(http_config()))
+        .config("operators", SharedCfg::new("operators").add(front::http_config(limits)))
         .run();
     Ok(server)
 }
 
-/// Returns how HTTP is served to callers, backend servers and operators.
-pub(crate) fn http_config(header_bytes: usize) -> HttpServiceConfig {
-    HttpServiceConfig::new().set_keepalive_timeout(CALLER_KEEP_ALIVE).set_max_buf_size(header_bytes)
-}
-
-async fn handle_backend(worker: Rc<Worker>, req: Request) -> crate::http::HttpResult {
-    if req.path() == announce::ANNOUNCEMENT_PATH {
-        return announce::handle(&worker.state, req).await;
-    }
-    let caller = worker.state.backend.lock().as_ref().map(|backend| backend.record.service.clone());
-    let caller = caller.map_or_else(String::new, |service| service.as_str().to_owned());
-    entry::handle(worker, req, caller).await
-}
-
-/// Accepts connections of other nodes and shares them out among the workers.
-fn spawn_peer_acceptor(
-    listener: TcpListener,
-    accepted: Sender<TcpStream>,
-    cancel: CancellationToken,
-) -> io::Result<()> {
-    listener.set_nonblocking(true)?;
-    let listener = tokio::net::TcpListener::from_std(listener)?;
-    ntex::rt::spawn(async move {
-        loop {
-            let stream = tokio::select! {
-                result = listener.accept() => result,
-                () = cancel.cancelled() => return,
-            };
-            let Ok((stream, _)) = stream else {
-                // Accepting fails while the process is out of file descriptors;
-                // without a pause the loop would spin.
-                sleep(ntex::time::Millis(50)).await;
-                continue;
-            };
-            if let Ok(stream) = stream.into_std() {
-                let _ = accepted.send(stream).await;
-            }
-        }
-    })
-    .detach();
-    Ok(())
-}
-
 fn spawn_lease_watch(state: Arc<NodeState>, cancel: CancellationToken) {
     ntex::rt::spawn(async move {
         while !cancel.is_cancelled() {
@@ -308,27 +260,35 @@
     let control = state.settings.control;
     let log_service = state.settings.log_service.clone();
     let shared = state.control.clone();
-    ntex::rt::spawn(control::start(shared, control, log_service, source, cancel.clone()))
+    ntex::rt::spawn(control::start(
+        shared,
+        control,
+        log_service,
+        source,
+        state.metrics.clone(),
+        cancel.clone(),
+    ))
 }
 
-/// Announces that the node leaves, lets callers in for a while, then closes to
-/// them and waits until its calls have ended.
-async fn leave(state: &NodeState, callers: CallerAcceptor) -> Ending {
+/// Announces that the node leaves and lets callers learn of it.
+async fn announce_leaving(state: &NodeState) {
     info!(state.log, "node is leaving");
     state.control.begin_leaving();
     state.leaving.store(true, Ordering::Release);
-    let deadline = Instant::now() + state.settings.limits.drain;
-    let left = || deadline.saturating_duration_since(Instant::now());
-    tokio::time::sleep(LINGER.min(left())).await;
-    // Callers may call all the time, so that the node is never idle before this.
-    let mut all_ended = callers.close(left()).await;
-    while all_ended && !state.is_idle() {
-        all_ended = !left().is_zero();
+    sleep(LINGER).await;
+}
+
+/// Waits until the calls in flight have ended and callers closed their
+/// connections, which every answer now asks them to do.
+async fn drain(state: &NodeState, callers: &Acceptor) -> Ending {
+    let started = Instant::now();
+    while started.elapsed() < state.settings.limits.drain {
+        let is_closed = callers.open() == 0 || started.elapsed() >= IDLE_CONNECTIONS;
+        if state.is_idle() && is_closed {
+            return Ending::Graceful;
+        }
         sleep(DRAIN_POLL).await;
     }
-    if all_ended {
-        return Ending::Graceful;
-    }
     warn!(state.log, "calls still in flight at the drain limit";
         "entered" => state.entered.load(Ordering::Relaxed),
         "serving" => state.serving.load(Ordering::Relaxed));
