Refuse routes that no request reaches and matches that none can have

A route behind one that takes all of its requests was accepted and never used. Path, host, methods and call depth had no limits. The test of the depth expects the new range in place of 'at least 1'; further bad documents join it.

--- a/crates/policy/src/config/mod.rs
+++ b/crates/policy/src/config/mod.rs
@@ -9,3 +9,4 @@
 pub mod raw;
 pub mod record;
 mod rfc3339;
+mod shadow;
--- a/crates/policy/src/config/model.rs
+++ b/crates/policy/src/config/model.rs
@@ -9,6 +9,7 @@
 
 use super::raw::{RawConfiguration, RawLimits, RawMatch, RawObjective, RawRoute, RawService};
 use super::rfc3339::has_rfc3339_shape;
+use super::shadow::EarlierRoutes;
 
 /// Number of the only configuration format that this program knows.
 pub const CONFIGURATION_FORMAT: u32 = 1;
@@ -19,6 +20,18 @@
 /// Largest number of routes in a configuration.
 pub const MAX_ROUTES: usize = 8_192;
 
+/// Longest path prefix of a route, in bytes.
+pub const MAX_PATH_BYTES: usize = 1_024;
+
+/// Longest host name of a route, in bytes.
+pub const MAX_HOST_BYTES: usize = 253;
+
+/// Largest number of methods that a route names.
+pub const MAX_METHODS: usize = 16;
+
+/// Largest limit on calls below one another.
+pub const MAX_CALL_DEPTH: u32 = 1_000;
+
 /// Longest timeout of a route.
 pub const MAX_TIMEOUT: Duration = Duration::from_secs(300);
 
@@ -219,12 +232,17 @@
 ) -> Vec<Arc<Route>> {
     let mut routes: Vec<Arc<Route>> = Vec::with_capacity(raw.len());
     let mut names = std::collections::BTreeSet::new();
+    let mut earlier = EarlierRoutes::default();
     for (i, raw_route) in raw.iter().enumerate() {
         let path = format!("routes[{i}]");
         let Some(route) = check_route(checker, &path, raw_route, services) else { continue };
         checker.require(names.insert(route.name.clone()), &format!("{path}.name"), || {
             format!("{:?} names two routes: give each its own name", raw_route.name)
         });
+        checker.require(!earlier.hide(&route), &format!("{path}.match"), || {
+            format!("no request reaches route {:?}: routes before it take them all", raw_route.name)
+        });
+        earlier.add(&route);
         routes.push(Arc::new(route));
     }
     routes
@@ -274,6 +292,19 @@
     checker.require(raw.path.starts_with('/'), &path_path, || {
         format!("{:?} is not a path: start it with '/'", raw.path)
     });
+    let is_plain = |c: u8| c.is_ascii_graphic() && !matches!(c, b'?' | b'#');
+    checker.require(raw.path.bytes().all(is_plain), &path_path, || {
+        "it holds a character that no path does: leave out spaces, '?' and '#'".into()
+    });
+    checker.require(raw.path.len() <= MAX_PATH_BYTES, &path_path, || {
+        format!("{} bytes: use at most {MAX_PATH_BYTES}", raw.path.len())
+    });
+    if let Some(host) = &raw.host {
+        check_host(checker, &format!("{path}.host"), host);
+    }
+    checker.require(raw.methods.len() <= MAX_METHODS, &format!("{path}.methods"), || {
+        format!("{} methods: use at most {MAX_METHODS}", raw.methods.len())
+    });
     for (i, method) in raw.methods.iter().enumerate() {
         let is_method = !method.is_empty() && method.bytes().all(|c| c.is_ascii_uppercase());
         checker.require(is_method, &format!("{path}.methods[{i}]"), || {
@@ -282,10 +313,21 @@
     }
 }
 
+fn check_host(checker: &mut Checker, path: &str, host: &str) {
+    let is_allowed = |c: u8| c.is_ascii_alphanumeric() || matches!(c, b'.' | b'-' | b'_');
+    let is_host = !host.is_empty() && host.len() <= MAX_HOST_BYTES && host.bytes().all(is_allowed);
+    checker.require(is_host, path, || {
+        let shown: String = host.chars().take(MAX_HOST_BYTES).collect();
+        format!("{shown:?} is not a host name: leave out scheme and port")
+    });
+}
+
 fn check_limits(checker: &mut Checker, raw: &RawLimits) -> Limits {
     checker.share("limits.retry_share", raw.retry_share);
     checker.share("limits.unproven_share", raw.unproven_share);
-    checker.require(raw.call_depth > 0, "limits.call_depth", || "0: use at least 1".into());
+    checker.require((1..=MAX_CALL_DEPTH).contains(&raw.call_depth), "limits.call_depth", || {
+        format!("{}: use 1 to {MAX_CALL_DEPTH}", raw.call_depth)
+    });
     Limits {
         retry_share: raw.retry_share,
         unproven_share: raw.unproven_share,
--- a/tests/feature/check_configuration.rs
+++ b/tests/feature/check_configuration.rs
@@ -126,7 +126,10 @@
     fraction = { with("/routes/0/timeout_ms", Some(json!(1.5))), "routes[0].timeout_ms: invalid type" },
     body_limit = { with("/routes/0/body_limit_bytes", Some(json!(16_777_217))), "routes[0].body_limit_bytes: 16777217 bytes: use at most 16777216" },
     retry_share = { with("/limits/retry_share", Some(json!(-0.1))), "limits.retry_share: -0.1 is not a share" },
-    depth = { with("/limits/call_depth", Some(json!(0))), "limits.call_depth: 0: use at least 1" },
+    depth = { with("/limits/call_depth", Some(json!(0))), "limits.call_depth: 0: use 1 to 1000" },
+    deep = { with("/limits/call_depth", Some(json!(1_001))), "limits.call_depth: 1001: use 1 to 1000" },
+    path_with_query = { with("/routes/0/match/path", Some(json!("/gate?x"))), "routes[0].match.path: it holds a character" },
+    host_with_port = { with("/routes/0/match/host", Some(json!("a.example:80"))), "routes[0].match.host: \"a.example:80\" is not a host name" },
     limit_field = { with("/limits/colour", Some(json!(1))), "limits.colour: unknown field `colour`" },
     top_field = { with("/comment", Some(json!("hello"))), "comment: unknown field `comment`" },
 )]
