--- a/crates/node/src/admin/status.rs
+++ b/crates/node/src/admin/status.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use savorykeel_policy::{
-    ids::{ConfigVersion, InstanceName, ServiceName},
+    ids::{ConfigVersion, InstanceName},
     membership::{entry::Liveness, merge::Entry},
     moves::status::MoveReport,
 };
@@ -12,7 +12,7 @@
 
 use super::{
     api::{AppliedSpread, BackendStatus, MemberStatus, StatusReport},
-    ask::{self, Answer, Question, Standing, Told},
+    ask::{self, Answer, Question, Told},
 };
 
 /// Time without word of the end of the log after which operators are warned.
@@ -20,11 +20,9 @@
 
 /// Returns the mesh as this node sees it.
 pub(super) async fn report(state: &Arc<NodeState>) -> StatusReport {
-    let told = ask::ask_all(state, Question::Standing).await;
-    let standings: BTreeMap<InstanceName, Standing> =
-        told.into_iter().filter_map(standing).collect();
+    let told = ask::ask_all(state, Question::Applied).await;
     let applied: BTreeMap<InstanceName, ConfigVersion> =
-        standings.iter().map(|(name, standing)| (name.clone(), standing.version)).collect();
+        told.into_iter().filter_map(applied_version).collect();
     let members = state.control.members();
     let members = members.iter().map(|entry| member_status(entry, &applied)).collect();
     StatusReport {
@@ -32,36 +30,21 @@
         version: applied.get(&state.settings.instance).copied().unwrap_or_default(),
         applied: spread(&applied),
         members,
-        moves: moves(state, standings.into_values()),
+        moves: moves(state),
         alarms: alarms(state),
     }
 }
 
-fn standing(told: Told) -> Option<(InstanceName, Standing)> {
-    match told.answer {
-        Some(Answer::Standing(standing)) => Some((told.instance, standing)),
-        _ => None,
-    }
+fn moves(state: &NodeState) -> Vec<MoveReport> {
+    let table = state.control.table();
+    table.map_or_else(Vec::new, |table| state.control.moves.reports(&table))
 }
 
-/// Returns the move of each service as the node with most evidence tells it.
-fn moves(state: &NodeState, standings: impl Iterator<Item = Standing>) -> Vec<MoveReport> {
-    let Some(table) = state.control.table() else { return Vec::new() };
-    let own = state.control.moves.reports(&table).into_iter();
-    let told = standings.filter_map(|standing| standing.own_move);
-    let mut moves: BTreeMap<ServiceName, MoveReport> = BTreeMap::new();
-    for report in own.chain(told) {
-        let known = moves.get(&report.service);
-        if known.is_none_or(|known| knowledge(known) <= knowledge(&report)) {
-            moves.insert(report.service.clone(), report);
-        }
+fn applied_version(told: Told) -> Option<(InstanceName, ConfigVersion)> {
+    match told.answer {
+        Some(Answer::Applied(version)) => Some((told.instance, version)),
+        _ => None,
     }
-    moves.into_values().collect()
-}
-
-/// Orders reports on one service: a later move, then more evidence.
-fn knowledge(report: &MoveReport) -> (ConfigVersion, u64) {
-    (report.asked, report.old.run + report.new.run)
 }
 
 fn spread(applied: &BTreeMap<InstanceName, ConfigVersion>) -> AppliedSpread {
