--- a/crates/adapters/src/peer/link.rs
+++ b/crates/adapters/src/peer/link.rs
@@ -54,6 +54,9 @@
 async fn connect(addr: SocketAddr, settings: &LinkSettings) -> io::Result<TcpStream> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     if settings.source.is_ipv4() == addr.is_ipv4() {
+        // Without it, the port that the system picks here can't be listened on
+        // by a node that starts again on this address.
+        socket.set_reuseaddr(true)?;
         socket.bind(SocketAddr::new(settings.source, 0))?;
     }
     let stream = socket.connect(addr).await?;
--- /dev/null
+++ b/crates/bench/src/load/generator.rs
@@ -0,0 +1,137 @@
+//! Calls at a fixed rate, whether or not earlier ones have ended.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use ntex::{
+    SharedCfg,
+    client::{Client, Connector},
+    http::Method,
+    rt::{DefaultRuntime, System},
+    time::Millis,
+    util::Bytes,
+};
+
+/// Connections open at once.
+const MAX_CONNECTIONS: usize = 4_096;
+
+/// Time after which a call without any answer counts as failed.
+const TIMEOUT: Millis = Millis(10_000);
+
+/// Longest wait for calls on their way after the last one was begun.
+const DRAIN: Duration = Duration::from_secs(12);
+
+/// One kind of call in the mix.
+#[derive(Debug, Clone)]
+pub struct Stream {
+    /// Name of the stream in the report.
+    pub name: &'static str,
+    /// Method.
+    pub method: &'static str,
+    /// Path.
+    pub path: &'static str,
+    /// Calls a second.
+    pub rate: f64,
+    /// Time that the caller leaves for the answer; no limit when absent.
+    pub deadline: Option<Duration>,
+    /// Whether each call carries an idempotency key of its own.
+    pub keyed: bool,
+}
+
+/// How one call ended.
+#[derive(Debug, Clone, Copy)]
+pub struct Ended {
+    /// Place of its stream.
+    pub stream: usize,
+    /// Time from the start of the load to its begin.
+    pub at: Duration,
+    /// Time to its end.
+    pub latency: Duration,
+    /// Whether it got status 200.
+    pub is_good: bool,
+}
+
+struct Load {
+    client: Client,
+    entry: SocketAddr,
+    streams: Vec<Stream>,
+    started: Instant,
+    ended: RefCell<Vec<Ended>>,
+    begun: RefCell<usize>,
+}
+
+/// Calls `entry` for `span` on a runtime of its own and returns every call.
+pub fn run(entry: SocketAddr, streams: &[Stream], span: Duration) -> anyhow::Result<Vec<Ended>> {
+    let streams = streams.to_vec();
+    let system = System::build().name("load").testing().build(DefaultRuntime);
+    system.block_on(async move { run_load(entry, streams, span).await })
+}
+
+async fn run_load(
+    entry: SocketAddr,
+    streams: Vec<Stream>,
+    span: Duration,
+) -> anyhow::Result<Vec<Ended>> {
+    let connector = Connector::new().limit(MAX_CONNECTIONS);
+    let client = Client::builder()
+        .connector::<Connector>(connector)
+        .disable_timeout()
+        .build(SharedCfg::default())
+        .await
+        .context("the client can't be made")?;
+    let started = Instant::now();
+    let load = Rc::new(Load {
+        client,
+        entry,
+        streams,
+        started,
+        ended: RefCell::default(),
+        begun: RefCell::default(),
+    });
+    let mut due: Vec<Duration> = vec![Duration::ZERO; load.streams.len()];
+    while started.elapsed() < span {
+        for (stream, due) in due.iter_mut().enumerate() {
+            let interval = Duration::from_secs_f64(1.0 / load.streams[stream].rate);
+            while *due <= started.elapsed() {
+                *due += interval;
+                *load.begun.borrow_mut() += 1;
+                ntex::rt::spawn(call(load.clone(), stream)).detach();
+            }
+        }
+        ntex::time::sleep(Millis(1)).await;
+    }
+    let last = Instant::now();
+    while load.ended.borrow().len() < *load.begun.borrow() && last.elapsed() < DRAIN {
+        ntex::time::sleep(Millis(10)).await;
+    }
+    Ok(load.ended.take())
+}
+
+async fn call(load: Rc<Load>, stream: usize) {
+    let begun = Instant::now();
+    let is_good = ntex::time::timeout(TIMEOUT, exchange(&load, stream)).await.unwrap_or(false);
+    let at = begun - load.started;
+    let ended = Ended { stream, at, latency: begun.elapsed(), is_good };
+    load.ended.borrow_mut().push(ended);
+}
+
+async fn exchange(load: &Load, stream: usize) -> bool {
+    let stream = &load.streams[stream];
+    let Ok(method) = Method::from_bytes(stream.method.as_bytes()) else { return false };
+    let url = format!("http://{}{}", load.entry, stream.path);
+    let mut req = load.client.request(method, url).timeout(TIMEOUT);
+    if let Some(deadline) = stream.deadline {
+        req = req.header("savorykeel-deadline-ms", deadline.as_millis().to_string());
+    }
+    if stream.keyed {
+        req = req.header("idempotency-key", format!("{:032x}", rand::random::<u128>()));
+    }
+    let Ok(response) = req.send_body(Bytes::from_static(b"load")).await else { return false };
+    let is_good = response.status().as_u16() == 200;
+    response.body().await.is_ok() && is_good
+}
--- /dev/null
+++ b/crates/bench/src/load/mod.rs
@@ -0,0 +1,101 @@
+//! Goodput and latency under load, with and without each mechanism.
+
+pub mod generator;
+mod scenarios;
+
+use std::{path::PathBuf, time::Duration};
+
+use savorykeel_node::settings::{RawLimits, RawTesting};
+use savorykeel_policy::config::raw::{
+    RawConfiguration, RawLimits as RawMeshLimits, RawMatch, RawObjective, RawRoute, RawService,
+};
+use savorykeel_standins::backend::Behaviour;
+
+use crate::mesh::{MemberSpec, Mesh, MeshOptions};
+
+use self::generator::Ended;
+
+/// Slots of each backend server.
+const SLOTS: usize = 10;
+
+/// What is measured.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The `savorykeel` binary.
+    pub binary: PathBuf,
+    /// Length of each round.
+    pub span: Duration,
+    /// Names of the scenarios to run; all when empty.
+    pub only: Vec<String>,
+}
+
+/// Runs the scenarios and prints a line for each round.
+pub fn run(options: &Options) -> anyhow::Result<()> {
+    for (name, scenario) in scenarios::ALL {
+        if options.only.is_empty() || options.only.iter().any(|only| only == name) {
+            println!("## {name}");
+            scenario(options)?;
+        }
+    }
+    Ok(())
+}
+
+/// Starts `gate` instances and one entry node of another service.
+fn start(
+    options: &Options,
+    latencies_ms: &[u64],
+    testing: Option<RawTesting>,
+    proxies: bool,
+) -> anyhow::Result<Mesh> {
+    let mesh_options = MeshOptions {
+        binary: options.binary.clone(),
+        limits: RawLimits::default(),
+        testing,
+        proxies,
+        workers: 1,
+    };
+    let spec = |service: &str, i: usize, latency_ms: u64| MemberSpec {
+        service: service.to_owned(),
+        zone: (i % 3) as u8 + 1,
+        slots: SLOTS,
+        behaviour: Behaviour { latency_ms, ..Behaviour::default() },
+    };
+    let gates = latencies_ms.iter().enumerate().map(|(i, ms)| spec("gate", i, *ms));
+    // An entry node in a zone of its own sees all backend servers alike.
+    let entry = MemberSpec { zone: 9, ..spec("history", 0, 1) };
+    let specs: Vec<MemberSpec> = gates.chain([entry]).collect();
+    Mesh::start(mesh_options, &specs, &configuration(), "/gate/state")
+}
+
+fn configuration() -> RawConfiguration {
+    let service =
+        || RawService { version: "v1".into(), by: None, objective: RawObjective::default() };
+    let route = |name: &str, path: &str, idempotent: bool, urgent: bool| RawRoute {
+        name: name.into(),
+        matches: RawMatch { path: path.into(), ..RawMatch::default() },
+        service: "gate".into(),
+        idempotent,
+        urgent,
+        timeout_ms: 5_000,
+        body_limit_bytes: 1 << 20,
+    };
+    RawConfiguration {
+        format: 1,
+        services: [("gate".into(), service()), ("history".into(), service())].into(),
+        routes: vec![
+            route("change", "/gate/change", false, false),
+            route("urgent", "/gate/urgent", true, true),
+            route("gate", "/gate", true, false),
+        ],
+        limits: RawMeshLimits::default(),
+    }
+}
+
+/// Returns a quantile of the latencies of good calls, in milliseconds.
+fn quantile_ms<'a>(calls: impl Iterator<Item = &'a Ended>, quantile: f64) -> f64 {
+    let good = calls.filter(|call| call.is_good);
+    let mut latencies: Vec<f64> = good.map(|call| call.latency.as_secs_f64() * 1_000.0).collect();
+    latencies.sort_by(f64::total_cmp);
+    let i = (latencies.len() as f64 * quantile) as usize;
+    latencies.get(i.min(latencies.len().saturating_sub(1))).copied().unwrap_or(f64::NAN)
+}
--- /dev/null
+++ b/crates/bench/src/load/scenarios.rs
@@ -0,0 +1,194 @@
+//! The rounds that are measured, each with and without its mechanism.
+
+use std::{net::SocketAddr, thread, time::Duration};
+
+use anyhow::Context;
+use savorykeel_node::settings::RawTesting;
+use savorykeel_standins::{caller::Request, proxy};
+
+use crate::mesh::Mesh;
+
+use super::{
+    Options, SLOTS,
+    generator::{self, Ended, Stream},
+    quantile_ms, start,
+};
+
+/// A scenario with its name.
+type Scenario = (&'static str, fn(&Options) -> anyhow::Result<()>);
+
+/// Every scenario.
+pub(super) const ALL: [Scenario; 5] = [
+    ("overload", overload),
+    ("slow-backend-server", slow_backend_server),
+    ("silent-connection", silent_connection),
+    ("crashing-request", crashing_request),
+    ("keyed", keyed),
+];
+
+/// Time that a request takes at a backend server.
+const LATENCY_MS: u64 = 50;
+
+/// Backend servers under overload.
+const OVERLOADED: usize = 3;
+
+/// Share of urgent calls in the mix.
+const URGENT_SHARE: f64 = 0.1;
+
+/// Time that callers leave for an answer under overload.
+const DEADLINE: Duration = Duration::from_millis(500);
+
+/// Re-sends of the request that crashes backend servers.
+const RESENDS: usize = 50;
+
+fn switched(is_off: bool, switch: impl Fn(&mut RawTesting)) -> Option<RawTesting> {
+    is_off.then(|| {
+        let mut testing = RawTesting { breaks_promises: true, ..RawTesting::default() };
+        switch(&mut testing);
+        testing
+    })
+}
+
+fn entry(mesh: &Mesh) -> anyhow::Result<SocketAddr> {
+    mesh.members.last().and_then(|member| member.callers()).context("no entry node")
+}
+
+fn stream(name: &'static str, path: &'static str, rate: f64) -> Stream {
+    Stream { name, method: "GET", path, rate, deadline: None, keyed: false }
+}
+
+fn overload(options: &Options) -> anyhow::Result<()> {
+    let capacity = (OVERLOADED * SLOTS) as f64 * 1_000.0 / LATENCY_MS as f64;
+    println!("capacity {capacity:.0} calls/s, deadline {} ms", DEADLINE.as_millis());
+    println!("| admission | load | goodput/s | p50 ms | p99 ms | urgent good | urgent p99 ms |");
+    println!("|---|---|---|---|---|---|---|");
+    for is_off in [true, false] {
+        let testing = switched(is_off, |testing| testing.without_admission = true);
+        let mesh = start(options, &[LATENCY_MS; OVERLOADED], testing, false)?;
+        for factor in [0.5, 1.0, 2.0, 5.0] {
+            let rate = capacity * factor;
+            let mut streams = vec![
+                stream("normal", "/gate/state", rate * (1.0 - URGENT_SHARE)),
+                stream("urgent", "/gate/urgent", rate * URGENT_SHARE),
+            ];
+            for stream in &mut streams {
+                stream.deadline = Some(DEADLINE);
+            }
+            let calls = generator::run(entry(&mesh)?, &streams, options.span)?;
+            print_overload(options, if is_off { "off" } else { "on" }, factor, &calls);
+        }
+    }
+    Ok(())
+}
+
+/// Prints one round; an answer after its deadline is no good to its caller.
+fn print_overload(options: &Options, admission: &str, factor: f64, calls: &[Ended]) {
+    let is_good = |call: &&Ended| call.is_good && call.latency <= DEADLINE;
+    let good = calls.iter().filter(is_good).count() as f64 / options.span.as_secs_f64();
+    let urgent: Vec<&Ended> = calls.iter().filter(|call| call.stream == 1).collect();
+    let urgent_good = urgent.iter().filter(|call| is_good(call)).count() as f64;
+    println!(
+        "| {admission} | {factor}x | {good:.0} | {:.1} | {:.1} | {:.1} % | {:.1} |",
+        quantile_ms(calls.iter(), 0.5),
+        quantile_ms(calls.iter(), 0.99),
+        100.0 * urgent_good / urgent.len().max(1) as f64,
+        quantile_ms(urgent.into_iter(), 0.99),
+    );
+}
+
+fn slow_backend_server(options: &Options) -> anyhow::Result<()> {
+    println!("| choice | calls/s | p50 ms | p99 ms | p99.9 ms | share of the slow one |");
+    println!("|---|---|---|---|---|---|");
+    for is_off in [true, false] {
+        let testing = switched(is_off, |testing| testing.round_robin = true);
+        let mesh = start(options, &[200, 10, 10, 10, 10], testing, false)?;
+        let rate = 200.0;
+        let before = mesh.members[0].runs().len();
+        let calls =
+            generator::run(entry(&mesh)?, &[stream("get", "/gate/state", rate)], options.span)?;
+        let slow = mesh.members[0].runs().len() - before;
+        println!(
+            "| {} | {rate:.0} | {:.1} | {:.1} | {:.1} | {:.1} % |",
+            if is_off { "round robin" } else { "two choices" },
+            quantile_ms(calls.iter(), 0.5),
+            quantile_ms(calls.iter(), 0.99),
+            quantile_ms(calls.iter(), 0.999),
+            100.0 * slow as f64 / calls.len().max(1) as f64,
+        );
+    }
+    Ok(())
+}
+
+fn silent_connection(options: &Options) -> anyhow::Result<()> {
+    let mesh = start(options, &[10, 10, 10], None, true)?;
+    let entry = entry(&mesh)?;
+    let rate = 200.0;
+    println!("| calls/s | connections | affected calls | failed | last affected after ms |");
+    println!("|---|---|---|---|---|");
+    let silence_at = options.span / 2;
+    let proxies: Vec<&proxy::Handle> =
+        mesh.members.iter().filter_map(|member| member.proxy.as_ref()).collect();
+    let calls = thread::scope(|scope| {
+        scope.spawn(|| {
+            thread::sleep(silence_at);
+            for proxy in &proxies {
+                proxy.silence_established();
+            }
+        });
+        generator::run(entry, &[stream("get", "/gate/state", rate)], options.span)
+    })?;
+    let is_affected = |call: &&Ended| !call.is_good || call.latency > Duration::from_millis(200);
+    let affected: Vec<&Ended> = calls.iter().filter(is_affected).collect();
+    let last = affected.iter().map(|call| call.at).max().unwrap_or_default();
+    let failed = affected.iter().filter(|call| !call.is_good).count();
+    println!(
+        "| {rate:.0} | all silent | {} | {failed} | {} |",
+        affected.len(),
+        last.saturating_sub(silence_at).as_millis(),
+    );
+    Ok(())
+}
+
+fn crashing_request(options: &Options) -> anyhow::Result<()> {
+    println!("| quarantine | sends | crashes of backend servers |");
+    println!("|---|---|---|");
+    for is_off in [true, false] {
+        let testing = switched(is_off, |testing| testing.without_quarantine = true);
+        let mesh = start(options, &[10, 10, 10], testing, false)?;
+        let entries = mesh.entries();
+        for i in 0..RESENDS {
+            let req = Request::post("/gate/change", "poison").header("X-Crash", "1");
+            // Each end of the call is a possible one; only the crashes count.
+            let _ = mesh.client.call(entries[i % entries.len()], req);
+            thread::sleep(Duration::from_millis(100));
+        }
+        let backends = mesh.members.iter().filter_map(|member| member.backend());
+        let crashes: u64 = backends.map(|backend| backend.counts().crashes).sum();
+        println!("| {} | {RESENDS} | {crashes} |", if is_off { "off" } else { "on" });
+    }
+    Ok(())
+}
+
+fn keyed(options: &Options) -> anyhow::Result<()> {
+    let mesh = start(options, &[5, 5, 5], None, false)?;
+    let entry = entry(&mesh)?;
+    let rate = 100.0;
+    let post = |name, keyed| Stream { method: "POST", keyed, ..stream(name, "/gate/change", rate) };
+    let streams =
+        [stream("idempotent", "/gate/state", rate), post("plain", false), post("keyed", true)];
+    let calls = generator::run(entry, &streams, options.span)?;
+    println!("| kind | calls | good | p50 ms | p99 ms |");
+    println!("|---|---|---|---|---|");
+    for (i, stream) in streams.iter().enumerate() {
+        let of_stream: Vec<&Ended> = calls.iter().filter(|call| call.stream == i).collect();
+        println!(
+            "| {} | {} | {} | {:.2} | {:.2} |",
+            stream.name,
+            of_stream.len(),
+            of_stream.iter().filter(|call| call.is_good).count(),
+            quantile_ms(of_stream.iter().copied(), 0.5),
+            quantile_ms(of_stream.iter().copied(), 0.99),
+        );
+    }
+    Ok(())
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod fullsize;
 mod latency;
+mod load_command;
 mod moves;
 mod processes;
 mod soak_command;
@@ -23,6 +24,7 @@
     Fleet(fleet::Args),
     Fullsize(fullsize::Args),
     Latency(latency::Args),
+    Load(load_command::Args),
     Moves(moves::Args),
     Soak(soak_command::Args),
 }
@@ -33,6 +35,7 @@
         Command::Fleet(args) => fleet::run(&args),
         Command::Fullsize(args) => fullsize::run(&args),
         Command::Latency(args) => latency::run(&args),
+        Command::Load(args) => load_command::run(&args),
         Command::Moves(args) => moves::run(&args),
         Command::Soak(args) => soak_command::run(&args),
     }
--- a/crates/bench/src/moves.rs
+++ b/crates/bench/src/moves.rs
@@ -4,6 +4,7 @@
 //! calls, drawn at random: no network and no cluster. The families, the model of
 //! the calls and the figures are in `docs/design/0007-judge.md`.
 
+mod check;
 mod family;
 mod plot;
 mod report;
@@ -43,6 +44,9 @@
     /// threads to run on
     #[argh(option, default = "3")]
     threads: usize,
+    /// fail unless the shares that operators rely on are reached
+    #[argh(switch)]
+    check: bool,
     /// file for a plot as SVG
     #[argh(option)]
     svg: Option<PathBuf>,
@@ -69,6 +73,9 @@
     if let Some(path) = &args.svg {
         plot::write(path, &cells)?;
     }
+    if args.check {
+        check::check(&cells)?;
+    }
     Ok(())
 }
 
--- a/crates/bench/src/moves/report.rs
+++ b/crates/bench/src/moves/report.rs
@@ -12,7 +12,7 @@
 
 /// Calls a second on the fault, with all traffic on the new version, from which
 /// on traffic suffices.
-const BUSY_RATE: f64 = 1.0;
+pub(super) const BUSY_RATE: f64 = 1.0;
 
 /// Prints one line for each family and strategy.
 pub(crate) fn print(cells: &[Cell], seeds: u64) {
--- a/crates/bench/src/moves/stats.rs
+++ b/crates/bench/src/moves/stats.rs
@@ -19,6 +19,11 @@
         Self { hits, total: cases.len() }
     }
 
+    /// Returns the share.
+    pub(crate) fn value(&self) -> f64 {
+        self.hits as f64 / self.total.max(1) as f64
+    }
+
     /// Formats the share with its 95% Wilson interval, in percent.
     pub(crate) fn text(&self) -> String {
         let n = self.total as f64;
--- a/crates/bench/src/soak_command.rs
+++ b/crates/bench/src/soak_command.rs
@@ -66,7 +66,7 @@
 }
 
 /// Returns the `savorykeel` binary of the same build.
-fn binary() -> anyhow::Result<PathBuf> {
+pub fn binary() -> anyhow::Result<PathBuf> {
     let own = env::current_exe().context("the own path is unknown")?;
     let binary = own.with_file_name("savorykeel");
     ensure!(binary.exists(), "{} is missing: build it with the same profile", binary.display());
--- a/crates/core/commands/status.rs
+++ b/crates/core/commands/status.rs
@@ -68,7 +68,9 @@
         let status: StatusReport = api.get(STATUS_PATH, GATHERING).await?;
         let asked = |report: &&MoveReport| report.asked == version;
         let moves: Vec<&MoveReport> = status.moves.iter().filter(asked).collect();
-        if let Some(exit) = moves_exit(version, &moves) {
+        // The node that answers may not have applied the version yet.
+        let exit = if status.version < version { None } else { moves_exit(version, &moves) };
+        if let Some(exit) = exit {
             moves.into_iter().for_each(print_move);
             return Ok(exit);
         }
--- a/crates/node/src/admin/ask.rs
+++ b/crates/node/src/admin/ask.rs
@@ -12,6 +12,7 @@
     distribution::message::{Topic, decode, encode},
     ids::{ConfigVersion, InstanceName},
     membership::entry::Liveness,
+    moves::status::MoveReport,
 };
 use serde::{Deserialize, Serialize};
 use tokio_util::sync::CancellationToken;
@@ -27,8 +28,8 @@
 /// A question to one node.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(super) enum Question {
-    /// Which configuration version is in force?
-    Applied,
+    /// What is in force, and how does the move of your service stand?
+    Standing,
     /// Which calls were recorded?
     Burn,
 }
@@ -36,14 +37,24 @@
 /// Its answer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) enum Answer {
-    /// The configuration version in force.
-    Applied(ConfigVersion),
+    /// What is in force.
+    Standing(Standing),
     /// Sums of the recorded calls.
     Burn(Snapshot),
     /// The question can't be understood.
     Refused,
 }
 
+/// What is in force on one node.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct Standing {
+    /// Configuration version in force.
+    pub(super) version: ConfigVersion,
+    /// Move of the service beside the node; only nodes of a service hold the
+    /// evidence on its move.
+    pub(super) own_move: Option<MoveReport>,
+}
+
 /// The answer of one member, if it gave one.
 pub(super) struct Told {
     /// Name of its instance.
@@ -60,16 +71,26 @@
 
 fn answer(state: &NodeState, question: Question) -> Answer {
     match question {
-        Question::Applied => {
-            Answer::Applied(state.control.table().map(|table| table.version).unwrap_or_default())
-        }
+        Question::Standing => Answer::Standing(standing(state)),
         Question::Burn => Answer::Burn(burn::snapshot(state)),
     }
 }
 
+fn standing(state: &NodeState) -> Standing {
+    let Some(table) = state.control.table() else {
+        return Standing { version: ConfigVersion::default(), own_move: None };
+    };
+    let own = state.service();
+    let mut moves = state.control.moves.reports(&table).into_iter();
+    let own_move = own.and_then(|service| moves.find(|report| report.service == service));
+    Standing { version: table.version, own_move }
+}
+
 /// Asks every member that isn't gone, this node included.
 pub(super) async fn ask_all(state: &Arc<NodeState>, question: Question) -> Vec<Told> {
     let cancel = CancellationToken::new();
+    // The operator may go away before all have answered.
+    let _closes_links = cancel.clone().drop_guard();
     // Links of their own, which close afterwards: a node keeps no link to every other one.
     let links = RpcLinks::new(link_settings(state), cancel.clone());
     let asking = members(state).into_iter().map(|(instance, addr)| {
@@ -78,9 +99,7 @@
             Told { answer: ask_one(&state, &links, &instance, addr, question).await, instance }
         }
     });
-    let told = stream::iter(asking).buffer_unordered(ASKED_AT_ONCE).collect().await;
-    cancel.cancel();
-    told
+    stream::iter(asking).buffer_unordered(ASKED_AT_ONCE).collect().await
 }
 
 fn members(state: &NodeState) -> Vec<(InstanceName, SocketAddr)> {
--- a/crates/node/src/admin/status.rs
+++ b/crates/node/src/admin/status.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use savorykeel_policy::{
-    ids::{ConfigVersion, InstanceName},
+    ids::{ConfigVersion, InstanceName, ServiceName},
     membership::{entry::Liveness, merge::Entry},
     moves::status::MoveReport,
 };
@@ -12,7 +12,7 @@
 
 use super::{
     api::{AppliedSpread, BackendStatus, MemberStatus, StatusReport},
-    ask::{self, Answer, Question, Told},
+    ask::{self, Answer, Question, Standing, Told},
 };
 
 /// Time without word of the end of the log after which operators are warned.
@@ -20,9 +20,11 @@
 
 /// Returns the mesh as this node sees it.
 pub(super) async fn report(state: &Arc<NodeState>) -> StatusReport {
-    let told = ask::ask_all(state, Question::Applied).await;
+    let told = ask::ask_all(state, Question::Standing).await;
+    let standings: BTreeMap<InstanceName, Standing> =
+        told.into_iter().filter_map(standing).collect();
     let applied: BTreeMap<InstanceName, ConfigVersion> =
-        told.into_iter().filter_map(applied_version).collect();
+        standings.iter().map(|(name, standing)| (name.clone(), standing.version)).collect();
     let members = state.control.members();
     let members = members.iter().map(|entry| member_status(entry, &applied)).collect();
     StatusReport {
@@ -30,23 +32,38 @@
         version: applied.get(&state.settings.instance).copied().unwrap_or_default(),
         applied: spread(&applied),
         members,
-        moves: moves(state),
+        moves: moves(state, standings.into_values()),
         alarms: alarms(state),
     }
 }
 
-fn moves(state: &NodeState) -> Vec<MoveReport> {
-    let table = state.control.table();
-    table.map_or_else(Vec::new, |table| state.control.moves.reports(&table))
-}
-
-fn applied_version(told: Told) -> Option<(InstanceName, ConfigVersion)> {
+fn standing(told: Told) -> Option<(InstanceName, Standing)> {
     match told.answer {
-        Some(Answer::Applied(version)) => Some((told.instance, version)),
+        Some(Answer::Standing(standing)) => Some((told.instance, standing)),
         _ => None,
     }
 }
 
+/// Returns the move of each service as the node with most evidence tells it.
+fn moves(state: &NodeState, standings: impl Iterator<Item = Standing>) -> Vec<MoveReport> {
+    let Some(table) = state.control.table() else { return Vec::new() };
+    let own = state.control.moves.reports(&table).into_iter();
+    let told = standings.filter_map(|standing| standing.own_move);
+    let mut moves: BTreeMap<ServiceName, MoveReport> = BTreeMap::new();
+    for report in own.chain(told) {
+        let known = moves.get(&report.service);
+        if known.is_none_or(|known| knowledge(known) <= knowledge(&report)) {
+            moves.insert(report.service.clone(), report);
+        }
+    }
+    moves.into_values().collect()
+}
+
+/// Orders reports on one service: a later move, then more evidence.
+fn knowledge(report: &MoveReport) -> (ConfigVersion, u64) {
+    (report.asked, report.old.run + report.new.run)
+}
+
 fn spread(applied: &BTreeMap<InstanceName, ConfigVersion>) -> AppliedSpread {
     let lowest = applied.values().min().copied().unwrap_or_default();
     let highest = applied.values().max().copied().unwrap_or_default();
--- a/crates/node/src/calls/dispatch.rs
+++ b/crates/node/src/calls/dispatch.rs
@@ -1,6 +1,6 @@
 //! Chooses backend servers for a request until one of them answers.
 
-use std::{rc::Rc, time::Instant};
+use std::{rc::Rc, sync::atomic::Ordering, time::Instant};
 
 use savorykeel_policy::{
     calls::{
@@ -160,11 +160,21 @@
 }
 
 fn choose(worker: &Worker, candidates: &[Candidate], tried: &[usize]) -> Option<usize> {
+    if worker.state.calls.testing.round_robin {
+        return in_turn(worker, candidates, tried);
+    }
     let mut balancer = worker.state.calls.balancer.lock();
     let rng = &mut *worker.rng.borrow_mut();
     balancer.choose(candidates, tried, worker.state.now(), rng)
 }
 
+/// Chooses the next backend server in turn, for measurements.
+fn in_turn(worker: &Worker, candidates: &[Candidate], tried: &[usize]) -> Option<usize> {
+    let n = worker.state.calls.turns.fetch_add(1, Ordering::Relaxed);
+    let order = (0..candidates.len()).map(|i| (n + i) % candidates.len());
+    order.into_iter().find(|i| !tried.contains(i))
+}
+
 /// A chosen backend server; without another end the call counts as cancelled.
 struct Choice {
     worker: Rc<Worker>,
--- a/crates/node/src/calls/serve.rs
+++ b/crates/node/src/calls/serve.rs
@@ -109,8 +109,12 @@
         deadline: state.now() + call.time_left.saturating_sub(waited),
     };
     let patience = call.time_left.saturating_sub(waited);
+    let slots = match state.calls.testing.without_admission {
+        true => u32::MAX,
+        false => backend.record.slots,
+    };
     let _slot = tokio::select! {
-        slot = state.calls.slots.acquire(applicant, backend.record.slots, patience) => slot?,
+        slot = state.calls.slots.acquire(applicant, slots, patience) => slot?,
         () = cancel.cancelled() => return Err(Code::Cancelled),
     };
     let left = call.time_left.saturating_sub(started.elapsed());
@@ -158,6 +162,9 @@
 }
 
 fn standing(state: &NodeState, fingerprint: Fingerprint) -> Result<Standing, Code> {
+    if state.calls.testing.without_quarantine {
+        return Ok(Standing::Clear);
+    }
     match state.calls.quarantine.lock().standing(fingerprint, state.now()) {
         Standing::Condemned => Err(Code::Quarantined),
         other => Ok(other),
--- a/crates/node/src/calls/state.rs
+++ b/crates/node/src/calls/state.rs
@@ -6,7 +6,7 @@
     collections::HashMap,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize},
     },
     time::Duration,
 };
@@ -50,6 +50,8 @@
     pub(crate) slots: Slots,
     /// Choice among backend servers.
     pub(crate) balancer: Mutex<Balancer>,
+    /// Calls chosen for in turn.
+    pub(crate) turns: AtomicUsize,
     /// Retries that are allowed.
     pub(crate) budget: Mutex<RetryBudget>,
     /// Requests that may crash backend servers.
@@ -85,6 +87,7 @@
             cancels: Mutex::default(),
             slots: Slots::new(),
             balancer: Mutex::default(),
+            turns: AtomicUsize::new(0),
             budget: Mutex::new(RetryBudget::new(INITIAL_RETRY_SHARE, now)),
             quarantine: Mutex::default(),
             trial: Semaphore::new(1),
--- a/crates/node/src/moves/hub.rs
+++ b/crates/node/src/moves/hub.rs
@@ -185,8 +185,9 @@
         self.book.lock().ending(table, at)
     }
 
-    /// Follows the table in force and derives the splits anew where needed.
-    pub fn refresh(&self, table: &Arc<Table>) {
+    /// Follows the table in force and derives the splits anew where needed; tells
+    /// whether it did.
+    pub fn refresh(&self, table: &Arc<Table>) -> bool {
         let mut book = self.book.lock();
         let splits = self.splits.load();
         let is_same_table = std::ptr::eq(splits.table.as_ptr(), Arc::as_ptr(table));
@@ -194,13 +195,14 @@
             book.follow(table.version, &table.configuration);
         }
         if is_same_table && splits.revision == book.revision() {
-            return;
+            return false;
         }
         let services = table.services.iter();
         let by_service =
             services.map(|(name, service)| (name.clone(), book.split(service, name))).collect();
         let revision = book.revision();
         self.splits.store(Arc::new(Splits { by_service, revision, table: Arc::downgrade(table) }));
+        true
     }
 }
 
--- a/crates/node/src/moves/spread.rs
+++ b/crates/node/src/moves/spread.rs
@@ -4,7 +4,13 @@
 //! service, and on from each node to which they are new, so they reach every
 //! node in a few steps. Reports of evidence go to the nodes of the same service.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use ntex::time::{Millis, sleep};
 use rand::seq::IteratorRandom;
@@ -15,6 +21,7 @@
     moves::{
         book::{BookRevision, MoveGossip},
         evidence::Report,
+        state::MoveKey,
     },
     table::Table,
     time::Tick,
@@ -61,6 +68,7 @@
     last_look: RefCell<Tick>,
     pulled: RefCell<Option<Tick>>,
     next_pull: RefCell<Tick>,
+    taken_back: RefCell<BTreeSet<MoveKey>>,
 }
 
 /// Runs rounds for ever.
@@ -70,12 +78,27 @@
         sleep(ROUND).await;
         pull_when_due(&cx, &spread);
         let Some(table) = cx.state.table() else { continue };
-        cx.state.moves.refresh(&table);
+        if cx.state.moves.refresh(&table) {
+            log_taken_back(&cx, &spread, &table);
+        }
         look_when_due(&cx, &spread, &table);
         push(&cx, &spread, &table);
     }
 }
 
+/// Logs, on every node, the moves that were taken back since the last time.
+fn log_taken_back<L, P>(cx: &ControlContext<L, P>, spread: &Spread, table: &Table) {
+    for report in cx.state.moves.reports(table) {
+        let Some(reason) = &report.reason else { continue };
+        let key = MoveKey { service: report.service.clone(), asked: report.asked };
+        if spread.taken_back.borrow_mut().insert(key) {
+            info!(cx.state.logger, "version taken back";
+                "service" => %report.service, "move" => report.asked.0, "version" => %report.to,
+                "reason" => %reason.kind, "at_ms" => (cx.state.clock.wall)().0);
+        }
+    }
+}
+
 fn look_when_due<L, P>(cx: &ControlContext<L, P>, spread: &Spread, table: &Table) {
     let now = cx.state.now();
     if now.since(*spread.last_look.borrow()) < LOOK_PERIOD {
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -189,6 +189,9 @@
         without_settle: raw.without_settle,
         without_fences: raw.without_fences,
         without_ledger: raw.without_ledger,
+        without_admission: raw.without_admission,
+        without_quarantine: raw.without_quarantine,
+        round_robin: raw.round_robin,
     }
 }
 
--- a/crates/node/src/settings/raw.rs
+++ b/crates/node/src/settings/raw.rs
@@ -59,6 +59,12 @@
     pub without_fences: bool,
     /// Runs keyed requests without a claim.
     pub without_ledger: bool,
+    /// Hands each request to the backend server at once.
+    pub without_admission: bool,
+    /// Runs requests that crash backend servers like any other.
+    pub without_quarantine: bool,
+    /// Chooses backend servers in turn.
+    pub round_robin: bool,
 }
 
 /// How configuration and membership are kept up; each field has a default.
--- a/crates/policy/src/moves/window.rs
+++ b/crates/policy/src/moves/window.rs
@@ -26,6 +26,9 @@
 /// Longest time for which counts wait for more calls.
 pub const MAX_PENDING: Duration = Duration::from_secs(10);
 
+/// Longest time for which calls of the new version wait for any of the old one.
+pub const MAX_PENDING_ALONE: Duration = Duration::from_secs(2);
+
 /// Counts of one version in one stratum.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Tally {
@@ -131,6 +134,16 @@
     }
 }
 
+impl Pair {
+    /// Calls of one version alone say nothing. Those of the new one must not wait
+    /// until traffic returns to the old one: what failed before the return may
+    /// have failed for both.
+    fn is_stale(&self, now: Tick) -> bool {
+        let age = now.since(self.since);
+        age >= MAX_PENDING || (self.old.run == 0 && age >= MAX_PENDING_ALONE)
+    }
+}
+
 /// The availability zones in which either version has instances.
 struct Zones {
     both: BTreeSet<ZoneName>,
@@ -222,9 +235,7 @@
         let strata: Vec<Stratum> = ready
             .map(|(place, pair)| Stratum { route: place.route, old: pair.old, new: pair.new })
             .collect();
-        // Calls of one version alone say nothing; they must not wait until the
-        // other has calls of a later time.
-        self.pending.retain(|_, pair| now.since(pair.since) < MAX_PENDING);
+        self.pending.retain(|_, pair| !pair.is_stale(now));
         strata
     }
 }
--- /dev/null
+++ b/crates/policy/tests/moves_judge.rs
@@ -0,0 +1,235 @@
+//! The judge and the ramp over small, exact sequences of calls.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use savorykeel_policy::{
+    ids::{BackendVersion, InstanceName, RouteName, ServiceName, ZoneName},
+    membership::entry::Stamp,
+    moves::{
+        breaker::{Breaker, FAILURES_TO_OPEN, MIN_PAUSE},
+        capacity::Capacity,
+        evidence::{Ending, Evidence, Observation, Report},
+        judge::{Judge, Judgement},
+        ramp::{ByNote, Due, Proof, RampInput, next_share},
+        state::{BadKind, Permille},
+        window::Increments,
+    },
+    time::{Tick, WallMillis},
+};
+use yare::parameterized;
+
+/// Calls of one version in one second.
+#[derive(Clone, Copy)]
+struct Second {
+    run: u64,
+    failed: u64,
+    took_ms: u64,
+    is_cold: bool,
+    crashes: u64,
+}
+
+const GOOD: Second = Second { run: 20, failed: 0, took_ms: 10, is_cold: false, crashes: 0 };
+const OLD: Second = Second { run: 100, ..GOOD };
+
+fn report(instance: &str, version: &str) -> Report {
+    Report {
+        instance: InstanceName::try_from(instance).unwrap(),
+        stamp: Stamp { incarnation: 1, sequence: 0 },
+        zone: ZoneName::try_from("bole").unwrap(),
+        service: ServiceName::try_from("orders").unwrap(),
+        version: BackendVersion::try_from(version).unwrap(),
+        crashes: 0,
+        routes: BTreeMap::new(),
+    }
+}
+
+fn add(report: &mut Report, second: Second) {
+    let route = RouteName::try_from("book").unwrap();
+    for i in 0..second.run {
+        let ending = if i < second.failed { Ending::Failed } else { Ending::Ok };
+        // Latencies are spread a little, as real ones are.
+        let took = Duration::from_micros(second.took_ms * 1_000 + (i % 10) * 100);
+        report.record(&route, Observation { ending, took, is_cold: second.is_cold });
+    }
+    (0..second.crashes).for_each(|_| report.record_crash());
+}
+
+/// Judges two minutes of seconds.
+fn judge(old: impl Fn(u64) -> Second, new: impl Fn(u64) -> Second) -> Judgement {
+    let (mut of_old, mut of_new) = (report("a", "v1"), report("b", "v2"));
+    let mut evidence = Evidence::default();
+    let mut increments = Increments::default();
+    let mut judge = Judge::new(1, Tick(0));
+    let mut last = Judgement::Clear;
+    for second in 0..120 {
+        evidence.merge(of_old.clone());
+        evidence.merge(of_new.clone());
+        let now = Tick(second * 1_000);
+        let window =
+            increments.advance(now, &evidence, Some(&of_old.version), &of_new.version.clone());
+        last = judge.look(now, 0, &window);
+        if matches!(last, Judgement::Bad(_)) {
+            return last;
+        }
+        add(&mut of_old, old(second));
+        add(&mut of_new, new(second));
+    }
+    last
+}
+
+fn kind(judgement: &Judgement) -> Option<BadKind> {
+    match judgement {
+        Judgement::Bad(reason) => Some(reason.kind),
+        _ => None,
+    }
+}
+
+#[test]
+fn equal_versions_are_clear() {
+    assert_eq!(judge(|_| OLD, |_| GOOD), Judgement::Clear);
+}
+
+#[parameterized(
+    failing = { Second { failed: 4, ..GOOD }, BadKind::Failing },
+    slow = { Second { took_ms: 20, ..GOOD }, BadKind::Slow },
+    crashing = { Second { run: 0, crashes: 1, ..GOOD }, BadKind::Crashing },
+)]
+fn worse_version_is_bad(new: Second, expected: BadKind) {
+    assert_eq!(kind(&judge(|_| OLD, |_| new)), Some(expected));
+}
+
+#[test]
+fn slowness_of_a_cold_start_is_set_apart() {
+    let cold = Second { took_ms: 100, is_cold: true, ..GOOD };
+    let warming = |second| if second < 10 { cold } else { GOOD };
+    assert_eq!(judge(|_| OLD, warming), Judgement::Clear);
+    let as_slow_when_warm = Second { is_cold: false, ..cold };
+    let staying = |second| if second < 10 { as_slow_when_warm } else { GOOD };
+    assert_eq!(kind(&judge(|_| OLD, staying)), Some(BadKind::Slow));
+}
+
+#[test]
+fn failures_of_a_cold_start_count() {
+    let cold = Second { failed: 10, is_cold: true, ..GOOD };
+    assert_eq!(kind(&judge(|_| OLD, |_| cold)), Some(BadKind::Failing));
+}
+
+#[test]
+fn failing_dependency_of_both_is_no_verdict() {
+    let old = |s| Second { failed: if s > 30 { 50 } else { 0 }, ..OLD };
+    let new = |s| Second { failed: if s > 30 { 10 } else { 0 }, ..GOOD };
+    assert_eq!(kind(&judge(old, new)), None);
+}
+
+#[test]
+fn request_that_crashes_both_is_no_verdict() {
+    let old = |s| Second { crashes: u64::from(s % 5 == 0), ..OLD };
+    let new = |s| Second { crashes: u64::from(s % 25 == 0), ..GOOD };
+    assert_eq!(kind(&judge(old, new)), None);
+}
+
+#[test]
+fn one_burst_of_failures_is_no_verdict() {
+    let new = |s| Second { failed: if s == 60 { 20 } else { 0 }, ..GOOD };
+    assert_eq!(kind(&judge(|_| OLD, new)), None);
+}
+
+#[test]
+fn cancelled_calls_say_nothing() {
+    let route = RouteName::try_from("book").unwrap();
+    let mut report = report("b", "v2");
+    let took = Duration::from_secs(9);
+    report.record(&route, Observation { ending: Ending::Cancelled, took, is_cold: false });
+    let counters = &report.routes[&route];
+    assert_eq!((counters.run, counters.failed, counters.cancelled), (0, 0, 1));
+    assert_eq!(counters.latency.total(), 0);
+}
+
+#[test]
+fn repeated_and_late_reports_count_once() {
+    let mut evidence = Evidence::default();
+    let mut newer = report("b", "v2");
+    add(&mut newer, GOOD);
+    let older = newer.clone();
+    add(&mut newer, GOOD);
+    assert!(evidence.merge(newer.clone()));
+    assert!(!evidence.merge(older));
+    assert!(!evidence.merge(newer.clone()));
+    assert_eq!(evidence.get(&newer.instance), Some(&newer));
+}
+
+#[test]
+fn changes_of_a_report_merge_to_the_whole() {
+    let mut evidence = Evidence::default();
+    let mut whole = report("b", "v2");
+    add(&mut whole, GOOD);
+    evidence.merge(whole.clone());
+    let before = whole.clone();
+    let other = RouteName::try_from("cancel").unwrap();
+    let seen = Observation { ending: Ending::Ok, took: Duration::ZERO, is_cold: false };
+    whole.record(&other, seen);
+    let changes = whole.changes_since(Some(&before));
+    assert_eq!(changes.routes.len(), 1);
+    evidence.merge(changes);
+    assert_eq!(evidence.get(&whole.instance), Some(&whole));
+}
+
+fn input(share: u16, in_step_s: u64, left_s: u64, proof: Proof) -> RampInput {
+    RampInput {
+        share: Permille(share),
+        in_step: Duration::from_secs(in_step_s),
+        left: Duration::from_secs(left_s),
+        proof,
+        unproven: Permille(50),
+        ceiling: Permille::FULL,
+    }
+}
+
+#[parameterized(
+    first_step = { input(0, 0, 600, Proof::Thin), 50 },
+    waits_for_evidence = { input(50, 200, 400, Proof::Thin), 50 },
+    goes_on_when_half_the_time_is_spent = { input(50, 310, 300, Proof::Thin), 100 },
+    goes_on_sooner_with_evidence = { input(50, 110, 490, Proof::Enough), 100 },
+    waits_longer_when_worried = { input(100, 300, 300, Proof::Worrying), 100 },
+    goes_on_when_no_time_is_left = { input(800, 1, 0, Proof::Worrying), 1_000 },
+    never_falls = { RampInput { ceiling: Permille(10), ..input(400, 99, 0, Proof::Enough) }, 400 },
+    respects_the_ceiling = { RampInput { ceiling: Permille(500), ..input(400, 99, 0, Proof::Enough) }, 500 },
+)]
+fn next_share_follows_time_and_evidence(input: RampInput, expected: u16) {
+    assert_eq!(next_share(&input), Permille(expected));
+}
+
+#[parameterized(
+    as_asked = { Some(300_000), ByNote::AsAsked, 300_000 },
+    missing = { None, ByNote::Missing, 700_000 },
+    past = { Some(50_000), ByNote::Past, 160_000 },
+    too_soon = { Some(101_000), ByNote::TooSoon, 110_000 },
+    absurd = { Some(u64::MAX), ByNote::TooFar, 86_500_000 },
+)]
+fn time_asked_for_is_understood(by: Option<u64>, note: ByNote, at: u64) {
+    let due = Due::new(WallMillis(100_000), by.map(WallMillis));
+    assert_eq!((due.note, due.at), (note, WallMillis(at)));
+}
+
+#[parameterized(
+    none_left = { 0, 60, 0.0, 0 },
+    half_the_slots = { 30, 60, 0.0, 1_000 },
+    a_tenth_of_the_slots = { 6, 60, 0.0, 200 },
+    by_load = { 60, 60, 96.0, 500 },
+)]
+fn share_stays_below_what_instances_carry(new: u32, old: u32, busy: f64, expected: u16) {
+    let capacity = Capacity { new_slots: new, old_slots: old };
+    assert_eq!(capacity.ceiling_under(busy), Permille(expected));
+}
+
+#[test]
+fn breaker_opens_after_failures_in_a_row_and_tries_again() {
+    let mut breaker = Breaker::default();
+    (0..FAILURES_TO_OPEN).for_each(|_| breaker.record(true, Tick(0)));
+    assert!(!breaker.allows(Tick(0)));
+    assert!(breaker.allows(Tick(0) + MIN_PAUSE));
+    breaker.record(true, Tick(0) + MIN_PAUSE);
+    assert!(!breaker.allows(Tick(0) + MIN_PAUSE * 2));
+    breaker.record(false, Tick(0) + MIN_PAUSE * 3);
+    assert!(breaker.allows(Tick(0) + MIN_PAUSE * 3));
+}
--- a/crates/standins/src/proxy/forward.rs
+++ b/crates/standins/src/proxy/forward.rs
@@ -135,6 +135,8 @@
 async fn connect(client: SocketAddr, target: SocketAddr) -> io::Result<TcpStream> {
     let socket = if target.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     if client.ip().is_loopback() && client.is_ipv4() == target.is_ipv4() {
+        // Nodes under test listen on this address again after a restart.
+        socket.set_reuseaddr(true)?;
         socket.bind(SocketAddr::new(client.ip(), 0))?;
     }
     socket.connect(target).await
--- /dev/null
+++ b/tests/feature/calls_limits.rs
@@ -0,0 +1,121 @@
+//! Slots, deadlines, depth and cancellation reach the backend server.
+
+use std::time::Duration;
+
+use savorykeel_policy::code::Code;
+use savorykeel_standins::{
+    backend::{Behaviour, Run},
+    caller::Request,
+};
+
+use crate::harness::{
+    deployment::{Deployment, ServiceSpec},
+    fleet::{Fleet, Options},
+    wait::eventually,
+};
+
+const SLOTS: usize = 3;
+
+fn start(latency_ms: u64) -> Fleet {
+    let services = vec![ServiceSpec::new("gate", 2, true), ServiceSpec::new("history", 1, false)];
+    let deployment = Deployment { zones: 2, services, slots: SLOTS };
+    let behaviour = Behaviour { latency_ms, ..Behaviour::default() };
+    let adjust_backend = Box::new(move |settings: &mut savorykeel_standins::backend::Settings| {
+        settings.behaviour = behaviour.clone();
+    });
+    let fleet = Fleet::start(&deployment, Options { adjust_backend, ..Options::default() });
+    fleet.publish(0, &deployment.configuration());
+    fleet.wait_version(1);
+    fleet.wait_answered("/gate");
+    fleet
+}
+
+fn run_of(fleet: &Fleet, tag: &str) -> Option<Run> {
+    fleet.runs().into_iter().find(|run| run.tag.as_deref() == Some(tag))
+}
+
+#[test]
+fn a_backend_server_never_runs_more_than_its_slots() {
+    let fleet = start(20);
+    let entry = fleet.members[2].callers();
+    let pending: Vec<_> = (0..200)
+        .map(|i| fleet.client.send(entry, Request::get("/gate").tag(&format!("slot-{i}"))))
+        .collect();
+    let mut most = 0;
+    for pending in pending {
+        let reply = pending.wait().unwrap();
+        let outcome = reply.outcome().map(str::to_owned);
+        assert!(reply.status == 200 || outcome.as_deref() == Some("not-run"), "{reply:?}");
+        let running = fleet.of_service("gate").map(|member| member.backend().running());
+        most = most.max(running.max().unwrap_or(0));
+    }
+    assert!(most <= SLOTS, "{most} requests ran at once");
+    let shed: u64 = fleet.of_service("gate").map(|member| member.backend().counts().shed).sum();
+    assert_eq!(shed, 0, "the node queues and sheds, not the backend server");
+}
+
+#[test]
+fn the_deadline_shrinks_and_the_depth_grows_on_the_way() {
+    let fleet = start(0);
+    let entry = fleet.members[2].callers();
+    let req = Request::get("/gate").tag("deep");
+    let req = req.header("Savorykeel-Deadline-Ms", "5000").header("Savorykeel-Depth", "4");
+    assert_eq!(fleet.client.call(entry, req).unwrap().status, 200);
+    let run = run_of(&fleet, "deep").expect("it ran");
+    assert_eq!(run.depth, Some(5));
+    assert!(run.deadline_ms.is_some_and(|left| left < 5_000), "{run:?}");
+}
+
+#[test]
+fn a_loop_of_calls_ends_at_the_configured_depth() {
+    let fleet = start(0);
+    let entry = fleet.members[2].callers();
+    let req = Request::get("/gate").tag("loop").header("Savorykeel-Depth", "32");
+    let reply = fleet.client.call(entry, req).unwrap();
+    assert_eq!(reply.code(), Some(Code::TooDeep.number()));
+    assert!(run_of(&fleet, "loop").is_none());
+}
+
+#[test]
+fn a_request_past_its_deadline_is_told_so() {
+    let fleet = start(2_000);
+    let entry = fleet.members[2].callers();
+    let req = Request::get("/gate").tag("slow").header("Savorykeel-Deadline-Ms", "300");
+    let reply = fleet.client.call(entry, req).unwrap();
+    assert_eq!(reply.code(), Some(Code::DeadlineWhileRunning.number()), "{reply:?}");
+    eventually("the backend server hears of it", || cancelled(&fleet) > 0);
+}
+
+#[test]
+fn a_caller_that_goes_cancels_its_request_at_the_backend_server() {
+    let fleet = start(0);
+    let entry = fleet.members[2].callers();
+    for member in fleet.of_service("gate") {
+        let behaviour = Behaviour { latency_ms: 8_000, ..Behaviour::default() };
+        member.backend().set_behaviour(behaviour);
+    }
+    let req = Request::get("/gate").tag("gone").timeout(Duration::from_millis(300)).close();
+    assert!(fleet.client.call(entry, req).is_err());
+    eventually("the backend server hears of it", || cancelled(&fleet) > 0);
+}
+
+fn cancelled(fleet: &Fleet) -> u64 {
+    fleet.of_service("gate").map(|member| member.backend().counts().cancelled).sum()
+}
+
+#[test]
+fn a_draining_backend_server_gets_no_new_work() {
+    let fleet = start(0);
+    let entry = fleet.members[2].callers();
+    fleet.members[0].backend().drain();
+    let mut i = 0;
+    eventually("the other one takes all requests", || {
+        let before = fleet.members[0].runs().len();
+        for _ in 0..20 {
+            i += 1;
+            let req = Request::get("/gate").tag(&format!("drain-{i}"));
+            assert_eq!(fleet.client.call(entry, req).unwrap().status, 200);
+        }
+        fleet.members[0].runs().len() == before
+    });
+}
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -3,6 +3,7 @@
 mod admin_api;
 mod binary;
 mod burn_report;
+mod calls_limits;
 mod calls_outcomes;
 mod calls_soak;
 mod check_configuration;
@@ -16,5 +17,6 @@
 mod membership_failure;
 mod moves_stage;
 mod moves_whole;
+mod publish_move;
 mod publish_outcomes;
 mod session;
--- a/tests/feature/moves_stage.rs
+++ b/tests/feature/moves_stage.rs
@@ -154,6 +154,21 @@
         self.loads.get(service).map_or(0, Load::calls)
     }
 
+    /// Waits until every node stopped giving calls to the new version of a
+    /// service, and returns the time between the first and the last.
+    #[track_caller]
+    pub fn wait_taken_back_everywhere(&self, service: &str) -> Duration {
+        let nodes = || self.fleet.members.iter().filter_map(|member| member.node.as_ref());
+        let times = nodes().map(|node| {
+            eventually_some(&format!("{} hears the verdict", node.ready().instance), || {
+                taken_back_at(&node.log(), service)
+            })
+        });
+        let times: Vec<u64> = times.collect();
+        let spread = times.iter().max().unwrap_or(&0) - times.iter().min().unwrap_or(&0);
+        Duration::from_millis(spread)
+    }
+
     /// Returns the members with the new version of a service.
     pub fn new_members(&self, service: &str) -> Vec<usize> {
         let members = self.first_new..self.fleet.members.len();
@@ -183,6 +198,15 @@
 /// Looks, at 500 ms each, before the usual deadline of a wait begins.
 const PATIENCE: u32 = 180;
 
+/// Returns when a node's log says that the new version of a service was taken back.
+fn taken_back_at(log: &str, service: &str) -> Option<u64> {
+    let line = log.lines().find(|line| {
+        line.contains("version taken back") && line.contains(&format!("\"service\":\"{service}\""))
+    })?;
+    let fields: serde_json::Value = serde_json::from_str(line).ok()?;
+    fields["at_ms"].as_u64()
+}
+
 /// How version `v1`, and a good new version, behaves.
 pub fn usual() -> Behaviour {
     Behaviour { latency_ms: 5, ..Behaviour::default() }
--- a/tests/feature/moves_whole.rs
+++ b/tests/feature/moves_whole.rs
@@ -67,9 +67,12 @@
 
     let reason = stage.wait_taken_back(parts.bad_at_once);
     assert_eq!(reason.kind, BadKind::Failing);
+    let spread = stage.wait_taken_back_everywhere(parts.bad_at_once);
+    eprintln!("the verdict reached {} nodes within {spread:?}", stage.fleet.members.len());
     stage.wait_no_calls(parts.bad_at_once, NEW);
     let calls = stage.finish(parts.bad_at_once);
     let (met, failed) = (answered_by(&calls, NEW), failed_by(&calls, NEW));
+    eprintln!("{} calls, {met} met the bad version, {failed} failed", calls.len());
     assert!(met > 0 && met * 5 < calls.len(), "{met} of {} calls met it", calls.len());
     assert!(failed * 10 < calls.len(), "{failed} of {} calls failed", calls.len());
 
