Bound the bytes spent on evidence

Cause: a report to every node of a large group each second would pass the budget of control bytes. Change: reports go at most 3 s apart where they cost more than 1,500 bytes a second. Measured: not measured; today's groups stay at one second.

--- a/crates/node/src/moves/spread.rs
+++ b/crates/node/src/moves/spread.rs
@@ -39,8 +39,16 @@
 /// Time between two looks at the evidence.
 const LOOK_PERIOD: Duration = Duration::from_secs(1);
 
-/// Time between two reports of evidence to the same node.
-const REPORT_PERIOD: Duration = Duration::from_secs(1);
+/// Shortest time between two reports of evidence to the same node.
+const MIN_REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Longest time between two reports of evidence to the same node; reports of both
+/// versions must not be far apart, or a common fault shows on one of them first.
+const MAX_REPORT_PERIOD: Duration = Duration::from_secs(3);
+
+/// Bytes a second that a node may spend on reports of evidence; large groups and
+/// services with many routes hear more seldom.
+const REPORT_BYTES_PER_SECOND: usize = 1_500;
 
 /// Time between two attempts to learn everything from one node, until one
 /// succeeds.
@@ -132,12 +140,21 @@
     let own = cx.state.moves.own_report();
     let own = own.filter(|_| cx.state.moves.wants_evidence(table));
     let group = own.as_ref().map(|own| own.service.clone());
-    for target in targets(cx, group.as_ref()) {
+    let targets = targets(cx, group.as_ref());
+    let listeners = targets.iter().filter(|target| target.is_of_group).count();
+    let period = own.as_ref().map_or(MIN_REPORT_PERIOD, |own| report_period(own, listeners));
+    for target in targets {
         let report = own.as_ref().filter(|_| target.is_of_group);
-        push_to(cx, spread, target.contact, report);
+        push_to(cx, spread, target.contact, report, period);
     }
 }
 
+fn report_period(report: &Report, listeners: usize) -> Duration {
+    let bytes = encode(report).len() * listeners;
+    let seconds = bytes as f64 / REPORT_BYTES_PER_SECOND as f64;
+    Duration::from_secs_f64(seconds).clamp(MIN_REPORT_PERIOD, MAX_REPORT_PERIOD)
+}
+
 fn targets<L, P: PeerLinks>(cx: &ControlContext<L, P>, group: Option<&ServiceName>) -> Vec<Target> {
     let own = &cx.state.identity.instance;
     let is_of_group = |record: &NodeRecord| {
@@ -159,6 +176,7 @@
     spread: &Rc<Spread>,
     to: Contact,
     report: Option<&Report>,
+    period: Duration,
 ) {
     let now = cx.state.now();
     let mut all_told = spread.told.borrow_mut();
@@ -167,7 +185,7 @@
         return;
     }
     let delta = cx.state.moves.delta_since(told.revision);
-    let is_report_due = told.reported.is_none_or(|at| now.since(at) >= REPORT_PERIOD);
+    let is_report_due = told.reported.is_none_or(|at| now.since(at) >= period);
     let is_news = |report: &&Report| told.report.as_ref().is_none_or(|t| t.stamp < report.stamp);
     let report = report.filter(|_| is_report_due).filter(is_news).cloned();
     let mut gossip: MoveGossip = delta.gossip;
