Hand over kept answers with the claims of a ledger

Cause: after instances were replaced in turn, keys became 'unknown', since claims came without their answers. Change: pages of claims carry their answers, bounded in bytes, and members that leave hand over too; tests of both.

--- a/crates/node/src/calls/ledger.rs
+++ b/crates/node/src/calls/ledger.rs
@@ -5,8 +5,8 @@
 use parking_lot::Mutex;
 use savorykeel_policy::{
     calls::{
-        ledger::{ClaimLimits, ClaimReply, ClaimStore},
-        ledger_message::{CLAIMS_PER_PAGE, LedgerMessage, LedgerReply},
+        ledger::{ClaimLimits, ClaimReply, ClaimStore, KeptClaim},
+        ledger_message::{LedgerMessage, LedgerReply, PAGE_LIMITS},
         ledger_sync::{Handover, Origin, SyncTracker},
         ledger_view::{Identity, LedgerKey, LedgerMember, LedgerView},
     },
@@ -78,14 +78,10 @@
     }
 
     /// Takes in claims of another member.
-    pub(crate) fn merge(
-        &self,
-        claims: Vec<(LedgerKey, savorykeel_policy::calls::ledger::Claim)>,
-        now: Tick,
-    ) {
+    pub(crate) fn merge(&self, claims: Vec<KeptClaim>, now: Tick) {
         let mut replica = self.replica.lock();
-        for (key, claim) in claims {
-            replica.store.merge(key, claim, now);
+        for kept in claims {
+            replica.store.merge(kept, now);
         }
     }
 
@@ -174,8 +170,8 @@
         if sync.view().digest() != view {
             return LedgerReply::ViewDiffers;
         }
-        let claims = self.store.page(after, CLAIMS_PER_PAGE);
-        let is_last = claims.len() < CLAIMS_PER_PAGE;
-        LedgerReply::Claims { claims, handover: is_last.then(|| sync.handover()) }
+        let page = self.store.page(after, PAGE_LIMITS);
+        let handover = page.is_last.then(|| sync.handover());
+        LedgerReply::Claims { claims: page.claims, handover }
     }
 }
--- a/crates/node/src/calls/ledger_loop.rs
+++ b/crates/node/src/calls/ledger_loop.rs
@@ -163,7 +163,7 @@
         let message = LedgerMessage::Fetch { view, after };
         let reply = ledger_client::send(worker, member.addr, &message).await;
         let Some(LedgerReply::Claims { claims, handover }) = reply else { return };
-        after = claims.last().map(|(key, _)| *key);
+        after = claims.last().map(|kept| kept.key);
         ledger.merge(claims, worker.state.now());
         if let Some(handover) = handover {
             if handover.from == member.identity && ledger.view_digest() == Some(view) {
--- a/crates/policy/src/calls/ledger.rs
+++ b/crates/policy/src/calls/ledger.rs
@@ -56,6 +56,35 @@
     NotReady,
 }
 
+/// A claim as one replica hands it to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptClaim {
+    /// Key that was claimed.
+    pub key: LedgerKey,
+    /// The claim.
+    pub claim: Claim,
+    /// The answer to its request, if it is kept.
+    pub answer: Option<Arc<[u8]>>,
+}
+
+/// Bounds of a [`Page`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PageLimits {
+    /// Largest number of claims.
+    pub claims: usize,
+    /// Size of answers in bytes after which no further claim is added.
+    pub bytes: usize,
+}
+
+/// Some of a replica's claims.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// Claims in the order of their keys.
+    pub claims: Vec<KeptClaim>,
+    /// Whether no further claim follows.
+    pub is_last: bool,
+}
+
 /// Bounds of a [`ClaimStore`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClaimLimits {
@@ -144,19 +173,33 @@
     }
 
     /// Takes in a claim from another replica.
-    pub fn merge(&mut self, key: LedgerKey, claim: Claim, now: Tick) {
+    pub fn merge(&mut self, kept: KeptClaim, now: Tick) {
+        let KeptClaim { key, claim, answer } = kept;
         let is_newer = |entry: &Entry| entry.claim.number < claim.number && entry.answer.is_none();
         if self.entries.get(&key).is_none_or(is_newer) {
             self.put(key, claim, now);
         }
+        let is_held = self.entries.get(&key).is_some_and(|entry| entry.claim == claim);
+        if let Some(answer) = answer.filter(|_| is_held) {
+            self.keep_answer(key, answer);
+        }
     }
 
     /// Returns claims in the order of their keys, from the one after `after`.
-    pub fn page(&self, after: Option<LedgerKey>, limit: usize) -> Vec<(LedgerKey, Claim)> {
+    pub fn page(&self, after: Option<LedgerKey>, limits: PageLimits) -> Page {
         use std::ops::Bound;
         let start = after.map_or(Bound::Unbounded, Bound::Excluded);
-        let range = self.entries.range((start, Bound::Unbounded));
-        range.take(limit).map(|(key, entry)| (*key, entry.claim)).collect()
+        let mut rest = self.entries.range((start, Bound::Unbounded));
+        let mut page = Page { claims: Vec::new(), is_last: false };
+        let mut bytes = 0;
+        while page.claims.len() < limits.claims && bytes < limits.bytes {
+            let Some((key, entry)) = rest.next() else { break };
+            bytes += entry.answer.as_ref().map_or(0, |answer| answer.len());
+            let answer = entry.answer.clone();
+            page.claims.push(KeptClaim { key: *key, claim: entry.claim, answer });
+        }
+        page.is_last = rest.next().is_none();
+        page
     }
 
     /// Returns the number of claims.
--- a/crates/policy/src/calls/ledger_message.rs
+++ b/crates/policy/src/calls/ledger_message.rs
@@ -5,14 +5,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ledger::{Claim, ClaimReply},
+    ledger::{Claim, ClaimReply, KeptClaim, PageLimits},
     ledger_sync::Handover,
     ledger_view::LedgerKey,
     quarantine::{CrashId, Fingerprint},
 };
 
-/// Largest number of claims in one [`LedgerReply::Claims`].
-pub const CLAIMS_PER_PAGE: usize = 1_000;
+/// Bounds of one [`LedgerReply::Claims`].
+pub const PAGE_LIMITS: PageLimits = PageLimits { claims: 1_000, bytes: 1 << 20 };
 
 /// A message to a member of a service's group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -75,7 +75,7 @@
     /// One page of claims.
     Claims {
         /// Claims in the order of their keys.
-        claims: Vec<(LedgerKey, Claim)>,
+        claims: Vec<KeptClaim>,
         /// Set on the last page.
         handover: Option<Handover>,
     },
--- a/crates/policy/src/calls/ledger_sync.rs
+++ b/crates/policy/src/calls/ledger_sync.rs
@@ -35,6 +35,8 @@
     pub joining: bool,
     /// Digests of the views in which it could answer for every key.
     pub complete_in: Vec<u64>,
+    /// Instances of the newest of these views.
+    pub complete_with: Vec<InstanceName>,
     /// Lives of members that it has seen.
     pub seen: Vec<Identity>,
 }
@@ -89,6 +91,8 @@
     transitions: Vec<Transition>,
     seen: BTreeMap<InstanceName, BTreeSet<u64>>,
     complete_in: VecDeque<u64>,
+    /// Instances of the newest view in which the node was complete.
+    complete_with: Vec<InstanceName>,
     keep: Duration,
 }
 
@@ -109,6 +113,7 @@
             transitions: Vec::new(),
             seen: BTreeMap::new(),
             complete_in: VecDeque::new(),
+            complete_with: Vec::new(),
             keep,
         };
         tracker.note_seen();
@@ -193,6 +198,7 @@
             from: self.own.clone(),
             joining: self.joining.is_some(),
             complete_in: self.complete_in.iter().copied().collect(),
+            complete_with: self.complete_with.clone(),
             seen: self.seen.iter().flat_map(lives).collect(),
         }
     }
@@ -246,7 +252,7 @@
     fn fetched_for_transitions(&mut self, handover: &Handover) {
         let now_complete = handover.complete_in.contains(&self.view.digest());
         for transition in &mut self.transitions {
-            if now_complete || handover.complete_in.contains(&transition.old.digest()) {
+            if now_complete || was_complete(handover, &transition.old) {
                 transition.missing.remove(&handover.from);
             }
         }
@@ -292,8 +298,12 @@
 
     fn note_complete(&mut self) {
         let digest = self.view.digest();
-        let is_complete = self.is_complete() && self.view.contains(&self.own);
-        if !is_complete || self.complete_in.contains(&digest) {
+        if !self.is_complete() || !self.view.contains(&self.own) {
+            return;
+        }
+        let names = self.view.members().iter().map(|member| member.identity.instance.clone());
+        self.complete_with = names.collect();
+        if self.complete_in.contains(&digest) {
             return;
         }
         if self.complete_in.len() == REMEMBERED_VIEWS {
@@ -303,6 +313,18 @@
     }
 }
 
+/// Tells whether a member could answer for every key in a former view.
+///
+/// Members that come take nothing away from it, so that a view with more
+/// instances than one in which it was complete will do. It may have seen the
+/// changes of the group in other steps than this node.
+fn was_complete(handover: &Handover, old: &LedgerView) -> bool {
+    let is_in_old = |name: &InstanceName| old.names(name);
+    let only_grew = handover.complete_with.iter().all(is_in_old);
+    let was_any = !handover.complete_with.is_empty();
+    handover.complete_in.contains(&old.digest()) || (was_any && only_grew)
+}
+
 fn missing_members(transition: &Transition) -> impl Iterator<Item = &LedgerMember> {
     transition.old.members().iter().filter(|member| transition.missing.contains(&member.identity))
 }
--- a/crates/policy/tests/calls_ledger.rs
+++ b/crates/policy/tests/calls_ledger.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use savorykeel_policy::{
     calls::{
-        ledger::{Aim, Claim, ClaimLimits, ClaimReply, ClaimStore},
+        ledger::{Aim, Claim, ClaimLimits, ClaimReply, ClaimStore, PageLimits},
         ledger_quorum::{Step, conclude},
         ledger_sync::{Origin, SyncTracker},
         ledger_view::{Identity, LedgerKey, LedgerMember, LedgerView, quorum, read_quorum},
@@ -111,6 +111,28 @@
     assert_eq!(store.len(), 1);
 }
 
+#[test]
+fn pages_hand_over_every_claim_with_its_answer() {
+    let mut store = ClaimStore::new(ClaimLimits::default());
+    for key in 0..10 {
+        store.claim(LedgerKey(key), claim(1, 1), Tick(0));
+        store.finish(LedgerKey(key), claim(1, 1), Arc::from(&b"open"[..]), Tick(0));
+    }
+    let limits = PageLimits { claims: 100, bytes: 12 };
+    let mut other = ClaimStore::new(ClaimLimits::default());
+    let mut after = None;
+    loop {
+        let page = store.page(after, limits);
+        assert!(page.claims.len() <= 3, "a page is bounded in bytes");
+        after = page.claims.last().map(|kept| kept.key);
+        page.claims.into_iter().for_each(|kept| other.merge(kept, Tick(0)));
+        if page.is_last {
+            break;
+        }
+    }
+    assert_eq!((other.len(), other.kept_bytes()), (10, 40));
+}
+
 #[test]
 fn a_member_that_starts_again_answers_after_it_heard_both_others() {
     let now = Tick(0);
@@ -152,6 +174,8 @@
     rng: StdRng,
     nodes: HashMap<Identity, Node>,
     members: Vec<LedgerMember>,
+    /// Members that left and still hand over their claims.
+    leaving: Vec<LedgerMember>,
     late: Vec<Late>,
     runs: HashMap<LedgerKey, u32>,
     next: u64,
@@ -164,6 +188,7 @@
             rng: StdRng::seed_from_u64(seed),
             nodes: HashMap::new(),
             members: Vec::new(),
+            leaving: Vec::new(),
             late: Vec::new(),
             runs: HashMap::new(),
             next: 1,
@@ -180,6 +205,7 @@
         self.next += 1;
         let member = member(i, self.next);
         self.members.retain(|m| m.identity.instance != member.identity.instance);
+        self.leaving.retain(|m| m.identity.instance != member.identity.instance);
         self.members.push(member.clone());
         let sync = SyncTracker::new(member.clone(), origin, KEEP, Tick(0));
         let store = ClaimStore::new(ClaimLimits::default());
@@ -199,10 +225,16 @@
             }
             1 if self.members.len() > 3 => {
                 let i = self.rng.random_range(0..self.members.len());
-                self.members.remove(i);
+                let member = self.members.remove(i);
+                if self.rng.random_bool(0.5) {
+                    self.leaving.push(member);
+                }
             }
             2..20 => {
-                let (who, view) = (self.any(), LedgerView::new(self.members.clone()));
+                let view = LedgerView::new(self.members.clone());
+                let n = self.rng.random_range(0..self.members.len() + self.leaving.len());
+                let who = self.members.iter().chain(&self.leaving).nth(n);
+                let who = who.expect("n is in range").identity.clone();
                 self.nodes.get_mut(&who).unwrap().sync.adopt(view, Tick(0));
             }
             20..50 => self.fetch(),
@@ -217,14 +249,15 @@
         let digest = self.nodes[&who].sync.view().digest();
         for from in wanted {
             let Some(other) = self.nodes.get(&from.identity) else { continue };
-            let is_alive = self.members.contains(&from);
+            let is_alive = self.members.contains(&from) || self.leaving.contains(&from);
             if !is_alive || other.sync.view().digest() != digest {
                 continue;
             }
-            let (claims, handover) = (other.store.page(None, 10_000), other.sync.handover());
+            let limits = PageLimits { claims: 10_000, bytes: 1 << 20 };
+            let (page, handover) = (other.store.page(None, limits), other.sync.handover());
             let node = self.nodes.get_mut(&who).unwrap();
-            for (key, claim) in claims {
-                node.store.merge(key, claim, Tick(0));
+            for kept in page.claims {
+                node.store.merge(kept, Tick(0));
             }
             node.sync.fetched(&handover);
         }
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -3,6 +3,7 @@
 mod admin_api;
 mod binary;
 mod burn_report;
+mod calls_ledger;
 mod calls_limits;
 mod calls_outcomes;
 mod calls_soak;
