Answer operators before the connection closes, whatever body they send

A publish larger than 4 MiB, or a large body on a denied request or an unknown path, left bytes unread; the reset could destroy the answer. What is left of the body is read and dropped now, bounded as on the call path.

--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -17,22 +17,28 @@
 use savorykeel_policy::{code::Code, distribution::message::Topic};
 use serde::Serialize;
 
-use crate::{http::HttpResult, state::NodeState, worker::Worker};
+use crate::{
+    http::{HttpResult, discard_body},
+    state::NodeState,
+    worker::Worker,
+};
 
 use api::{ApiError, BURN_PATH, CONFIGURATION_PATH, PUBLISHES_PATH, STATUS_PATH};
 
 /// Answers an operator's request.
-pub(crate) async fn handle(worker: Rc<Worker>, req: Request) -> HttpResult {
+pub(crate) async fn handle(worker: Rc<Worker>, mut req: Request) -> HttpResult {
+    let mut payload = req.take_payload();
     let state = &worker.state;
     let path = req.path().to_owned();
     let response = match (req.method(), path.as_str()) {
         (&Method::GET, STATUS_PATH) => json(StatusCode::OK, &status::report(state).await),
         (&Method::GET, BURN_PATH) => burn::answer(state).await,
         (&Method::GET, CONFIGURATION_PATH) => configuration(state),
-        (&Method::POST, PUBLISHES_PATH) => publish::publish(state, req).await,
+        (&Method::POST, PUBLISHES_PATH) => publish::publish(state, &req, &mut payload).await,
         (&Method::GET, path) if is_publish(path) => publish::outcome(state, &req).await,
         (method, _) => error(Code::NotFound, format!("no {method} {path} here")),
     };
+    discard_body(&mut payload).await;
     Ok(response)
 }
 
--- a/crates/node/src/admin/publish.rs
+++ b/crates/node/src/admin/publish.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use ntex::http::{Request, Response, StatusCode};
+use ntex::http::{Payload, Request, Response, StatusCode};
 use savorykeel_adapters::log::HttpLog;
 use savorykeel_policy::{
     code::Code,
@@ -35,13 +35,12 @@
 ///
 /// A publish whose id is known is answered and not appended again, and one that
 /// breaks a rule never reaches the log, because every node would refuse it.
-pub(super) async fn publish(state: &NodeState, mut req: Request) -> Response {
-    let wait = wait_of(&req);
-    let allowed = token::check(state.settings.token_file.as_deref(), req.headers());
-    // The body is read even when the request is denied: an answer that goes out
-    // while bytes are left unread is lost when the connection is reset.
-    let mut payload = req.take_payload();
-    let body = match read_body(&mut payload, MAX_RECORD_BYTES, RECORD_TIMEOUT).await {
+pub(super) async fn publish(state: &NodeState, req: &Request, payload: &mut Payload) -> Response {
+    if let Err(denied) = token::check(state.settings.token_file.as_deref(), req.headers()) {
+        return error(Code::Unauthorized, denied.to_string());
+    }
+    let wait = wait_of(req);
+    let body = match read_body(payload, MAX_RECORD_BYTES, RECORD_TIMEOUT).await {
         Ok(body) => body,
         Err(BodyError::TooLarge) => {
             return error(Code::BodyTooLarge, format!("use at most {MAX_RECORD_BYTES} bytes"));
@@ -49,9 +48,6 @@
         Err(BodyError::Broken) => return error(Code::BadRequest, "the body ended early"),
         Err(BodyError::TooSlow) => return error(Code::BadRequest, "the body came too slowly"),
     };
-    if let Err(denied) = allowed {
-        return error(Code::Unauthorized, denied.to_string());
-    }
     let id = match PublishRecord::parse(&body) {
         Ok(record) => record.id,
         Err(e) => return refuse(e),
--- a/tests/feature/admin_api.rs
+++ b/tests/feature/admin_api.rs
@@ -40,9 +40,12 @@
 #[test]
 fn what_can_not_be_a_publish_gets_a_numbered_code_and_is_not_appended() {
     let fleet = start();
+    let large = "x".repeat(5 << 20);
     let cases = [
         (post(&fleet, "wrong-token-wrong-token", "{}"), 401, 303),
+        (post(&fleet, "wrong-token-wrong-token", &large), 401, 303),
         (post(&fleet, TOKEN, ""), 400, 106),
+        (post(&fleet, TOKEN, &large), 413, 107),
         (post(&fleet, TOKEN, "{\"format\":1}"), 400, 106),
         (post(&fleet, TOKEN, "{\"format\":9,\"id\":\"a\"}"), 503, 305),
         (get(&fleet, "/v1/nothing"), 404, 306),
