Split the book, the judge and the watch over a move into smaller modules

Cause: three files held several jobs each. Change: gossip, course, question and recheck are modules of their own; random draws of the measurement tool too.

--- a/crates/bench/src/moves.rs
+++ b/crates/bench/src/moves.rs
@@ -5,6 +5,7 @@
 //! the calls and the figures are in `docs/design/0007-judge.md`.
 
 mod check;
+mod draw;
 mod family;
 mod plot;
 mod report;
--- a/crates/node/src/moves/hub.rs
+++ b/crates/node/src/moves/hub.rs
@@ -15,9 +15,10 @@
     ids::{BackendVersion, InstanceName, RouteName, ServiceName, ZoneName},
     membership::entry::BackendRecord,
     moves::{
-        book::{BookRevision, MoveBook, MoveGossip},
+        book::{BookRevision, MoveBook},
         breaker::Breaker,
         evidence::{COLD_START, EvidenceKey, Observation, Report},
+        gossip::MoveGossip,
         split::VersionSplit,
         status::{MoveEnding, MoveReport},
     },
--- a/crates/node/src/moves/message.rs
+++ b/crates/node/src/moves/message.rs
@@ -1,6 +1,6 @@
 //! What two nodes say to each other about moves.
 
-use savorykeel_policy::moves::book::MoveGossip;
+use savorykeel_policy::moves::gossip::MoveGossip;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// A message about moves.
--- a/crates/node/src/moves/spread.rs
+++ b/crates/node/src/moves/spread.rs
@@ -18,11 +18,7 @@
     distribution::message::{MessageBody, ReplyBody, Topic},
     ids::{InstanceName, ServiceName},
     membership::{entry::NodeRecord, rings::Contact},
-    moves::{
-        book::{BookRevision, MoveGossip},
-        evidence::Report,
-        state::MoveKey,
-    },
+    moves::{book::BookRevision, evidence::Report, gossip::MoveGossip, state::MoveKey},
     table::Table,
     time::Tick,
 };
--- a/crates/policy/src/moves/book.rs
+++ b/crates/policy/src/moves/book.rs
@@ -5,8 +5,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use serde::{Deserialize, Serialize};
-
 use crate::{
     config::model::Configuration,
     ids::{BackendVersion, ConfigVersion, InstanceName, RouteName, ServiceName, ZoneName},
@@ -17,50 +15,16 @@
 
 use super::{
     capacity::Capacity,
+    course::{phase_of, slots_of},
     evidence::{Evidence, Observation, Report},
+    gossip::{KnownState, MoveGossip, ServiceMoves},
     split::VersionSplit,
     state::{MoveKey, MoveState, Permille},
-    status::{ENDING_FORMAT, MoveEnding, MoveReport, Phase, Seen},
-    targets::{ServiceTargets, Target, Targets},
-    watch::{Base, Look, Watch},
+    status::{ENDING_FORMAT, MoveEnding, MoveReport, Seen},
+    targets::Targets,
+    watch::{Look, Watch},
 };
 
-/// Targets and states of one service, as they travel.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServiceMoves {
-    /// The service.
-    pub service: ServiceName,
-    /// The targets noted.
-    pub targets: ServiceTargets,
-    /// The states of its moves.
-    pub states: Vec<KnownState>,
-}
-
-/// The state of one move, as it travels.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KnownState {
-    /// The move's id.
-    pub asked: ConfigVersion,
-    /// Its state.
-    pub state: MoveState,
-}
-
-/// What one node tells another about moves.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MoveGossip {
-    /// Services whose targets or states changed.
-    pub services: Vec<ServiceMoves>,
-    /// Reports for a node of the same service.
-    pub reports: Vec<Report>,
-}
-
-impl MoveGossip {
-    /// Tells whether there is nothing to say.
-    pub fn is_empty(&self) -> bool {
-        self.services.is_empty() && self.reports.is_empty()
-    }
-}
-
 /// Counts the changes of a [`MoveBook`], for [`MoveBook::delta_since`].
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BookRevision(pub u64);
@@ -68,8 +32,8 @@
 /// All that one node knows about moves.
 #[derive(Debug, Default)]
 pub struct MoveBook {
-    targets: Targets,
-    states: BTreeMap<MoveKey, MoveState>,
+    pub(super) targets: Targets,
+    pub(super) states: BTreeMap<MoveKey, MoveState>,
     revisions: BTreeMap<ServiceName, BookRevision>,
     revision: BookRevision,
     evidence: Evidence,
@@ -288,74 +252,6 @@
         is_changed
     }
 
-    /// Returns the state of a target: all states that were noted under an id
-    /// within its run belong to it.
-    fn state(&self, service: &ServiceName, target: &Target) -> MoveState {
-        let from = MoveKey { service: service.clone(), asked: target.asked };
-        let next = self.targets.runs(service).into_iter().find(|run| run.asked > target.asked);
-        let end = next.map_or(ConfigVersion(u64::MAX), |next| next.asked);
-        let to = MoveKey { service: service.clone(), asked: end };
-        let states = self.states.range(from..to);
-        states.fold(MoveState::default(), |joined, (_, state)| joined.joined(state))
-    }
-
-    fn course(&self, table: &ServiceTable, service: &ServiceName) -> Option<Course> {
-        let mut runs = self.targets.runs(service);
-        let target = runs.pop()?;
-        let state = self.state(service, &target);
-        let live: BTreeSet<&BackendVersion> =
-            table.endpoints.iter().map(|endpoint| &endpoint.version).collect();
-        let base = self.base(service, &runs);
-        let is_return = base.as_ref().is_some_and(|base| base.version == target.version);
-        if is_return && state.bad.is_none() {
-            // The target never stopped carrying the traffic.
-            return Some(Course { target, state, old: None, base: Base::Target });
-        }
-        let is_usable = |run: &Target| {
-            run.version != target.version
-                && live.contains(&run.version)
-                && self.state(service, run).bad.is_none()
-        };
-        let known = base.filter(is_usable);
-        let earlier = || runs.iter().rev().find(|run| is_usable(run)).cloned();
-        let old = known.or_else(earlier).map(|run| run.version);
-        let old = old.or_else(|| self.unknown_base(table, &runs, &target));
-        let base = if runs.is_empty() { Base::Unknown } else { Base::Known };
-        Some(Course { target, state, old, base })
-    }
-
-    /// Returns the version that carried all traffic before the target was asked
-    /// for: the last that was done, else the oldest known.
-    fn base(&self, service: &ServiceName, runs: &[Target]) -> Option<Target> {
-        let is_done = |run: &&Target| {
-            let state = self.state(service, run);
-            state.done && state.bad.is_none()
-        };
-        let done = runs.iter().rev().find(is_done);
-        done.or_else(|| runs.iter().find(|run| self.state(service, run).bad.is_none())).cloned()
-    }
-
-    /// Takes the version with most live instances when no earlier target is
-    /// known, so that a node without history doesn't hand all traffic to the
-    /// target.
-    fn unknown_base(
-        &self,
-        table: &ServiceTable,
-        runs: &[Target],
-        target: &Target,
-    ) -> Option<BackendVersion> {
-        if !runs.is_empty() {
-            return None;
-        }
-        let mut counts: BTreeMap<&BackendVersion, usize> = BTreeMap::new();
-        for endpoint in &table.endpoints {
-            *counts.entry(&endpoint.version).or_default() += 1;
-        }
-        counts.remove(&target.version);
-        let most = counts.into_iter().max_by_key(|(_, count)| *count);
-        most.map(|(version, _)| version.clone())
-    }
-
     fn forget_gone(&mut self, table: &Table, service: &ServiceName) {
         let Some(table) = table.services.get(service) else { return };
         let live: BTreeSet<&InstanceName> =
@@ -391,32 +287,3 @@
         })
     }
 }
-
-/// Where a service's traffic goes from and to.
-struct Course {
-    target: Target,
-    state: MoveState,
-    old: Option<BackendVersion>,
-    base: Base,
-}
-
-fn phase_of(table: &ServiceTable, course: &Course, share: Permille) -> Phase {
-    if course.state.bad.is_some() {
-        return Phase::TakenBack;
-    }
-    if slots_of(table, &course.target.version) == 0 {
-        return Phase::WaitingForInstances;
-    }
-    match (course.state.done, course.state.is_rechecking()) {
-        (true, true) => Phase::Rechecking,
-        (true, false) => Phase::Done,
-        (false, _) if course.old.is_none() => Phase::Rising,
-        (false, _) if share < course.state.share => Phase::WaitingForCapacity,
-        (false, _) => Phase::Rising,
-    }
-}
-
-fn slots_of(table: &ServiceTable, version: &BackendVersion) -> u32 {
-    let live = table.endpoints.iter().filter(|endpoint| endpoint.version == *version);
-    live.map(|endpoint| endpoint.slots).sum()
-}
--- a/crates/policy/src/moves/judge.rs
+++ b/crates/policy/src/moves/judge.rs
@@ -8,8 +8,9 @@
 use crate::{ids::RouteName, time::Tick};
 
 use super::{
-    eprocess::{Counts, EProcess, LogRatios, RATIOS, against_old, against_rate},
+    eprocess::{Counts, RATIOS, against_old},
     histogram::Histogram,
+    question::{Growth, Question, QuestionLimits, Test},
     state::{BadKind, BadReason},
     window::{Stratum, Window},
 };
@@ -75,54 +76,6 @@
     Bad(BadReason),
 }
 
-/// A pair of tests of one question: both must speak against the version.
-#[derive(Debug, Clone, Default)]
-struct Test {
-    against_old: EProcess,
-    against_rate: EProcess,
-}
-
-impl Test {
-    fn add_mass(&mut self, mass: f64) {
-        self.against_old.add_mass(mass);
-        self.against_rate.add_mass(mass);
-    }
-
-    fn update(&mut self, increase: &Growth) {
-        self.against_old.update(&increase.against_old);
-        self.against_rate.update(&increase.against_rate);
-    }
-
-    fn value(&self) -> f64 {
-        self.against_old.value().min(self.against_rate.value())
-    }
-}
-
-#[derive(Default)]
-struct Growth {
-    against_old: LogRatios,
-    against_rate: LogRatios,
-}
-
-impl Growth {
-    fn add(&mut self, counts: Counts, tolerance: f64, rate: f64) {
-        let against_old = against_old(counts, tolerance);
-        let against_rate = against_rate(counts, rate);
-        for i in 0..RATIOS.len() {
-            self.against_old[i] += against_old[i];
-            self.against_rate[i] += against_rate[i];
-        }
-    }
-}
-
-/// One question asked of the whole service and of each route.
-#[derive(Debug, Clone)]
-struct Question {
-    kind: BadKind,
-    service: Test,
-    routes: BTreeMap<RouteName, Test>,
-}
-
 /// Watches one move.
 #[derive(Debug, Clone)]
 pub struct Judge {
@@ -139,10 +92,9 @@
 impl Judge {
     /// Starts to watch a move of a service with `route_count` routes.
     pub fn new(route_count: usize, now: Tick) -> Self {
-        let question = |kind| Question { kind, service: Test::default(), routes: BTreeMap::new() };
         let mut judge = Self {
             route_count: route_count.max(1),
-            questions: [question(BadKind::Failing), question(BadKind::Slow)],
+            questions: [Question::new(BadKind::Failing), Question::new(BadKind::Slow)],
             crashes: Test::default(),
             reference: BTreeMap::new(),
             mass: 0.0,
@@ -201,7 +153,8 @@
             })
         };
         let mass = self.mass;
-        self.questions[0].update(window, FAILURE_TOLERANCE, FAILURE_FLOOR, mass, counts);
+        let limits = QuestionLimits { tolerance: FAILURE_TOLERANCE, rate: FAILURE_FLOOR };
+        self.questions[0].update(window, limits, mass, counts);
     }
 
     fn look_at_latency(&mut self, window: &Window) {
@@ -221,7 +174,8 @@
         };
         let mass = self.mass;
         let rate = SLOW_SHARE * SLOW_TOLERANCE;
-        self.questions[1].update(window, SLOW_TOLERANCE, rate, mass, counts);
+        let limits = QuestionLimits { tolerance: SLOW_TOLERANCE, rate };
+        self.questions[1].update(window, limits, mass, counts);
     }
 
     fn look_at_crashes(&mut self, now: Tick, window: &Window) {
@@ -284,31 +238,3 @@
         found.into_iter().max_by(|a, b| a.1.total_cmp(&b.1))
     }
 }
-
-impl Question {
-    fn update(
-        &mut self,
-        window: &Window,
-        tolerance: f64,
-        rate: f64,
-        mass: f64,
-        counts: impl Fn(&Stratum) -> Option<Counts>,
-    ) {
-        let mut whole = Growth::default();
-        let mut by_route: BTreeMap<&RouteName, Growth> = BTreeMap::new();
-        for stratum in &window.strata {
-            let Some(counts) = counts(stratum) else { continue };
-            whole.add(counts, tolerance, rate);
-            by_route.entry(&stratum.route).or_default().add(counts, tolerance, rate);
-        }
-        self.service.update(&whole);
-        for (route, growth) in by_route {
-            let test = self.routes.entry(route.clone()).or_insert_with(|| {
-                let mut test = Test::default();
-                test.add_mass(mass);
-                test
-            });
-            test.update(&growth);
-        }
-    }
-}
--- a/crates/policy/src/moves/mod.rs
+++ b/crates/policy/src/moves/mod.rs
@@ -10,11 +10,15 @@
 pub mod book;
 pub mod breaker;
 pub mod capacity;
+mod course;
 pub mod eprocess;
 pub mod evidence;
+pub mod gossip;
 pub mod histogram;
 pub mod judge;
+mod question;
 pub mod ramp;
+pub mod recheck;
 pub mod split;
 pub mod state;
 pub mod status;
--- a/crates/policy/src/moves/watch.rs
+++ b/crates/policy/src/moves/watch.rs
@@ -12,9 +12,9 @@
     evidence::Evidence,
     judge::{Judge, Judgement},
     ramp::{Due, Proof, RampInput, next_share},
-    state::{BadKind, BadReason, MoveState, Permille},
+    recheck::Rechecks,
+    state::{MoveState, Permille},
     status::Seen,
-    suspicion::Suspicion,
     window::{Increments, Window},
 };
 
@@ -24,25 +24,6 @@
 /// Time with all traffic before a move counts as done.
 pub const SETTLE_TIME: Duration = Duration::from_secs(1);
 
-/// Shortest recheck.
-pub const MIN_RECHECK: Duration = Duration::from_secs(20);
-
-/// Longest recheck.
-pub const MAX_RECHECK: Duration = Duration::from_secs(600);
-
-/// Calls of the new version on the suspected route that end a recheck which
-/// found nothing.
-pub const RECHECK_CALLS: u64 = 50;
-
-/// Pause before a recheck after one that found a fault of both versions.
-pub const RECHECK_PAUSE: Duration = Duration::from_secs(60);
-
-/// Time after a recheck within which a suspicion counts as the same one.
-pub const SAME_SUSPICION: Duration = Duration::from_secs(300);
-
-/// Rechecks in a row in which the fault went with most of the traffic.
-pub const MAX_RECOVERIES: u32 = 3;
-
 /// Time without any live old instance after which the new version needs no
 /// ramp: an unreachable instance may come back, and a node that just started
 /// doesn't know all instances yet.
@@ -95,21 +76,13 @@
     by: Option<WallMillis>,
     judge: Judge,
     increments: Increments,
-    suspicion: Suspicion,
+    rechecks: Rechecks,
     step: Permille,
     step_since: Tick,
     step_calls: u64,
     last_look: Tick,
     old_seen: Tick,
     busy_slots: f64,
-    rechecks: u32,
-    recheck_since: Tick,
-    recheck_calls: u64,
-    suspected: Option<RouteName>,
-    recheck_was_clean: bool,
-    recheck_ended: Option<Tick>,
-    recheck_pause: Duration,
-    recoveries: u32,
     seen_old: Seen,
     seen_new: Seen,
 }
@@ -122,21 +95,13 @@
             by: look.by,
             judge: Judge::new(route_count, look.tick),
             increments: Increments::default(),
-            suspicion: Suspicion::default(),
+            rechecks: Rechecks::new(look.tick, state.rechecks),
             step: state.share,
             step_since: look.tick,
             step_calls: 0,
             last_look: look.tick,
             old_seen: look.tick,
             busy_slots: 0.0,
-            rechecks: state.rechecks,
-            recheck_since: look.tick,
-            recheck_calls: 0,
-            suspected: None,
-            recheck_was_clean: true,
-            recheck_ended: None,
-            recheck_pause: RECHECK_PAUSE,
-            recoveries: 0,
             seen_old: Seen::default(),
             seen_new: Seen::default(),
         }
@@ -149,8 +114,7 @@
         let window = self.increments.advance(look.tick, look.evidence, look.old, look.new);
         self.count(look.tick, &window);
         let judgement = self.judge.look(look.tick, state.rechecks, &window);
-        self.suspicion.look(&window, state.done);
-        self.recheck_was_clean &= !self.suspicion.is_raised() && !self.suspicion.is_common();
+        self.rechecks.look(&window, state.done);
         let mut wanted = state.clone();
         if state.bad.is_some() {
             return wanted;
@@ -159,10 +123,10 @@
             wanted.bad = Some(reason);
             return wanted;
         }
-        if state.done {
-            self.recheck(look, &mut wanted, judgement);
-        } else {
+        if !state.done {
             self.rise(look, &mut wanted, judgement);
+        } else if look.old.is_some() {
+            self.rechecks.go_on(look.tick, &mut wanted, &judgement);
         }
         wanted
     }
@@ -203,24 +167,11 @@
             self.step_since = look.tick;
             self.step_calls = 0;
         }
-        if state.rechecks != self.rechecks {
-            self.rechecks = state.rechecks;
-            self.recheck_since = look.tick;
-            self.recheck_calls = 0;
-            self.recheck_was_clean = true;
-            self.suspicion.reset();
-            if !state.is_rechecking() {
-                self.recheck_ended = Some(look.tick);
-            }
-        }
+        self.rechecks.follow(look.tick, state);
     }
 
     fn count(&mut self, now: Tick, window: &Window) {
         self.step_calls += window.new_run();
-        self.recheck_calls += match &self.suspected {
-            Some(route) => window.new.get(route).map_or(0, |tally| tally.run),
-            None => window.new_run(),
-        };
         add_seen(&mut self.seen_old, &window.old);
         add_seen(&mut self.seen_new, &window.new);
         let span = now.since(self.last_look);
@@ -274,56 +225,6 @@
         }
         if self.step_calls < PROOF_CALLS { Proof::Thin } else { Proof::Enough }
     }
-
-    /// Compares a finished version once more while something speaks against it.
-    fn recheck(&mut self, look: &Look<'_>, wanted: &mut MoveState, judgement: Judgement) {
-        if look.old.is_none() {
-            return;
-        }
-        if wanted.is_rechecking() {
-            self.end_recheck(look, wanted, judgement);
-            return;
-        }
-        let is_paused =
-            self.recheck_ended.is_some_and(|at| look.tick.since(at) < self.pause_after());
-        if !self.suspicion.is_raised() || is_paused {
-            return;
-        }
-        let is_same = self.recheck_ended.is_some_and(|at| look.tick.since(at) < SAME_SUSPICION);
-        if !is_same {
-            self.recoveries = 0;
-        }
-        if self.recoveries >= MAX_RECOVERIES {
-            let route = self.suspicion.route();
-            wanted.bad = Some(BadReason { kind: BadKind::UnderLoad, route });
-            return;
-        }
-        self.suspected = self.suspicion.route();
-        wanted.rechecks += 1;
-    }
-
-    /// A fault that went away with most of the traffic is looked for again at
-    /// once; one that hit both versions is somebody else's.
-    fn pause_after(&self) -> Duration {
-        if self.recoveries > 0 { Duration::ZERO } else { self.recheck_pause }
-    }
-
-    fn end_recheck(&mut self, look: &Look<'_>, wanted: &mut MoveState, judgement: Judgement) {
-        let lasted = look.tick.since(self.recheck_since);
-        let has_calls = lasted >= MIN_RECHECK && self.recheck_calls >= RECHECK_CALLS;
-        let is_enough = has_calls && judgement == Judgement::Clear;
-        if !is_enough && lasted < MAX_RECHECK {
-            return;
-        }
-        wanted.rechecks += 1;
-        if self.recheck_was_clean {
-            self.recoveries += 1;
-            self.recheck_pause = RECHECK_PAUSE;
-        } else {
-            self.recoveries = 0;
-            self.recheck_pause *= 2;
-        }
-    }
 }
 
 fn add_seen(seen: &mut Seen, tallies: &BTreeMap<RouteName, super::window::Tally>) {
