--- a/crates/bench/src/fullsize.rs
+++ b/crates/bench/src/fullsize.rs
@@ -1,6 +1,7 @@
 //! `fullsize`: what the full-size tables cost a single node.
 
 use std::{
+    collections::BTreeSet,
     fs,
     net::SocketAddr,
     process::Command,
@@ -76,6 +77,11 @@
     fold_us: f64,
     /// Making the delta for one publish, in microseconds.
     delta_us: f64,
+    /// Applying the delta for one publish, checks and digest included, in
+    /// microseconds.
+    apply_us: f64,
+    /// Steps along the rings until news of one node reaches every other.
+    ring_steps: usize,
     /// Bytes of every entry, for a first sync.
     members_bytes: usize,
     /// Bytes of one entry as news.
@@ -125,6 +131,7 @@
     let own = members.own().record.clone();
     let everyone: Vec<Entry> = members.entries().cloned().collect();
     let held = Held::by(&fold);
+    let behind = fold.clone();
     fold.apply(PUBLISHES, &publish_record(PUBLISHES, services));
     let delta = FoldUpdate::for_holder(&fold, held);
     let whole = FoldUpdate::for_holder(&fold, Held { wants_whole: true, ..held });
@@ -141,6 +148,8 @@
         table_us: time(|| Table::build(fold.version(), configuration.clone(), members.records())),
         fold_us,
         delta_us: time(|| FoldUpdate::for_holder(&fold, held)),
+        apply_us: time(|| delta.clone().apply_to(&mut behind.clone())),
+        ring_steps: ring_steps(&members),
         members_bytes: encode(&ReplyBody::Entries(everyone.clone())).len(),
         entry_bytes: encode(&MessageBody::News { entries: everyone[..1].to_vec() }).len(),
         compare_bytes: encode(&MessageBody::Compare { digests: members.digests().to_vec() }).len(),
@@ -151,6 +160,19 @@
     })
 }
 
+fn ring_steps(members: &Members) -> usize {
+    let mut reached = BTreeSet::from([members.own_name().clone()]);
+    let mut newest: Vec<InstanceName> = reached.iter().cloned().collect();
+    let mut steps = 0;
+    while !newest.is_empty() && reached.len() < members.active().count() {
+        let neighbours = newest.iter().flat_map(|name| Neighbours::of(name, members).all());
+        let names: BTreeSet<InstanceName> = neighbours.map(|contact| contact.instance).collect();
+        newest = names.into_iter().filter(|name| reached.insert(name.clone())).collect();
+        steps += 1;
+    }
+    steps
+}
+
 fn fold_publishes(services: usize) -> (Fold, f64) {
     let mut fold = Fold::default();
     let mut spent = Duration::ZERO;
