--- a/crates/node/src/control/checkpoints.rs
+++ b/crates/node/src/control/checkpoints.rs
@@ -17,6 +17,9 @@
 /// Number of folded records after which a checkpoint is written early.
 const RECORDS_PER_CHECKPOINT: u64 = 64;
 
+/// Number of checkpoints read at one look; one that can't be used is replaced.
+const LOOKED_AT: u64 = 1;
+
 /// Number of looks at the checkpoint stream in the time that one is good for.
 const LOOKS_PER_CHECKPOINT: u32 = 5;
 
@@ -48,7 +51,7 @@
     cx: &ControlContext<L, P>,
     seen: &mut Seen,
 ) -> Result<(), LogError> {
-    let newest = newest_checkpoint(cx).await?;
+    let newest = newest_checkpoint(cx, LOOKED_AT).await?;
     if let Some(newest) = &newest {
         compare(cx, &newest.checkpoint);
         note(seen, newest.offset, cx.state.now());
--- a/crates/node/src/control/reader.rs
+++ b/crates/node/src/control/reader.rs
@@ -150,7 +150,7 @@
     cx: &ControlContext<L, P>,
     earliest: Offset,
 ) -> Progress {
-    match newest_checkpoint(cx).await {
+    match newest_checkpoint(cx, CHECKPOINT_TAIL).await {
         Ok(Some(found)) if found.checkpoint.image.position.0 >= earliest.0 => {
             take_checkpoint(cx, found.checkpoint)
         }
@@ -190,10 +190,13 @@
 }
 
 /// Returns the newest checkpoint that can be parsed.
+///
+/// `tail` is the number of checkpoints that are read back for it.
 pub(super) async fn newest_checkpoint<L: LogService, P>(
     cx: &ControlContext<L, P>,
+    tail: u64,
 ) -> Result<Option<FoundCheckpoint>, LogError> {
-    let records = read_tail(cx, CHECKPOINT_STREAM, CHECKPOINT_TAIL).await?;
+    let records = read_tail(cx, CHECKPOINT_STREAM, tail).await?;
     let parse = |record: &LogRecord| match Checkpoint::parse(&record.body) {
         Ok(checkpoint) => Some(FoundCheckpoint { offset: record.offset, checkpoint }),
         Err(e) => {
@@ -207,7 +210,7 @@
         .max_by_key(|found| (found.checkpoint.image.position, found.offset)))
 }
 
-/// Number of checkpoints that are read back for one that can be used.
+/// Number of checkpoints that are read back for one that can be used to start from.
 const CHECKPOINT_TAIL: u64 = 8;
 
 /// Reads the last records of a stream.
