Claim in the demo that only named versions get calls

Cause: calls reached versions that no configuration named, and nothing looked. Change: the demo counts them and fails when there is one.

--- a/crates/core/demo/mod.rs
+++ b/crates/core/demo/mod.rs
@@ -71,6 +71,7 @@
     let mut demo = Demo::start(&dir)?;
     let load = demo.start_load()?;
     thread::sleep(BEFORE_MOVES);
+    demo.tell_before_moves(&load);
     demo.move_to_good(&load)?;
     demo.move_to_bad(&load)?;
     thread::sleep(AFTER_MOVES);
@@ -157,6 +158,20 @@
         Ok(Load::start(plan)?)
     }
 
+    /// Tells whether only the versions that the configuration names got calls.
+    fn tell_before_moves(&mut self, load: &Load) {
+        let observations = load.observations();
+        for (service, path) in [(GATE, "/gate"), (HISTORY, "/history")] {
+            let seconds = shares::by_second(&observations, path, NEW, Duration::ZERO);
+            let early: usize = seconds.values().map(|second| second.version).sum();
+            let text = format!("{early} calls reached {service} {NEW} before it was asked for");
+            if early > 0 {
+                self.account.shares(&format!("{service} {NEW}"), &seconds);
+            }
+            self.account.claim(early == 0, text);
+        }
+    }
+
     fn move_to_good(&mut self, load: &Load) -> anyhow::Result<()> {
         let since = load.since_start();
         let within = Some(GOOD_MOVE_WITHIN);
