--- a/crates/policy/tests/moves_book.rs
+++ b/crates/policy/tests/moves_book.rs
@@ -276,7 +276,7 @@
     let table = table(1, &first, &[node("a", "v1"), node("b", "v2"), node("c", "v2")]);
     let mut book = MoveBook::default();
     book.follow(ConfigVersion(1), &first);
-    let split = book.split(&table, &gate()).unwrap();
+    let split = book.split(&table.services[&gate()], &gate()).unwrap();
     assert_eq!(split.new_version().as_str(), "v1");
     assert_eq!((split.old_version(), split.share()), (None, Permille::FULL));
 }
