Drop two settings that did nothing and keep a third one's word

Cause: limits.queue_length and limits.queue_wait_ms were read and checked, and the queue's bounds never came from them; limits.body_bytes bounded nothing. Change: the two are gone, as the queue is bounded by slots and deadlines (design note 0006); a body is bounded by the route's limit and the node's own, with a test. Conclusion: a settings file that names them is refused with the field's name.

--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -64,6 +64,7 @@
     let left = number_header::<u64>(req.headers(), DEADLINE_HEADER).map(Duration::from_millis);
     let timeout = time_left(route.timeout, left);
     let limit = usize::try_from(route.body_limit).unwrap_or(usize::MAX);
+    let limit = limit.min(worker.state.settings.limits.body_bytes);
     let body = read_body(payload, limit, timeout).await.map_err(|e| body_failure(&e, limit))?;
     let versions = choose_versions(worker, &table, &route, req);
     let journey = Journey {
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -13,7 +13,6 @@
 const HEADER_BYTES: RangeInclusive<usize> = 1_024..=1 << 20;
 const BODY_BYTES: RangeInclusive<usize> = 1_024..=64 << 20;
 const CALLER_CONNECTIONS: RangeInclusive<usize> = 1..=100_000;
-const QUEUE_LENGTH: RangeInclusive<usize> = 0..=100_000;
 const KEPT_ANSWERS: RangeInclusive<usize> = 1..=10_000_000;
 const KEPT_BYTES: RangeInclusive<usize> = 1_024..=1 << 30;
 const SHORT_MILLIS: RangeInclusive<u128> = 10..=60_000;
@@ -199,10 +198,8 @@
     checker.number("limits.header_bytes", raw.header_bytes, &HEADER_BYTES);
     checker.number("limits.body_bytes", raw.body_bytes, &BODY_BYTES);
     checker.number("limits.caller_connections", raw.caller_connections, &CALLER_CONNECTIONS);
-    checker.number("limits.queue_length", raw.queue_length, &QUEUE_LENGTH);
     checker.number("limits.kept_answers", raw.kept_answers, &KEPT_ANSWERS);
     checker.number("limits.kept_bytes", raw.kept_bytes, &KEPT_BYTES);
-    checker.millis("limits.queue_wait_ms", raw.queue_wait, &LONG_MILLIS);
     checker.millis("limits.heartbeat_ms", raw.heartbeat, &SHORT_MILLIS);
     checker.millis("limits.silence_ms", raw.silence, &SHORT_MILLIS);
     checker.millis("limits.connect_ms", raw.connect, &SHORT_MILLIS);
@@ -224,8 +221,6 @@
         header_bytes: raw.header_bytes,
         body_bytes: raw.body_bytes,
         caller_connections: raw.caller_connections,
-        queue_length: raw.queue_length,
-        queue_wait: raw.queue_wait,
         heartbeat: raw.heartbeat,
         silence: raw.silence,
         connect: raw.connect,
--- a/crates/node/src/settings/checked.rs
+++ b/crates/node/src/settings/checked.rs
@@ -83,14 +83,10 @@
 pub struct Limits {
     /// Largest total size of a request's headers, in bytes.
     pub header_bytes: usize,
-    /// Largest body of a request or an answer, in bytes, whatever a route allows.
+    /// Largest body of a request, in bytes, whatever a route allows.
     pub body_bytes: usize,
     /// Connections that callers may hold open.
     pub caller_connections: usize,
-    /// Requests that may wait for the backend server.
-    pub queue_length: usize,
-    /// Longest time that a request waits for the backend server.
-    pub queue_wait: Duration,
     /// Time between heartbeats on a link to another node.
     pub heartbeat: Duration,
     /// Time without any byte after which a link counts as dead.
--- a/crates/node/src/settings/raw.rs
+++ b/crates/node/src/settings/raw.rs
@@ -146,16 +146,10 @@
 pub struct RawLimits {
     /// Largest total size of a request's headers, in bytes.
     pub header_bytes: usize,
-    /// Largest body of a request or an answer, in bytes, whatever a route allows.
+    /// Largest body of a request, in bytes, whatever a route allows.
     pub body_bytes: usize,
     /// Connections that callers may hold open.
     pub caller_connections: usize,
-    /// Requests that may wait for the backend server.
-    pub queue_length: usize,
-    /// Longest time that a request waits for the backend server.
-    #[serde(rename = "queue_wait_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub queue_wait: Duration,
     /// Time between heartbeats on a link to another node.
     #[serde(rename = "heartbeat_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -196,8 +190,6 @@
             header_bytes: 32 << 10,
             body_bytes: 16 << 20,
             caller_connections: 1_024,
-            queue_length: 128,
-            queue_wait: Duration::from_millis(250),
             heartbeat: Duration::from_millis(250),
             silence: Duration::from_millis(1_000),
             connect: Duration::from_millis(500),
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -51,14 +51,14 @@
     set(&mut document, "/operators", json!({"token_file": "/etc/keel/token"}));
     set(&mut document, "/journal_file", json!("journal"));
     set(&mut document, "/workers", json!(3));
-    set(&mut document, "/limits", json!({"heartbeat_ms": 100, "queue_length": 0}));
+    set(&mut document, "/limits", json!({"heartbeat_ms": 100, "kept_answers": 7}));
     let settings = parse(&document).unwrap();
     assert_eq!(settings.advertise_peers.unwrap().port(), 7003);
     assert_eq!(settings.metrics.unwrap().prefix.as_ref(), "shop.keel");
     assert_eq!(settings.token_file.unwrap(), Path::new("/etc/keel/token"));
     assert_eq!(settings.workers, 3);
     assert_eq!(settings.limits.heartbeat.as_millis(), 100);
-    assert_eq!(settings.limits.queue_length, 0);
+    assert_eq!(settings.limits.kept_answers, 7);
 }
 
 #[parameterized(
--- a/tests/feature/http_semantics.rs
+++ b/tests/feature/http_semantics.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use savorykeel_node::settings::RawSettings;
 use savorykeel_standins::caller::Request;
 use yare::parameterized;
 
@@ -137,3 +138,16 @@
     let second = answer.find("\"tag\":\"second\"").expect("the second answer");
     assert!(first < second, "{answer}");
 }
+
+#[test]
+fn a_node_takes_no_larger_body_than_its_own_limit() {
+    let deployment = Deployment::small();
+    let adjust_node = Box::new(|settings: &mut RawSettings| settings.limits.body_bytes = 1_024);
+    let fleet = Fleet::start(&deployment, Options { adjust_node, ..Options::default() });
+    fleet.publish(0, &deployment.configuration());
+    fleet.wait_version(1);
+    fleet.wait_answered("/gate");
+    let body = "a".repeat(1_025);
+    let reply = fleet.client.call(fleet.members[0].callers(), Request::post("/gate/change", body));
+    assert_eq!(reply.unwrap().code(), Some(107));
+}
