--- a/crates/bench/src/latency/mesh.rs
+++ b/crates/bench/src/latency/mesh.rs
@@ -33,6 +33,7 @@
     entry: Process<NodeReady>,
     serving: Process<NodeReady>,
     backend: Process<StandinReady>,
+    relays: [Process<StandinReady>; 2],
     _log: Process<StandinReady>,
     _dir: TempDir,
 }
@@ -45,7 +46,9 @@
         let entry = start_node(dir.path(), "entry", log.ready.address)?;
         let serving = start_node(dir.path(), "serving", log.ready.address)?;
         let backend = start_backend(dir.path(), serving.ready.backend)?;
-        let mesh = Self { entry, serving, backend, _log: log, _dir: dir };
+        let second = start_relay(backend.ready.address)?;
+        let first = start_relay(second.ready.address)?;
+        let mesh = Self { entry, serving, backend, relays: [first, second], _log: log, _dir: dir };
         mesh.wait_ready()?;
         Ok(mesh)
     }
@@ -55,6 +58,12 @@
         self.entry.ready.callers
     }
 
+    /// Returns the address of the first of two relays, processes that only
+    /// forward bytes: what they add is the machine's cost of two more hops.
+    pub fn relays(&self) -> SocketAddr {
+        self.relays[0].ready.address
+    }
+
     /// Returns the processor time that both nodes used so far.
     pub fn node_time(&self) -> anyhow::Result<Duration> {
         Ok(self.entry.cpu_time()? + self.serving.cpu_time()?)
@@ -81,6 +90,10 @@
     }
 }
 
+fn start_relay(target: SocketAddr) -> anyhow::Result<Process<StandinReady>> {
+    Process::start(["standin", "proxy", "--target", &target.to_string()])
+}
+
 fn start_node(dir: &Path, instance: &str, log: SocketAddr) -> anyhow::Result<Process<NodeReady>> {
     let any_port = "127.0.0.1:0";
     let settings = json!({
--- a/crates/bench/src/latency/mod.rs
+++ b/crates/bench/src/latency/mod.rs
@@ -1,8 +1,8 @@
 //! Latency that two nodes add to a call.
 //!
-//! Calls go straight to a backend server and through two nodes to the same one,
-//! in alternating rounds of one run, so that both see the same machine. Every
-//! process is a real one on loopback.
+//! Calls go straight to a backend server, through two processes that only forward
+//! bytes, and through two nodes, in alternating rounds of one run, so that all
+//! see the same machine. Every process is a real one on loopback.
 
 mod load;
 mod mesh;
@@ -54,6 +54,7 @@
     let mut comparison = Comparison::new(pattern)?;
     for _ in 0..args.rounds {
         comparison.direct.add(&load::run(mesh.backend(), pattern, span, args.body_bytes)?)?;
+        comparison.relayed.add(&load::run(mesh.relays(), pattern, span, args.body_bytes)?)?;
         let node_time = mesh.node_time()?;
         comparison.meshed.add(&load::run(mesh.entry(), pattern, span, args.body_bytes)?)?;
         comparison.node_time += mesh.node_time()? - node_time;
--- a/crates/bench/src/latency/report.rs
+++ b/crates/bench/src/latency/report.rs
@@ -56,6 +56,8 @@
     pattern: Pattern,
     /// Straight to the backend server.
     pub direct: Side,
+    /// Through two processes that only forward bytes.
+    pub relayed: Side,
     /// Through two nodes.
     pub meshed: Side,
     /// Processor time of both nodes.
@@ -70,7 +72,13 @@
 
     /// A comparison without rounds.
     pub fn new(pattern: Pattern) -> anyhow::Result<Self> {
-        Ok(Self { pattern, direct: Side::new()?, meshed: Side::new()?, node_time: Duration::ZERO })
+        Ok(Self {
+            pattern,
+            direct: Side::new()?,
+            relayed: Side::new()?,
+            meshed: Side::new()?,
+            node_time: Duration::ZERO,
+        })
     }
 }
 
@@ -88,7 +96,12 @@
 impl fmt::Display for Comparison {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let name = self.pattern.to_string();
-        for (way, side) in [("direct", &self.direct), ("2 nodes", &self.meshed)] {
+        let sides =
+            [("direct", &self.direct), ("relays", &self.relayed), ("2 nodes", &self.meshed)];
+        for (way, side) in sides {
+            if way != "direct" {
+                writeln!(f)?;
+            }
             write!(
                 f,
                 "{name:<14} {way:<7} {:>6} {:>8.0} {:>7} {:>7.0} {:>7.0} {:>9.0}",
@@ -99,12 +112,11 @@
                 side.micros(0.99),
                 side.micros(0.999),
             )?;
-            if way == "direct" {
-                writeln!(f)?;
+            if way != "direct" {
+                let added = |quantile| side.micros(quantile) - self.direct.micros(quantile);
+                write!(f, "  {:>9.0}  {:>9.0}", added(0.5), added(0.99))?;
             }
         }
-        let added = |quantile| self.meshed.micros(quantile) - self.direct.micros(quantile);
-        write!(f, "  {:>9.0}  {:>9.0}", added(0.5), added(0.99))?;
         let node_micros = self.node_time.as_secs_f64() * 1e6 / self.meshed.nanos.len() as f64;
         write!(f, "  {:>9.0}  {:>11.0}", self.quietest_added_p99(), node_micros)
     }
