Collect refusals in one place for settings and configuration

Change: policy::refusal has the collector; the checks have a module of their own. Conclusion: behaviour is as before.

--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -4,12 +4,13 @@
 
 use savorykeel_policy::{
     code::Code,
-    config::{fold, model::Refusal, raw::RawConfiguration},
+    config::{fold, raw::RawConfiguration},
     ids::{
         BackendVersion, ConfigVersion, InstanceName, PublishId, RegionName, ServiceName, ZoneName,
     },
     membership::entry::Liveness,
     moves::status::MoveReport,
+    refusal::Refusal,
 };
 use serde::{Deserialize, Serialize};
 
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt::Display, net::SocketAddr, ops::RangeInclusive, sync::Arc, time::Duration};
 
-use savorykeel_policy::{config::model::Refusal, ids::InvalidName};
+use savorykeel_policy::refusal::Checker;
 
 use super::{
     Limits, Listen, MetricsSettings, RawLimits, RawListen, RawMetrics, RawSettings, RawTesting,
@@ -19,61 +19,47 @@
 const PERIOD_MILLIS: RangeInclusive<u128> = 100..=3_600_000;
 const LONG_MILLIS: RangeInclusive<u128> = 0..=3_600_000;
 
-/// Collects refusals, so that an operator reads all of them at once.
-#[derive(Default)]
-struct Checker {
-    refusals: Vec<Refusal>,
-}
-
-impl Checker {
-    fn refuse(&mut self, path: &str, problem: impl Into<String>) {
-        self.refusals.push(Refusal { path: path.into(), problem: problem.into() });
-    }
-
-    fn name<T>(&mut self, path: &str, raw: &str) -> Option<T>
-    where
-        T: for<'a> TryFrom<&'a str, Error = InvalidName>,
-    {
-        T::try_from(raw).map_err(|e| self.refuse(path, e.to_string())).ok()
-    }
-
-    fn addr(&mut self, path: &str, raw: &str) -> Option<SocketAddr> {
-        let addr = raw.parse().ok();
-        if addr.is_none() {
-            self.refuse(
-                path,
-                format!(
-                    "{raw:?} is not an address: use IP number and port, for instance 127.0.0.1:7001"
-                ),
-            );
-        }
-        addr
+fn addr(checker: &mut Checker, path: &str, raw: &str) -> Option<SocketAddr> {
+    let addr = raw.parse().ok();
+    if addr.is_none() {
+        checker.refuse(
+            path,
+            format!(
+                "{raw:?} is not an address: use IP number and port, for instance 127.0.0.1:7001"
+            ),
+        );
     }
+    addr
+}
 
-    /// Checks an address that others are to reach, which needs a real IP
-    /// number and port.
-    fn remote_addr(&mut self, path: &str, raw: &str) -> Option<SocketAddr> {
-        let addr = self.addr(path, raw)?;
-        if addr.ip().is_unspecified() || addr.port() == 0 {
-            self.refuse(
-                path,
-                format!("{raw:?} can't be reached: use an IP number other than 0.0.0.0 or [::] and a port other than 0"),
-            );
-            return None;
-        }
-        Some(addr)
+/// Checks an address that others are to reach, which needs a real IP
+/// number and port.
+fn remote_addr(checker: &mut Checker, path: &str, raw: &str) -> Option<SocketAddr> {
+    let addr = addr(checker, path, raw)?;
+    if addr.ip().is_unspecified() || addr.port() == 0 {
+        checker.refuse(
+            path,
+            format!("{raw:?} can't be reached: use an IP number other than 0.0.0.0 or [::] and a port other than 0"),
+        );
+        return None;
     }
+    Some(addr)
+}
 
-    fn number<T: PartialOrd + Display>(&mut self, path: &str, found: T, range: &RangeInclusive<T>) {
-        if !range.contains(&found) {
-            let (least, most) = (range.start(), range.end());
-            self.refuse(path, format!("{found} is out of range: use {least} to {most}"));
-        }
+fn number<T: PartialOrd + Display>(
+    checker: &mut Checker,
+    path: &str,
+    found: T,
+    range: &RangeInclusive<T>,
+) {
+    if !range.contains(&found) {
+        let (least, most) = (range.start(), range.end());
+        checker.refuse(path, format!("{found} is out of range: use {least} to {most}"));
     }
+}
 
-    fn millis(&mut self, path: &str, found: Duration, range: &RangeInclusive<u128>) {
-        self.number(path, found.as_millis(), range);
-    }
+fn millis(checker: &mut Checker, path: &str, found: Duration, range: &RangeInclusive<u128>) {
+    number(checker, path, found.as_millis(), range);
 }
 
 impl TryFrom<RawSettings> for Settings {
@@ -95,14 +81,14 @@
     let region = checker.name("region", &raw.region);
     let listen = check_listen(checker, &raw.listen);
     let advertised = raw.advertise.peers.as_deref();
-    let advertise_peers = advertised.and_then(|addr| checker.remote_addr("advertise.peers", addr));
+    let advertise_peers = advertised.and_then(|addr| remote_addr(checker, "advertise.peers", addr));
     let log_service = check_log_service(checker, &raw.log_service);
     let metrics = raw.metrics.as_ref().map(|metrics| check_metrics(checker, metrics));
-    checker.number("workers", raw.workers, &WORKERS);
+    number(checker, "workers", raw.workers, &WORKERS);
     let limits = check_limits(checker, &raw.limits);
     let testing = check_testing(checker, raw.testing.as_ref());
-    checker.millis("control.checkpoint_ms", raw.control.checkpoint, &PERIOD_MILLIS);
-    checker.millis("control.presence_ms", raw.control.presence, &PERIOD_MILLIS);
+    millis(checker, "control.checkpoint_ms", raw.control.checkpoint, &PERIOD_MILLIS);
+    millis(checker, "control.presence_ms", raw.control.presence, &PERIOD_MILLIS);
     let listen = listen?;
     if listen.peers.ip().is_unspecified() && advertised.is_none() {
         checker.refuse(
@@ -131,10 +117,10 @@
 }
 
 fn check_listen(checker: &mut Checker, raw: &RawListen) -> Option<Listen> {
-    let callers = checker.addr("listen.callers", &raw.callers);
-    let backend = checker.addr("listen.backend", &raw.backend);
-    let peers = checker.addr("listen.peers", &raw.peers);
-    let operators = checker.addr("listen.operators", &raw.operators);
+    let callers = addr(checker, "listen.callers", &raw.callers);
+    let backend = addr(checker, "listen.backend", &raw.backend);
+    let peers = addr(checker, "listen.peers", &raw.peers);
+    let operators = addr(checker, "listen.operators", &raw.operators);
     let named = [
         ("listen.callers", callers?),
         ("listen.backend", backend?),
@@ -144,7 +130,7 @@
     for (i, (path, addr)) in named.iter().enumerate() {
         let taken = named[..i].iter().find(|(_, other)| other == addr && addr.port() != 0);
         if let Some((other, _)) = taken {
-            checker.refuse(path, format!("{addr} is also {other}: give each its own port"));
+            checker.refuse(*path, format!("{addr} is also {other}: give each its own port"));
         }
     }
     Some(Listen { callers: callers?, backend: backend?, peers: peers?, operators: operators? })
@@ -160,7 +146,7 @@
         );
         return None;
     };
-    checker.remote_addr("log_service", authority)?;
+    remote_addr(checker, "log_service", authority)?;
     Some(base.into())
 }
 
@@ -172,7 +158,7 @@
             format!("{:?} is not a prefix: use letters, digits, '.', '_' and '-'", raw.prefix),
         );
     }
-    let statsd = checker.remote_addr("metrics.statsd", &raw.statsd)?;
+    let statsd = remote_addr(checker, "metrics.statsd", &raw.statsd)?;
     Some(MetricsSettings { statsd, prefix: raw.prefix.as_str().into() })
 }
 
@@ -195,18 +181,18 @@
 }
 
 fn check_limits(checker: &mut Checker, raw: &RawLimits) -> Limits {
-    checker.number("limits.header_bytes", raw.header_bytes, &HEADER_BYTES);
-    checker.number("limits.body_bytes", raw.body_bytes, &BODY_BYTES);
-    checker.number("limits.caller_connections", raw.caller_connections, &CALLER_CONNECTIONS);
-    checker.number("limits.kept_answers", raw.kept_answers, &KEPT_ANSWERS);
-    checker.number("limits.kept_bytes", raw.kept_bytes, &KEPT_BYTES);
-    checker.millis("limits.heartbeat_ms", raw.heartbeat, &SHORT_MILLIS);
-    checker.millis("limits.silence_ms", raw.silence, &SHORT_MILLIS);
-    checker.millis("limits.connect_ms", raw.connect, &SHORT_MILLIS);
-    checker.millis("limits.settle_ms", raw.settle, &SHORT_MILLIS);
-    checker.millis("limits.kept_ms", raw.kept, &LONG_MILLIS);
-    checker.millis("limits.key_kept_ms", raw.key_kept, &LONG_MILLIS);
-    checker.millis("limits.drain_ms", raw.drain, &LONG_MILLIS);
+    number(checker, "limits.header_bytes", raw.header_bytes, &HEADER_BYTES);
+    number(checker, "limits.body_bytes", raw.body_bytes, &BODY_BYTES);
+    number(checker, "limits.caller_connections", raw.caller_connections, &CALLER_CONNECTIONS);
+    number(checker, "limits.kept_answers", raw.kept_answers, &KEPT_ANSWERS);
+    number(checker, "limits.kept_bytes", raw.kept_bytes, &KEPT_BYTES);
+    millis(checker, "limits.heartbeat_ms", raw.heartbeat, &SHORT_MILLIS);
+    millis(checker, "limits.silence_ms", raw.silence, &SHORT_MILLIS);
+    millis(checker, "limits.connect_ms", raw.connect, &SHORT_MILLIS);
+    millis(checker, "limits.settle_ms", raw.settle, &SHORT_MILLIS);
+    millis(checker, "limits.kept_ms", raw.kept, &LONG_MILLIS);
+    millis(checker, "limits.key_kept_ms", raw.key_kept, &LONG_MILLIS);
+    millis(checker, "limits.drain_ms", raw.drain, &LONG_MILLIS);
     if raw.silence < raw.heartbeat * 2 {
         checker.refuse(
             "limits.silence_ms",
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -14,7 +14,7 @@
     RawTesting,
 };
 
-use savorykeel_policy::config::model::Refusal;
+use savorykeel_policy::refusal::Refusal;
 
 /// Every reason for which settings are refused.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -25,7 +25,7 @@
 };
 
 pub use route::Route;
-pub use savorykeel_policy::config::model::{Refusal, Refusals};
+pub use savorykeel_policy::{config::model::Refusals, refusal::Refusal};
 pub use service::Service;
 
 /// The whole desired configuration, while it is being built.
--- /dev/null
+++ b/crates/policy/src/config/check.rs
@@ -0,0 +1,200 @@
+//! The checks between [`RawConfiguration`] and [`Configuration`].
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use crate::{ids::ServiceName, refusal::Checker, time::WallMillis};
+
+use super::{
+    model::{
+        CONFIGURATION_FORMAT, Configuration, Limits, MAX_BODY_BYTES, MAX_CALL_DEPTH,
+        MAX_HOST_BYTES, MAX_METHODS, MAX_PATH_BYTES, MAX_ROUTES, MAX_SERVICES, MAX_TIMEOUT,
+        Objective, Refusals, Route, Service,
+    },
+    raw::{RawConfiguration, RawLimits, RawMatch, RawObjective, RawRoute, RawService},
+    rfc3339::has_rfc3339_shape,
+    shadow::EarlierRoutes,
+};
+
+impl TryFrom<RawConfiguration> for Configuration {
+    type Error = Refusals;
+
+    fn try_from(raw: RawConfiguration) -> Result<Self, Refusals> {
+        let mut checker = Checker::default();
+        checker.require(raw.format == CONFIGURATION_FORMAT, "format", || {
+            format!("{} is not a known format: use {CONFIGURATION_FORMAT}", raw.format)
+        });
+        checker.require(raw.services.len() <= MAX_SERVICES, "services", || {
+            format!("{} services: use at most {MAX_SERVICES}", raw.services.len())
+        });
+        checker.require(raw.routes.len() <= MAX_ROUTES, "routes", || {
+            format!("{} routes: use at most {MAX_ROUTES}", raw.routes.len())
+        });
+        let services = check_services(&mut checker, &raw.services);
+        let routes = check_routes(&mut checker, &raw.routes, &services);
+        let limits = check_limits(&mut checker, &raw.limits);
+        if checker.refusals.is_empty() {
+            Ok(Self { services, routes, limits })
+        } else {
+            Err(Refusals(checker.refusals))
+        }
+    }
+}
+
+fn check_services(
+    checker: &mut Checker,
+    raw: &BTreeMap<String, RawService>,
+) -> BTreeMap<ServiceName, Service> {
+    let mut services = BTreeMap::new();
+    for (raw_name, raw_service) in raw {
+        let path = format!("services.{raw_name}");
+        let name = checker.name(&path, raw_name);
+        let service = check_service(checker, &path, raw_service);
+        if let (Some(name), Some(service)) = (name, service) {
+            services.insert(name, service);
+        }
+    }
+    services
+}
+
+fn check_service(checker: &mut Checker, path: &str, raw: &RawService) -> Option<Service> {
+    let version = checker.name(&format!("{path}.version"), &raw.version);
+    let by = raw.by.as_deref().and_then(|by| check_time(checker, &format!("{path}.by"), by));
+    let objective = check_objective(checker, &format!("{path}.objective"), &raw.objective);
+    Some(Service { version: version?, by, objective })
+}
+
+fn check_time(checker: &mut Checker, path: &str, raw: &str) -> Option<WallMillis> {
+    let time = raw.parse::<jiff::Timestamp>().ok().filter(|_| has_rfc3339_shape(raw));
+    let millis = time.map(|at| at.as_millisecond());
+    match millis.and_then(|at| u64::try_from(at).ok()) {
+        Some(at) => Some(WallMillis(at)),
+        None => {
+            checker.refuse(
+                path,
+                format!("{raw:?} is not a time: use RFC 3339, for instance 2026-12-04T18:00:00Z"),
+            );
+            None
+        }
+    }
+}
+
+fn check_objective(checker: &mut Checker, path: &str, raw: &RawObjective) -> Objective {
+    checker.share(&format!("{path}.success"), raw.success);
+    checker.share(&format!("{path}.fast"), raw.fast);
+    let latency = Duration::from_millis(raw.latency_ms);
+    let latency_path = format!("{path}.latency_ms");
+    checker.require(!latency.is_zero() && latency <= MAX_TIMEOUT, &latency_path, || {
+        format!("{} ms: use 1 to {}", raw.latency_ms, MAX_TIMEOUT.as_millis())
+    });
+    Objective { success: raw.success, latency, fast: raw.fast }
+}
+
+fn check_routes(
+    checker: &mut Checker,
+    raw: &[RawRoute],
+    services: &BTreeMap<ServiceName, Service>,
+) -> Vec<Arc<Route>> {
+    let mut routes: Vec<Arc<Route>> = Vec::with_capacity(raw.len());
+    let mut names = std::collections::BTreeSet::new();
+    let mut earlier = EarlierRoutes::default();
+    for (i, raw_route) in raw.iter().enumerate() {
+        let path = format!("routes[{i}]");
+        let Some(route) = check_route(checker, &path, raw_route, services) else { continue };
+        checker.require(names.insert(route.name.clone()), &format!("{path}.name"), || {
+            format!("{:?} names two routes: give each its own name", raw_route.name)
+        });
+        checker.require(!earlier.hide(&route), &format!("{path}.match"), || {
+            format!("no request reaches route {:?}: routes before it take them all", raw_route.name)
+        });
+        earlier.add(&route);
+        routes.push(Arc::new(route));
+    }
+    routes
+}
+
+fn check_route(
+    checker: &mut Checker,
+    path: &str,
+    raw: &RawRoute,
+    services: &BTreeMap<ServiceName, Service>,
+) -> Option<Route> {
+    let name = checker.name(&format!("{path}.name"), &raw.name);
+    let service = checker.name::<ServiceName>(&format!("{path}.service"), &raw.service);
+    if let Some(service) = &service {
+        checker.require(services.contains_key(service), &format!("{path}.service"), || {
+            format!(
+                "route {:?} names the unknown service {:?}: add it under services",
+                raw.name, raw.service
+            )
+        });
+    }
+    check_match(checker, &format!("{path}.match"), &raw.matches);
+    let timeout = Duration::from_millis(raw.timeout_ms);
+    let timeout_path = format!("{path}.timeout_ms");
+    checker.require(!timeout.is_zero() && timeout <= MAX_TIMEOUT, &timeout_path, || {
+        format!("{} ms: use 1 to {}", raw.timeout_ms, MAX_TIMEOUT.as_millis())
+    });
+    let limit_path = format!("{path}.body_limit_bytes");
+    checker.require(raw.body_limit_bytes <= MAX_BODY_BYTES, &limit_path, || {
+        format!("{} bytes: use at most {MAX_BODY_BYTES}", raw.body_limit_bytes)
+    });
+    Some(Route {
+        name: name?,
+        host: raw.matches.host.as_ref().map(|host| host.to_ascii_lowercase().into()),
+        path: raw.matches.path.as_str().into(),
+        methods: raw.matches.methods.iter().map(|m| m.as_str().into()).collect(),
+        service: service?,
+        idempotent: raw.idempotent,
+        urgent: raw.urgent,
+        timeout,
+        body_limit: raw.body_limit_bytes,
+    })
+}
+
+fn check_match(checker: &mut Checker, path: &str, raw: &RawMatch) {
+    let path_path = format!("{path}.path");
+    checker.require(raw.path.starts_with('/'), &path_path, || {
+        format!("{:?} is not a path: start it with '/'", raw.path)
+    });
+    let is_plain = |c: u8| c.is_ascii_graphic() && !matches!(c, b'?' | b'#');
+    checker.require(raw.path.bytes().all(is_plain), &path_path, || {
+        "it holds a character that no path does: leave out spaces, '?' and '#'".into()
+    });
+    checker.require(raw.path.len() <= MAX_PATH_BYTES, &path_path, || {
+        format!("{} bytes: use at most {MAX_PATH_BYTES}", raw.path.len())
+    });
+    if let Some(host) = &raw.host {
+        check_host(checker, &format!("{path}.host"), host);
+    }
+    checker.require(raw.methods.len() <= MAX_METHODS, &format!("{path}.methods"), || {
+        format!("{} methods: use at most {MAX_METHODS}", raw.methods.len())
+    });
+    for (i, method) in raw.methods.iter().enumerate() {
+        let is_method = !method.is_empty() && method.bytes().all(|c| c.is_ascii_uppercase());
+        checker.require(is_method, &format!("{path}.methods[{i}]"), || {
+            format!("{method:?} is not a method: use capital letters, for instance POST")
+        });
+    }
+}
+
+fn check_host(checker: &mut Checker, path: &str, host: &str) {
+    let is_allowed = |c: u8| c.is_ascii_alphanumeric() || matches!(c, b'.' | b'-' | b'_');
+    let is_host = !host.is_empty() && host.len() <= MAX_HOST_BYTES && host.bytes().all(is_allowed);
+    checker.require(is_host, path, || {
+        let shown: String = host.chars().take(MAX_HOST_BYTES).collect();
+        format!("{shown:?} is not a host name: leave out scheme and port")
+    });
+}
+
+fn check_limits(checker: &mut Checker, raw: &RawLimits) -> Limits {
+    checker.share("limits.retry_share", raw.retry_share);
+    checker.share("limits.unproven_share", raw.unproven_share);
+    checker.require((1..=MAX_CALL_DEPTH).contains(&raw.call_depth), "limits.call_depth", || {
+        format!("{}: use 1 to {MAX_CALL_DEPTH}", raw.call_depth)
+    });
+    Limits {
+        retry_share: raw.retry_share,
+        unproven_share: raw.unproven_share,
+        call_depth: raw.call_depth,
+    }
+}
--- a/crates/policy/src/config/fold.rs
+++ b/crates/policy/src/config/fold.rs
@@ -8,10 +8,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{ConfigVersion, PublishId};
+use crate::{
+    ids::{ConfigVersion, PublishId},
+    refusal::Refusal,
+};
 
 use super::{
-    model::{Configuration, Refusal},
+    model::Configuration,
     raw::RawConfiguration,
     record::{PublishRecord, RecordError},
 };
--- a/crates/policy/src/config/mod.rs
+++ b/crates/policy/src/config/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The fields are described for operators in `docs/CONFIGURATION.md`.
 
+mod check;
 pub mod checkpoint;
 pub mod delta;
 pub mod fold;
--- a/crates/policy/src/config/record.rs
+++ b/crates/policy/src/config/record.rs
@@ -8,10 +8,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{ConfigVersion, PublishId};
+use crate::{
+    ids::{ConfigVersion, PublishId},
+    refusal::Refusal,
+};
 
 use super::{
-    model::{CONFIGURATION_FORMAT, Configuration, Refusal, Refusals},
+    model::{CONFIGURATION_FORMAT, Configuration, Refusals},
     raw::RawConfiguration,
 };
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod ids;
 pub mod membership;
 pub mod moves;
+pub mod refusal;
 pub mod table;
 pub mod time;
