--- a/crates/core/commands/status.rs
+++ b/crates/core/commands/status.rs
@@ -19,6 +19,9 @@
 /// Longest time that the API takes to ask the other nodes.
 const GATHERING: Duration = Duration::from_secs(20);
 
+/// Time after which a version without moves has none.
+const MOVES_KNOWN_AFTER: Duration = Duration::from_secs(2);
+
 /// Time between two looks at a move that is waited for.
 const MOVE_POLL: Duration = Duration::from_millis(500);
 
@@ -68,8 +71,11 @@
         let status: StatusReport = api.get(STATUS_PATH, GATHERING).await?;
         let asked = |report: &&MoveReport| report.asked == version;
         let moves: Vec<&MoveReport> = status.moves.iter().filter(asked).collect();
-        // The node that answers may not have applied the version yet.
-        let exit = if status.version < version { None } else { moves_exit(version, &moves) };
+        // The node that answers may not have applied the version yet, and it
+        // takes up the moves of a version a moment after it applied it.
+        let is_known = !moves.is_empty() || started.elapsed() >= MOVES_KNOWN_AFTER;
+        let is_conclusive = status.version >= version && is_known;
+        let exit = if is_conclusive { moves_exit(version, &moves) } else { None };
         if let Some(exit) = exit {
             moves.into_iter().for_each(print_move);
             return Ok(exit);
