--- a/crates/adapters/schema/peer.capnp
+++ b/crates/adapters/schema/peer.capnp
@@ -26,7 +26,7 @@
   service @2 :Text;
   route @3 :Text;
   idempotent @4 :Bool;
-  urgent @5 :Bool;
+  priority @5 :UInt32;
   timeLeftMs @6 :UInt32;
   depth @7 :UInt32;
   caller @8 :Text;
--- a/crates/adapters/src/backend.rs
+++ b/crates/adapters/src/backend.rs
@@ -4,24 +4,22 @@
 //! pooled connection that closes under a request may have carried it. The
 //! reasons are in `docs/design/0004-settle.md`.
 
-use std::{io, net::SocketAddr, time::Duration};
-
-use ntex::{
-    client::{
-        Client, ClientResponse, Connector,
-        error::{ClientError, ConnectError},
-    },
-    http::{
-        Method,
-        header::{HeaderMap, HeaderName, HeaderValue},
-    },
-    time::Millis,
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
 };
+
+use ntex::http::header::{HeaderMap, HeaderName, HeaderValue};
 use savorykeel_ports::{
     backend::{BackendError, BackendServer},
+    edge::HeaderNames,
     peer::{Header, HttpAnswer, HttpRequest},
 };
 
+use crate::http1::{ConnectOptions, Connection, Exchange, ExchangeError, Outgoing, ResponseHead};
+
 /// Headers that belong to one connection and are never passed on.
 pub const HOP_BY_HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -41,49 +39,201 @@
 /// Largest answer of a backend server, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 16 << 20;
 
+/// Longest time to open a connection to the backend server, which is on the same
+/// instance: a listener that takes longer doesn't accept any more.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time without any byte after which the system probes a connection.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+
+/// Time for which an idle connection is kept when the backend server states none.
+const KEPT_IDLE: Duration = Duration::from_secs(4);
+
+/// Part of the time that the backend server states for which a connection is used
+/// again, so that the request doesn't cross its close.
+const KEPT_IDLE_PART: f64 = 0.7;
+
+/// Status of an answer by a backend server that isn't the expected one.
+const MISDIRECTED: u16 = 421;
+
 /// The backend server beside the node, reached over HTTP.
 #[derive(Clone)]
 pub struct HttpBackend {
     addr: SocketAddr,
-    client: Client,
+    pool: Rc<Pool>,
+    names: HeaderNames,
+}
+
+/// Connections to one backend server.
+struct Pool {
+    limit: usize,
+    open: Cell<usize>,
+    /// Idle connections, the one used last at the end.
+    idle: RefCell<Vec<Idle>>,
+}
+
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// A connection that counts as open while the value lives.
+struct Leased {
+    connection: Option<Connection>,
+    pool: Rc<Pool>,
+}
+
+impl Drop for Leased {
+    fn drop(&mut self) {
+        self.pool.open.set(self.pool.open.get() - 1);
+    }
 }
 
 impl HttpBackend {
     /// Opens at most `connections` connections to the backend server at `addr`.
-    pub async fn new(addr: SocketAddr, connections: usize) -> Result<Self, BackendError> {
-        let connector = Connector::new().limit(connections.max(1));
-        let client = Client::builder()
-            .connector::<Connector>(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .no_default_headers()
-            .response_payload_limit(MAX_ANSWER_BYTES)
-            .build(ntex::SharedCfg::default())
-            .await
-            .map_err(|e| BackendError::NotSent(e.to_string()))?;
-        Ok(Self { addr, client })
+    pub fn new(addr: SocketAddr, connections: usize, names: HeaderNames) -> Self {
+        let pool = Pool { limit: connections.max(1), open: Cell::new(0), idle: RefCell::default() };
+        Self { addr, pool: Rc::new(pool), names }
+    }
+
+    async fn connection(&self) -> Result<Leased, BackendError> {
+        if self.pool.open.get() >= self.pool.limit {
+            return Err(BackendError::NotSent("every connection is in use".into()));
+        }
+        self.pool.open.set(self.pool.open.get() + 1);
+        let mut leased = Leased { connection: None, pool: self.pool.clone() };
+        leased.connection = self.pool.take_idle();
+        if leased.connection.is_none() {
+            let options =
+                ConnectOptions { source: None, timeout: CONNECT_TIMEOUT, probe_after: PROBE_AFTER };
+            let opened = Connection::open(self.addr, &options).await;
+            leased.connection = Some(opened.map_err(|e| BackendError::NotSent(e.to_string()))?);
+        }
+        Ok(leased)
+    }
+
+    async fn exchange(&self, req: &HttpRequest) -> Result<HttpAnswer, BackendError> {
+        let mut leased = self.connection().await?;
+        let Some(mut connection) = leased.connection.take() else {
+            return Err(BackendError::NotSent("no connection".into()));
+        };
+        let head = request_head(req);
+        let outgoing = Outgoing {
+            head: &head,
+            body: &req.body,
+            is_bodiless: req.method == "HEAD",
+            limit: MAX_ANSWER_BYTES,
+        };
+        let id = req.headers.iter().find(|header| header.name == self.names.request_id);
+        let is_ours = |head: &ResponseHead| is_answer_to(head, id);
+        let Exchange { response, is_reusable } =
+            connection.exchange(outgoing, is_ours).await.map_err(failure)?;
+        if is_reusable {
+            let kept = response.head.keeps_idle;
+            let kept = kept.map_or(KEPT_IDLE, |kept| kept.mul_f64(KEPT_IDLE_PART));
+            self.pool.put_idle(connection, kept);
+        }
+        let status = response.head.status;
+        let says_not_run = |name| response.head.header(name).is_some();
+        if self.names.not_run.is_some_and(says_not_run) {
+            return Err(BackendError::NotRun(status));
+        }
+        if status == MISDIRECTED && self.names.expected_server.is_some() {
+            return Err(BackendError::NotRun(status));
+        }
+        Ok(to_answer(response.head, response.body, req))
+    }
+}
+
+impl Pool {
+    fn take_idle(&self) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|idle| idle.until > now);
+        while let Some(idle) = idle.pop() {
+            if idle.connection.is_clean() {
+                return Some(idle.connection);
+            }
+        }
+        None
+    }
+
+    fn put_idle(&self, connection: Connection, kept: Duration) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < self.limit {
+            idle.push(Idle { connection, until: Instant::now() + kept });
+        }
     }
 }
 
 impl BackendServer for HttpBackend {
     async fn run(&self, req: &HttpRequest, timeout: Duration) -> Result<HttpAnswer, BackendError> {
-        let method = Method::from_bytes(req.method.as_bytes())
-            .map_err(|e| BackendError::NotSent(e.to_string()))?;
-        let url = format!("http://{}{}", self.addr, req.target);
-        let timeout = Millis(u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX).max(1));
-        let mut out = self.client.request(method, url).no_decompress().timeout(timeout);
-        copy_headers(&req.headers, out.headers_mut());
-        let exchange = async {
-            let response = out.send_body(req.body.clone()).await.map_err(classify)?;
-            read_answer(response, req.method == "HEAD", timeout).await
-        };
-        match ntex::time::timeout(timeout, exchange).await {
+        match tokio::time::timeout(timeout, self.exchange(req)).await {
             Ok(result) => result,
-            Err(()) => Err(BackendError::TimedOut),
+            Err(_) => Err(BackendError::TimedOut),
         }
     }
 }
 
+/// Tells whether a response repeats the request's id, where it names one.
+///
+/// A response that was left over from an earlier exchange on the connection names
+/// that exchange's id.
+fn is_answer_to(head: &ResponseHead, id: Option<&Header>) -> bool {
+    let Some(id) = id else { return true };
+    head.header(&id.name).is_none_or(|echo| echo == id.value)
+}
+
+fn failure(e: ExchangeError) -> BackendError {
+    match e {
+        ExchangeError::Lost(problem) => BackendError::Lost(problem),
+        ExchangeError::Malformed(problem) => BackendError::BadAnswer(problem),
+    }
+}
+
+fn request_head(req: &HttpRequest) -> Vec<u8> {
+    let mut head = Vec::with_capacity(256);
+    head.extend_from_slice(format!("{} {} HTTP/1.1\r\n", req.method, req.target).as_bytes());
+    for header in &req.headers {
+        head.extend_from_slice(header.name.as_bytes());
+        head.extend_from_slice(b": ");
+        head.extend_from_slice(&header.value);
+        head.extend_from_slice(b"\r\n");
+    }
+    let has_body = !req.body.is_empty() || matches!(req.method.as_str(), "POST" | "PUT" | "PATCH");
+    if has_body {
+        head.extend_from_slice(format!("{LENGTH_HEADER}: {}\r\n", req.body.len()).as_bytes());
+    }
+    head.extend_from_slice(b"\r\n");
+    head
+}
+
+fn to_answer(head: ResponseHead, body: Vec<u8>, req: &HttpRequest) -> HttpAnswer {
+    let is_head = req.method == "HEAD";
+    let named: Vec<String> = connection_options(&head.headers);
+    let is_kept = |header: &Header| {
+        let name = header.name.as_str();
+        (name == LENGTH_HEADER && is_head) || is_end_to_end(name, &named)
+    };
+    let status = head.status;
+    HttpAnswer { status, headers: head.headers.into_iter().filter(is_kept).collect(), body }
+}
+
+/// Returns the headers that `Connection` names, which end with the connection.
+fn connection_options(headers: &[Header]) -> Vec<String> {
+    let values = headers.iter().filter(|header| header.name == "connection");
+    let texts = values.filter_map(|header| std::str::from_utf8(&header.value).ok());
+    let options = texts.flat_map(|text| text.split(','));
+    options.map(|name| name.trim().to_ascii_lowercase()).collect()
+}
+
+fn is_end_to_end(name: &str, named: &[String]) -> bool {
+    !HOP_BY_HOP_HEADERS.contains(&name)
+        && name != LENGTH_HEADER
+        && name != "expect"
+        && !named.iter().any(|other| other == name)
+}
+
 /// Copies the headers that may be passed on.
 pub fn copy_headers(from: &[Header], to: &mut HeaderMap) {
     for header in from {
@@ -101,79 +251,12 @@
 /// length is left out too, because every message is passed on whole and framed
 /// anew, and so is `Expect`, which the node itself answered.
 pub fn end_to_end_headers(headers: &HeaderMap) -> Vec<Header> {
-    let named: Vec<String> = headers
-        .get_all("connection")
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
+    let to_header = |(name, value): (&HeaderName, &HeaderValue)| Header {
+        name: name.as_str().to_owned(),
+        value: value.as_bytes().to_vec(),
+    };
+    let mut headers: Vec<Header> = headers.iter().map(to_header).collect();
+    let named = connection_options(&headers);
+    headers.retain(|header| is_end_to_end(&header.name, &named));
     headers
-        .iter()
-        .filter(|(name, _)| {
-            let name = name.as_str();
-            !HOP_BY_HOP_HEADERS.contains(&name)
-                && name != LENGTH_HEADER
-                && name != "expect"
-                && !named.iter().any(|other| other == name)
-        })
-        .map(|(name, value)| Header {
-            name: name.as_str().to_owned(),
-            value: value.as_bytes().to_vec(),
-        })
-        .collect()
-}
-
-async fn read_answer(
-    response: ClientResponse,
-    is_head: bool,
-    timeout: Millis,
-) -> Result<HttpAnswer, BackendError> {
-    let status = response.status().as_u16();
-    if response.status().is_informational() {
-        // The client takes the first response for the last one, so what follows
-        // an interim response is lost.
-        return Err(BackendError::BadAnswer(format!("interim response {status}")));
-    }
-    let mut headers = end_to_end_headers(response.headers());
-    if is_head {
-        headers.extend(length_header(response.headers()));
-    }
-    let body = response
-        .body()
-        .limit(MAX_ANSWER_BYTES)
-        .timeout(timeout)
-        .await
-        .map_err(|e| BackendError::BadAnswer(e.to_string()))?;
-    Ok(HttpAnswer { status, headers, body: body.to_vec() })
-}
-
-/// Returns the length that an answer to HEAD states without having a body.
-fn length_header(headers: &HeaderMap) -> Option<Header> {
-    let value = headers.get(LENGTH_HEADER)?.as_bytes().to_vec();
-    Some(Header { name: LENGTH_HEADER.to_owned(), value })
-}
-
-fn classify(error: ClientError) -> BackendError {
-    let problem = error.to_string();
-    match error {
-        ClientError::Url(_) | ClientError::Http(_) => BackendError::NotSent(problem),
-        ClientError::Connect(connect) if is_before_sending(&connect) => {
-            BackendError::NotSent(problem)
-        }
-        ClientError::Response(_) => BackendError::BadAnswer(problem),
-        ClientError::Timeout => BackendError::TimedOut,
-        _ => BackendError::Lost(problem),
-    }
-}
-
-/// Tells whether a connection failed before it could carry a request.
-///
-/// The client reports a connection that ended while the answer was awaited with
-/// the same variant, but without an I/O error.
-fn is_before_sending(error: &ConnectError) -> bool {
-    match error {
-        ConnectError::Disconnected(Some(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
-        ConnectError::Disconnected(None) => false,
-        _ => true,
-    }
 }
--- /dev/null
+++ b/crates/adapters/src/http1/connection.rs
@@ -0,0 +1,306 @@
+//! One connection and the exchanges on it.
+
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    pin::pin,
+    time::Duration,
+};
+
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpSocket, TcpStream},
+    time::timeout,
+};
+
+use super::{
+    framing::{Chunks, Framing},
+    head::{self, MalformedHead, ResponseHead},
+};
+
+/// Room that is made in the buffer for each read.
+const READ_BYTES: usize = 8 << 10;
+
+/// Largest number of responses to other requests that are read past.
+const MAX_STRAY_RESPONSES: usize = 4;
+
+/// How connections are opened.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectOptions {
+    /// Address that connections are made from; any when none.
+    pub source: Option<IpAddr>,
+    /// Longest time that opening may take.
+    pub timeout: Duration,
+    /// Time without any byte after which the system probes the other end, and
+    /// then the time between two probes. The third unanswered probe ends the
+    /// connection, so that one that went silent is noticed.
+    pub probe_after: Duration,
+}
+
+/// Unanswered probes that end a connection.
+const LOST_PROBES: u32 = 3;
+
+/// A request as bytes.
+#[derive(Debug, Clone, Copy)]
+pub struct Outgoing<'a> {
+    /// Request line and headers with the empty line after them.
+    pub head: &'a [u8],
+    /// Whole body.
+    pub body: &'a [u8],
+    /// Whether the response has no body, whatever its headers say.
+    pub is_bodiless: bool,
+    /// Largest body of a response in bytes.
+    pub limit: usize,
+}
+
+/// A whole response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Incoming {
+    /// Head of the response.
+    pub head: ResponseHead,
+    /// Whole body.
+    pub body: Vec<u8>,
+}
+
+/// What an exchange gave.
+#[derive(Debug)]
+pub struct Exchange {
+    /// The response.
+    pub response: Incoming,
+    /// Whether the connection can carry another exchange: the request was sent
+    /// whole, nothing else came, and the server keeps the connection.
+    pub is_reusable: bool,
+}
+
+/// Why an exchange gave no response.
+#[derive(Debug, thiserror::Error)]
+pub enum ExchangeError {
+    /// The connection ended before a whole response came.
+    #[error("the connection ended: {0}")]
+    Lost(String),
+    /// The response breaks the protocol or is too large.
+    #[error("{0}")]
+    Malformed(String),
+}
+
+impl From<MalformedHead> for ExchangeError {
+    fn from(e: MalformedHead) -> Self {
+        Self::Malformed(e.to_string())
+    }
+}
+
+/// An open connection.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    buf: Vec<u8>,
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub async fn open(addr: SocketAddr, options: &ConnectOptions) -> io::Result<Self> {
+        let stream = timeout(options.timeout, connect(addr, options.source))
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        set_probes(&stream, options.probe_after)?;
+        Ok(Self { stream, buf: Vec::new() })
+    }
+
+    /// Tells whether nothing came since the last exchange and the other end has
+    /// not closed.
+    pub fn is_clean(&self) -> bool {
+        let mut byte = [0; 1];
+        let read = self.stream.try_read(&mut byte);
+        self.buf.is_empty() && read.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request and reads the response for which `is_ours` holds.
+    ///
+    /// The response is read while the request is being sent, because a server may
+    /// answer before it has read the whole body. Dropping the future leaves the
+    /// connection unusable.
+    pub async fn exchange(
+        &mut self,
+        req: Outgoing<'_>,
+        is_ours: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<Exchange, ExchangeError> {
+        let (mut reader, mut writer) = self.stream.split();
+        let sending = pin!(send(&mut writer, req));
+        let mut sending = SendState::Running(sending);
+        let mut source = Source { buf: &mut self.buf, is_ended: false };
+        let mut strays = 0;
+        loop {
+            let head = loop {
+                if let Some(head) = source.head(req.is_bodiless)? {
+                    break head;
+                }
+                source.more(&mut reader, &mut sending).await?;
+            };
+            let mut body = Body::new(head.framing);
+            while !body.take(source.buf, source.is_ended, req.limit)? {
+                source.more(&mut reader, &mut sending).await?;
+            }
+            let is_interim = (100..200).contains(&head.status);
+            if head.status == 101 {
+                return Err(ExchangeError::Malformed("a switch to another protocol".into()));
+            }
+            if is_interim {
+                continue;
+            }
+            if !is_ours(&head) {
+                strays += 1;
+                if strays > MAX_STRAY_RESPONSES {
+                    return Err(ExchangeError::Malformed("responses to other requests".into()));
+                }
+                continue;
+            }
+            let is_reusable = matches!(sending, SendState::Done)
+                && strays == 0
+                && !head.closes
+                && source.buf.is_empty()
+                && !source.is_ended;
+            let response = Incoming { head, body: body.into_bytes() };
+            return Ok(Exchange { response, is_reusable });
+        }
+    }
+}
+
+async fn connect(addr: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if let Some(source) = source.filter(|source| source.is_ipv4() == addr.is_ipv4()) {
+        socket.set_reuseaddr(true)?;
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    socket.connect(addr).await
+}
+
+fn set_probes(stream: &TcpStream, after: Duration) -> io::Result<()> {
+    let keepalive =
+        TcpKeepalive::new().with_time(after).with_interval(after).with_retries(LOST_PROBES);
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
+
+async fn send<W: AsyncWriteExt + Unpin>(writer: &mut W, req: Outgoing<'_>) -> io::Result<()> {
+    if req.body.is_empty() {
+        return writer.write_all(req.head).await;
+    }
+    let whole = [req.head, req.body].concat();
+    writer.write_all(&whole).await
+}
+
+/// How far the sending of a request has come.
+enum SendState<F> {
+    Running(F),
+    Done,
+    /// It failed; a response may still have been received before.
+    Failed,
+}
+
+/// The bytes that came on the connection.
+struct Source<'a> {
+    buf: &'a mut Vec<u8>,
+    is_ended: bool,
+}
+
+impl Source<'_> {
+    fn head(&mut self, is_bodiless: bool) -> Result<Option<ResponseHead>, ExchangeError> {
+        let Some(parsed) = head::parse(self.buf, is_bodiless)? else {
+            if self.is_ended {
+                return Err(ExchangeError::Lost("closed before a whole response".into()));
+            }
+            return Ok(None);
+        };
+        self.buf.drain(..parsed.length);
+        Ok(Some(parsed.head))
+    }
+
+    /// Waits for more bytes, sending what is left of the request meanwhile.
+    async fn more<R, F>(
+        &mut self,
+        reader: &mut R,
+        sending: &mut SendState<F>,
+    ) -> Result<(), ExchangeError>
+    where
+        R: AsyncReadExt + Unpin,
+        F: Future<Output = io::Result<()>> + Unpin,
+    {
+        if self.is_ended {
+            return Err(ExchangeError::Lost("closed within a response".into()));
+        }
+        loop {
+            self.buf.reserve(READ_BYTES);
+            let read = if let SendState::Running(send) = sending {
+                tokio::select! {
+                    sent = send => {
+                        *sending = if sent.is_ok() { SendState::Done } else { SendState::Failed };
+                        continue;
+                    }
+                    read = reader.read_buf(self.buf) => read,
+                }
+            } else {
+                reader.read_buf(self.buf).await
+            };
+            self.is_ended = read.map_err(|e| ExchangeError::Lost(e.to_string()))? == 0;
+            return Ok(());
+        }
+    }
+}
+
+/// A body that is being read.
+enum Body {
+    Counted { body: Vec<u8>, left: usize },
+    Chunked(Chunks),
+    UntilClose(Vec<u8>),
+}
+
+impl Body {
+    fn new(framing: Framing) -> Self {
+        match framing {
+            Framing::Empty => Self::Counted { body: Vec::new(), left: 0 },
+            Framing::Length(left) => Self::Counted { body: Vec::new(), left },
+            Framing::Chunked => Self::Chunked(Chunks::default()),
+            Framing::UntilClose => Self::UntilClose(Vec::new()),
+        }
+    }
+
+    /// Takes what belongs to the body; returns whether it is whole.
+    fn take(
+        &mut self,
+        buf: &mut Vec<u8>,
+        is_ended: bool,
+        limit: usize,
+    ) -> Result<bool, ExchangeError> {
+        match self {
+            Self::Counted { body, left } => {
+                if body.len() + *left > limit {
+                    return Err(too_large(limit));
+                }
+                let taken = (*left).min(buf.len());
+                body.extend(buf.drain(..taken));
+                *left -= taken;
+                Ok(*left == 0)
+            }
+            Self::Chunked(chunks) => chunks.take(buf, limit).map_err(ExchangeError::Malformed),
+            Self::UntilClose(body) => {
+                body.append(buf);
+                if body.len() > limit {
+                    return Err(too_large(limit));
+                }
+                Ok(is_ended)
+            }
+        }
+    }
+
+    fn into_bytes(self) -> Vec<u8> {
+        match self {
+            Self::Counted { body, .. } | Self::UntilClose(body) => body,
+            Self::Chunked(chunks) => chunks.body,
+        }
+    }
+}
+
+fn too_large(limit: usize) -> ExchangeError {
+    ExchangeError::Malformed(format!("more than {limit} bytes"))
+}
--- /dev/null
+++ b/crates/adapters/src/http1/framing.rs
@@ -0,0 +1,151 @@
+//! How the end of a response's body is found.
+
+use savorykeel_ports::peer::Header;
+
+/// Longest line that states the size of a chunk.
+const MAX_CHUNK_LINE: usize = 1_024;
+
+/// Longest trailer section that is read past.
+const MAX_TRAILER_BYTES: usize = 16 << 10;
+
+/// How the end of a body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// There is no body.
+    Empty,
+    /// The body has this many bytes.
+    Length(usize),
+    /// The body comes in chunks, the last of which is empty.
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+impl Framing {
+    /// Finds the framing of a response, or says what is wrong with its headers.
+    pub(super) fn of(status: u16, headers: &[Header], is_bodiless: bool) -> Result<Self, String> {
+        let lengths = headers.iter().filter(|header| header.name == "content-length");
+        let lengths: Vec<usize> = lengths.map(length).collect::<Result<_, _>>()?;
+        if lengths.windows(2).any(|pair| pair[0] != pair[1]) {
+            return Err("two lengths".into());
+        }
+        let coding = headers.iter().find(|header| header.name == "transfer-encoding");
+        let is_chunked = match coding {
+            Some(coding) if coding.value.trim_ascii().eq_ignore_ascii_case(b"chunked") => true,
+            Some(_) => return Err("unknown transfer encoding".into()),
+            None => false,
+        };
+        if is_chunked && !lengths.is_empty() {
+            return Err("a length and chunks".into());
+        }
+        if is_bodiless || matches!(status, 100..=199 | 204 | 304) {
+            return Ok(Self::Empty);
+        }
+        Ok(match (is_chunked, lengths.first()) {
+            (true, _) => Self::Chunked,
+            (false, Some(0)) => Self::Empty,
+            (false, Some(length)) => Self::Length(*length),
+            (false, None) => Self::UntilClose,
+        })
+    }
+}
+
+fn length(header: &Header) -> Result<usize, String> {
+    let digits = header.value.trim_ascii();
+    let text = std::str::from_utf8(digits).unwrap_or_default();
+    let is_number = !digits.is_empty() && digits.iter().all(u8::is_ascii_digit);
+    is_number
+        .then(|| text.parse().ok())
+        .flatten()
+        .ok_or_else(|| "a length that is no number".into())
+}
+
+/// Decodes a body of chunks from a growing buffer.
+#[derive(Debug, Default)]
+pub(super) struct Chunks {
+    /// Body so far.
+    pub(super) body: Vec<u8>,
+    state: ChunkState,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum ChunkState {
+    #[default]
+    Size,
+    Data(usize),
+    DataEnd,
+    Trailer,
+    Done,
+}
+
+impl Chunks {
+    /// Takes what it can from the front of `buf`; returns whether the body is whole.
+    pub(super) fn take(&mut self, buf: &mut Vec<u8>, limit: usize) -> Result<bool, String> {
+        let mut at = 0;
+        while self.state != ChunkState::Done {
+            let Some(taken) = self.step(&buf[at..])? else { break };
+            at += taken;
+            if self.body.len() > limit {
+                return Err(format!("more than {limit} bytes"));
+            }
+        }
+        buf.drain(..at);
+        Ok(self.state == ChunkState::Done)
+    }
+
+    /// Takes one piece; none when more bytes are needed.
+    fn step(&mut self, buf: &[u8]) -> Result<Option<usize>, String> {
+        match self.state {
+            ChunkState::Size => {
+                let Some(line) = line(buf, MAX_CHUNK_LINE)? else { return Ok(None) };
+                let size = chunk_size(line)?;
+                self.state = if size == 0 { ChunkState::Trailer } else { ChunkState::Data(size) };
+                Ok(Some(line.len() + 2))
+            }
+            ChunkState::Data(left) => {
+                let taken = left.min(buf.len());
+                if taken == 0 {
+                    return Ok(None);
+                }
+                self.body.extend_from_slice(&buf[..taken]);
+                let left = left - taken;
+                self.state = if left == 0 { ChunkState::DataEnd } else { ChunkState::Data(left) };
+                Ok(Some(taken))
+            }
+            ChunkState::DataEnd => match buf {
+                [b'\r', b'\n', ..] => {
+                    self.state = ChunkState::Size;
+                    Ok(Some(2))
+                }
+                [] | [b'\r'] => Ok(None),
+                _ => Err("a chunk that is longer than its size".into()),
+            },
+            ChunkState::Trailer => {
+                let Some(line) = line(buf, MAX_TRAILER_BYTES)? else { return Ok(None) };
+                if line.is_empty() {
+                    self.state = ChunkState::Done;
+                }
+                Ok(Some(line.len() + 2))
+            }
+            ChunkState::Done => Ok(None),
+        }
+    }
+}
+
+fn line(buf: &[u8], limit: usize) -> Result<Option<&[u8]>, String> {
+    match buf.windows(2).position(|pair| pair == b"\r\n") {
+        Some(end) => Ok(Some(&buf[..end])),
+        None if buf.len() > limit => Err("a line that doesn't end".into()),
+        None => Ok(None),
+    }
+}
+
+fn chunk_size(line: &[u8]) -> Result<usize, String> {
+    let digits = line.split(|c| *c == b';').next().unwrap_or_default().trim_ascii();
+    let text = std::str::from_utf8(digits).unwrap_or_default();
+    let is_hex = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
+    is_hex
+        .then(|| usize::from_str_radix(text, 16).ok())
+        .flatten()
+        .ok_or_else(|| "a chunk size that is no number".into())
+}
--- /dev/null
+++ b/crates/adapters/src/http1/head.rs
@@ -0,0 +1,97 @@
+//! The head of a response.
+
+use std::time::Duration;
+
+use savorykeel_ports::peer::Header;
+
+use super::framing::Framing;
+
+/// Largest number of headers in a response.
+const MAX_HEADERS: usize = 64;
+
+/// Largest head in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// A head that breaks the protocol.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("the response head breaks HTTP/1.1: {0}")]
+pub struct MalformedHead(String);
+
+/// The head of a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status code.
+    pub status: u16,
+    /// Headers in order, names in lower case.
+    pub headers: Vec<Header>,
+    /// How the end of the body is found.
+    pub framing: Framing,
+    /// Whether the server closes the connection after the response.
+    pub closes: bool,
+    /// Time for which the server says that it keeps an idle connection.
+    pub keeps_idle: Option<Duration>,
+}
+
+/// A parsed head and the number of bytes that it took.
+pub(super) struct ParsedHead {
+    pub(super) head: ResponseHead,
+    pub(super) length: usize,
+}
+
+/// Parses the head at the front of `buf`; none when it isn't whole yet.
+///
+/// `is_bodiless` tells that the request was one whose response has no body.
+pub(super) fn parse(buf: &[u8], is_bodiless: bool) -> Result<Option<ParsedHead>, MalformedHead> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let length = match response.parse(buf) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if buf.len() > MAX_HEAD_BYTES => {
+            return Err(MalformedHead(format!("more than {MAX_HEAD_BYTES} bytes")));
+        }
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(e) => return Err(MalformedHead(e.to_string())),
+    };
+    let status = response.code.unwrap_or_default();
+    let is_http_1_0 = response.version == Some(0);
+    let headers: Vec<Header> = response.headers.iter().map(to_header).collect();
+    let framing = Framing::of(status, &headers, is_bodiless).map_err(MalformedHead)?;
+    let head = ResponseHead {
+        status,
+        framing,
+        closes: closes(&headers, is_http_1_0) || framing == Framing::UntilClose,
+        keeps_idle: keeps_idle(&headers),
+        headers,
+    };
+    Ok(Some(ParsedHead { head, length }))
+}
+
+impl ResponseHead {
+    /// Returns the first value of a header; `name` is in lower case.
+    pub fn header(&self, name: &str) -> Option<&[u8]> {
+        self.headers.iter().find(|header| header.name == name).map(|header| &header.value[..])
+    }
+}
+
+fn to_header(header: &httparse::Header<'_>) -> Header {
+    Header { name: header.name.to_ascii_lowercase(), value: header.value.to_vec() }
+}
+
+fn closes(headers: &[Header], is_http_1_0: bool) -> bool {
+    let mut named = headers.iter().filter(|header| header.name == "connection");
+    let has = |value: &[u8], token: &[u8]| {
+        value.split(|c| *c == b',').any(|part| part.trim_ascii().eq_ignore_ascii_case(token))
+    };
+    if is_http_1_0 {
+        return !named.any(|header| has(&header.value, b"keep-alive"));
+    }
+    named.any(|header| has(&header.value, b"close"))
+}
+
+/// Reads the `timeout` of a `Keep-Alive` header, which is in whole seconds.
+fn keeps_idle(headers: &[Header]) -> Option<Duration> {
+    let header = headers.iter().find(|header| header.name == "keep-alive")?;
+    let value = std::str::from_utf8(&header.value).ok()?;
+    let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
--- a/crates/adapters/src/log.rs
+++ b/crates/adapters/src/log.rs
@@ -9,7 +9,11 @@
     client::{Client, ClientResponse, Connector},
     time::Millis,
 };
-use savorykeel_ports::log::{LogError, LogPage, LogRecord, LogService, Offset};
+use savorykeel_policy::moves::status::MoveStatus;
+use savorykeel_ports::{
+    desired::{DesiredRead, DesiredState},
+    log::{LogError, LogPage, LogRecord, LogService, Offset},
+};
 use serde::Deserialize;
 use serde_with::{base64::Base64, serde_as};
 
@@ -19,6 +23,9 @@
 /// Largest answer in bytes.
 const MAX_PAGE_BYTES: usize = 64 << 20;
 
+/// Why the log service has neither a configuration nor statuses.
+const NO_DOCUMENTS: &str = "the log service keeps no documents";
+
 /// Largest number of records in one answer.
 const PAGE_RECORDS: usize = 256;
 
@@ -119,6 +126,25 @@
     }
 }
 
+/// The log service keeps records alone; operators publish through it.
+impl DesiredState for HttpLog {
+    fn is_kept(&self) -> bool {
+        false
+    }
+
+    async fn read_desired(&self, _: Duration) -> Result<DesiredRead, LogError> {
+        Err(LogError::Unavailable(NO_DOCUMENTS.into()))
+    }
+
+    async fn keep_status(&self, _: &MoveStatus) -> Result<(), LogError> {
+        Err(LogError::Unavailable(NO_DOCUMENTS.into()))
+    }
+
+    async fn statuses(&self) -> Result<Vec<MoveStatus>, LogError> {
+        Err(LogError::Unavailable(NO_DOCUMENTS.into()))
+    }
+}
+
 impl TryFrom<Page> for LogPage {
     type Error = LogError;
 
--- a/crates/adapters/src/peer/decode.rs
+++ b/crates/adapters/src/peer/decode.rs
@@ -28,7 +28,7 @@
         service: ServiceName::try_from(from.get_service()?.to_str()?).map_err(invalid)?,
         route: RouteName::try_from(from.get_route()?.to_str()?).map_err(invalid)?,
         idempotent: from.get_idempotent(),
-        urgent: from.get_urgent(),
+        priority: from.get_priority(),
         time_left: Duration::from_millis(from.get_time_left_ms().into()),
         depth: from.get_depth(),
         caller: from.get_caller()?.to_string()?,
--- a/crates/adapters/src/peer/encode.rs
+++ b/crates/adapters/src/peer/encode.rs
@@ -29,7 +29,7 @@
     to.set_service(from.service.as_str());
     to.set_route(from.route.as_str());
     to.set_idempotent(from.idempotent);
-    to.set_urgent(from.urgent);
+    to.set_priority(from.priority);
     to.set_time_left_ms(millis(from.time_left));
     to.set_depth(from.depth);
     to.set_caller(from.caller.as_str());
--- a/crates/bench/src/moves/strategy.rs
+++ b/crates/bench/src/moves/strategy.rs
@@ -1,9 +1,10 @@
 //! The ways of moving traffic that are compared.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use rand::{RngExt, rngs::StdRng};
 use savorykeel_policy::{
+    config::model::DueTime,
     ids::BackendVersion,
     moves::{
         capacity::Capacity,
@@ -208,7 +209,10 @@
             let look = Look {
                 tick: Tick(view.now * 1_000),
                 wall: WallMillis(view.now * 1_000),
-                by: Some(view.by),
+                due: Some(DueTime::By(view.by)),
+                since: None,
+                new_instances: 1,
+                longest_request: Duration::from_secs(5),
                 unproven: UNPROVEN,
                 old: Some(&old),
                 base: Base::Known,
@@ -246,7 +250,7 @@
             self.take_back_if_worse(FIXED_LEVEL / windows / questions);
             self.window = Totals::default();
         }
-        let due = Due::new(WallMillis(0), Some(view.by));
+        let due = Due::new(WallMillis(0), Some(DueTime::By(view.by)));
         let proof = if self.step_calls >= PROOF_CALLS { Proof::Enough } else { Proof::Thin };
         let share = next_share(&RampInput {
             share: self.state.share,
--- a/crates/core/commands/node.rs
+++ b/crates/core/commands/node.rs
@@ -1,21 +1,25 @@
 //! `savorykeel node`: runs a node until a signal ends it.
 
-use std::{io::Write, process, thread};
+use std::{io::Write, process, sync::mpsc::Sender, thread};
 
 use savorykeel_adapters::logging;
-use savorykeel_node::{Addresses, Ending, settings};
+use savorykeel_node::{Addresses, Ending, Lifecycle, settings};
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
 use slog::{Logger, info, warn};
 use tokio_util::sync::CancellationToken;
 
-use crate::{exit::Exit, flags::NodeFlags};
+use crate::{exit::Exit, flags::NodeFlags, reload};
 
 /// Runs a node.
 pub fn run(flags: NodeFlags) -> anyhow::Result<Exit> {
-    let settings = match settings::read(&flags.settings) {
+    let Some(file) = flags.settings.or_else(savorykeel_platform::settings_file) else {
+        eprintln!("savorykeel node: no settings file: name one with --settings FILE");
+        return Ok(Exit::Usage);
+    };
+    let settings = match settings::read(&file) {
         Ok(settings) => settings,
         Err(e) => {
             eprintln!("{e}");
@@ -24,8 +28,10 @@
     };
     let logging = logging::start(flags.log_format, flags.log_level);
     let stop = CancellationToken::new();
-    watch_signals(stop.clone(), logging.log.clone())?;
-    match savorykeel_node::run(settings, logging.log, stop, print_ready_line)? {
+    let (look, reloads) = reload::watch(file, logging.log.clone())?;
+    watch_signals(stop.clone(), look, logging.log.clone())?;
+    let lifecycle = Lifecycle { stop, reloads };
+    match savorykeel_node::run(settings, logging.log, lifecycle, print_ready_line)? {
         Ending::Graceful => Ok(Exit::Done),
         Ending::CallsCut => Ok(Exit::Forced),
     }
@@ -38,14 +44,21 @@
     let _ = writeln!(stdout, "{line}").and_then(|()| stdout.flush());
 }
 
-/// Cancels `stop` at the first signal and ends the process at the second.
+/// Cancels `stop` at the first signal to end and ends the process at the second.
+/// SIGHUP asks for a look at the settings file.
 ///
 /// A thread waits for the signals, so that the second one ends a node whose
 /// runtime hangs.
-fn watch_signals(stop: CancellationToken, log: Logger) -> anyhow::Result<()> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+fn watch_signals(stop: CancellationToken, look: Sender<()>, log: Logger) -> anyhow::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     thread::Builder::new().name("signals".into()).spawn(move || {
         for signal in &mut signals {
+            if signal == SIGHUP {
+                info!(log, "signal: settings are read again");
+                // The watching thread ends only with the process.
+                let _ = look.send(());
+                continue;
+            }
             if stop.is_cancelled() {
                 warn!(log, "second signal: calls in flight are cut"; "signal" => signal);
                 process::exit(Exit::Forced as i32);
--- a/crates/core/demo/configuration.rs
+++ b/crates/core/demo/configuration.rs
@@ -5,7 +5,7 @@
 use jiff::{SignedDuration, Timestamp};
 use savorykeel_policy::config::{
     model::CONFIGURATION_FORMAT,
-    raw::{RawConfiguration, RawLimits, RawMatch, RawObjective, RawRoute, RawService},
+    raw::{RawConfiguration, RawLimits, RawRoute, RawService},
 };
 
 /// Service whose new version is good.
@@ -54,17 +54,9 @@
 }
 
 fn service(version: &str, by: Option<String>) -> RawService {
-    RawService { version: version.to_owned(), by, objective: RawObjective::default() }
+    RawService { by, ..RawService::of(version) }
 }
 
 fn route(name: &str, service: &str, path: &str, idempotent: bool) -> RawRoute {
-    RawRoute {
-        name: name.to_owned(),
-        matches: RawMatch { path: path.to_owned(), ..RawMatch::default() },
-        service: service.to_owned(),
-        idempotent,
-        urgent: false,
-        timeout_ms: 5_000,
-        body_limit_bytes: 1 << 20,
-    }
+    RawRoute::to(service, name, path, idempotent)
 }
--- a/crates/core/demo/mesh.rs
+++ b/crates/core/demo/mesh.rs
@@ -10,7 +10,7 @@
 
 use anyhow::Context;
 use savorykeel_node::{
-    Addresses,
+    Addresses, Lifecycle,
     settings::{self, Settings},
 };
 use savorykeel_standins::{
@@ -62,14 +62,14 @@
         let stop = CancellationToken::new();
         let (ready_tx, ready_rx) = mpsc::channel();
         let failed_tx = ready_tx.clone();
-        let token = stop.clone();
+        let lifecycle = Lifecycle::until(stop.clone());
         let name = settings.instance.as_str().to_owned();
         let body = move || {
             let log = Logger::root(Discard, o!());
             let on_ready = move |addresses: &Addresses| {
                 let _ = ready_tx.send(Ok(addresses.clone()));
             };
-            if let Err(e) = savorykeel_node::run(settings, log, token, on_ready) {
+            if let Err(e) = savorykeel_node::run(settings, log, lifecycle, on_ready) {
                 let _ = failed_tx.send(Err(e));
             }
         };
--- a/crates/core/flags/node.rs
+++ b/crates/core/flags/node.rs
@@ -13,9 +13,9 @@
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "node")]
 pub struct NodeFlags {
-    /// settings file
+    /// settings file; the one that the platform names when absent
     #[argh(option, arg_name = "FILE")]
-    pub settings: PathBuf,
+    pub settings: Option<PathBuf>,
 
     /// how log lines look: json (default) or human
     #[argh(option, arg_name = "FORMAT", default = "LogFormat::default()", from_str_fn(log_format))]
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod exit;
 mod flags;
+mod reload;
 mod report;
 mod standin;
 
--- a/crates/node/src/admin/publish.rs
+++ b/crates/node/src/admin/publish.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     http::{BodyError, read_body},
+    settings::StoreChoice,
     state::NodeState,
 };
 
@@ -95,7 +96,11 @@
 }
 
 async fn append(state: &NodeState, body: Vec<u8>) -> Result<Offset, LogError> {
-    let log = HttpLog::new(state.settings.log_service.clone()).await?;
+    let StoreChoice::LogService(base) = &state.settings.store else {
+        let problem = "the platform keeps the configuration: write it there";
+        return Err(LogError::Unavailable(problem.into()));
+    };
+    let log = HttpLog::new(base.clone()).await?;
     log.append(CONFIGURATION_STREAM, body).await
 }
 
--- a/crates/node/src/burn.rs
+++ b/crates/node/src/burn.rs
@@ -32,6 +32,8 @@
     pub(crate) table: &'a Table,
     /// Route that took the request.
     pub(crate) route: &'a Route,
+    /// Service that was to answer.
+    pub(crate) service: &'a ServiceName,
     /// Backend server that was tried last.
     pub(crate) endpoint: Option<&'a Endpoint>,
     /// HTTP status of the answer, or the result code in its place.
@@ -43,10 +45,10 @@
 /// Records a call that ended.
 pub(crate) fn observe(state: &NodeState, call: &EndedCall<'_>) {
     send_metrics(state, call);
-    let Some(service) = call.table.services.get(&call.route.service) else { return };
+    let Some(service) = call.table.services.get(call.service) else { return };
     let verdict = judge(call.ended, call.took, &service.service.objective);
     let key = CallKey {
-        service: call.route.service.clone(),
+        service: call.service.clone(),
         route: call.route.name.clone(),
         zone: call.endpoint.map(|endpoint| endpoint.zone.clone()),
         version: call.endpoint.map(|endpoint| endpoint.version.clone()),
@@ -68,7 +70,7 @@
 fn send_metrics(state: &NodeState, call: &EndedCall<'_>) {
     let code: &'static str = call.ended.err().map_or(ANSWERED, Into::into);
     let tags = [
-        Tag { key: "service", value: call.route.service.as_str() },
+        Tag { key: "service", value: call.service.as_str() },
         Tag { key: "route", value: call.route.name.as_str() },
         Tag { key: "code", value: code },
     ];
--- a/crates/node/src/calls/attempt.rs
+++ b/crates/node/src/calls/attempt.rs
@@ -71,10 +71,10 @@
 fn peer_call(journey: &Journey, attempt: Attempt) -> Result<PeerCall, Code> {
     Ok(PeerCall {
         attempt,
-        service: journey.route.service.clone(),
+        service: journey.service.clone(),
         route: journey.route.name.clone(),
         idempotent: journey.route.idempotent,
-        urgent: journey.route.urgent,
+        priority: journey.route.priority,
         time_left: next_hop(journey.time_left())?,
         depth: journey.depth,
         caller: journey.caller.clone(),
@@ -179,5 +179,5 @@
 
 /// Returns an endpoint of the table by the address of its node.
 pub(crate) fn endpoint_at(journey: &Journey, i: usize) -> Option<Arc<Endpoint>> {
-    journey.table.services.get(&journey.route.service)?.endpoints.get(i).cloned()
+    journey.table.services.get(&journey.service)?.endpoints.get(i).cloned()
 }
--- a/crates/node/src/calls/dispatch.rs
+++ b/crates/node/src/calls/dispatch.rs
@@ -1,17 +1,19 @@
 //! Chooses backend servers for a request until one of them answers.
 
-use std::{rc::Rc, sync::atomic::Ordering, time::Instant};
+use std::{
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
 
 use savorykeel_policy::{
-    calls::{
-        balance::{CallEnd, Candidate},
-        retry::MAX_TRIES,
-    },
+    calls::balance::{CallEnd, Candidate},
     code::{Code, Outcome},
-    ids::InstanceName,
+    ids::{BackendVersion, InstanceName},
     table::Endpoint,
 };
 use savorykeel_ports::peer::PeerReply;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{burn, moves::observe::FIRST_FAILURE_STATUS, worker::Worker};
 
@@ -21,20 +23,30 @@
     keyed::{Claimed, KeyedRun},
 };
 
-/// Tries beyond the budget's, for failures that put no load on a backend server.
+/// Statuses of a backend server's own failures after which an idempotent request is
+/// tried elsewhere.
+const RETRIED_STATUSES: [u16; 2] = [500, 502];
+
+/// Tries beyond the budget's, for failures that reached no backend server.
 const MAX_FREE_TRIES: u32 = 6;
 
+/// The same after a node had no room: a request that two nodes have no room for is
+/// not offered to everybody.
+const MAX_TRIES_WITHOUT_ROOM: u32 = 1;
+
+/// Time left below which another try can't end in time.
+const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
+
 /// Runs a request to its end.
 pub(crate) async fn dispatch(worker: &Rc<Worker>, journey: &Journey) -> PeerReply {
     let calls = &worker.state.calls;
-    {
-        let mut budget = calls.budget.lock();
-        budget.set_share(journey.table.configuration.limits.retry_share);
-        budget.count_call();
-    }
+    let share = journey.table.configuration.limits.retry_share;
+    calls.budgets.lock().count_call(&journey.service, share, worker.state.now());
     let keyed = journey.keyed().filter(|_| !calls.testing.without_ledger);
     let mut ledger = keyed.map(|keyed| KeyedRun::new(worker, journey, keyed));
-    let reply = try_in_turn(worker, journey, ledger.as_mut()).await;
+    let mut outcomes = Outcomes::default();
+    let last = try_in_turn(worker, journey, ledger.as_mut(), &mut outcomes).await;
+    let reply = outcomes.told(last);
     if let Some(ledger) = ledger {
         ledger.finish(&reply);
     }
@@ -45,6 +57,7 @@
     worker: &Rc<Worker>,
     journey: &Journey,
     mut ledger: Option<&mut KeyedRun<'_>>,
+    outcomes: &mut Outcomes,
 ) -> PeerReply {
     let candidates = candidates(worker, journey);
     let mut tried = Vec::new();
@@ -53,7 +66,7 @@
     loop {
         let Some(i) = choose_in_turn(worker, journey, &candidates, &tried) else { return last };
         if tries + free_tries > 0 {
-            burn::count_retry(&worker.state, &journey.route.service);
+            burn::count_retry(&worker.state, &journey.service);
         }
         let mut choice = Choice::new(worker, candidates[i].instance.clone());
         tried.push(i);
@@ -62,35 +75,76 @@
                 let started = Instant::now();
                 let reply = attempt::run(worker, journey, &aimed).await;
                 choice.end(call_end(&reply), started);
+                journey.trail.borrow_mut().note(&candidates[i].instance, &reply, started);
                 note_ending(worker, journey, &reply);
                 reply
             }
             Err(Stop::Try(code)) => {
                 choice.end(CallEnd::Failed, Instant::now());
-                PeerReply::Failed(code)
+                let reply = PeerReply::Failed(code);
+                journey.trail.borrow_mut().note(&candidates[i].instance, &reply, Instant::now());
+                reply
             }
             Err(Stop::End(reply)) => return reply,
         };
-        let PeerReply::Failed(code) = last else { return last };
-        if !may_retry(code, journey) || journey.time_left().is_zero() {
+        outcomes.note(&last);
+        if !may_retry(&last, journey) || journey.time_left() < MIN_RETRY_TIME {
             return last;
         }
-        if code == Code::Fenced {
+        if matches!(last, PeerReply::Failed(Code::Fenced)) {
             // The link failed, not the backend server: it may be asked again
             // over a new one.
             tried.pop();
         }
-        if puts_no_load(code) && free_tries < MAX_FREE_TRIES {
+        if let PeerReply::Failed(code) = last
+            && free_tries < free_tries_for(code)
+        {
             free_tries += 1;
             continue;
         }
         tries += 1;
-        if tries >= MAX_TRIES || !worker.state.calls.budget.lock().try_spend(worker.state.now()) {
+        let now = worker.state.now();
+        if tries >= journey.route.attempts
+            || !worker.state.calls.budgets.lock().try_spend(&journey.service, now)
+        {
             return last;
         }
     }
 }
 
+/// What the tries of one request came to.
+#[derive(Default)]
+struct Outcomes {
+    /// The last try after which the request may have run.
+    ran: Option<PeerReply>,
+}
+
+impl Outcomes {
+    fn note(&mut self, reply: &PeerReply) {
+        if may_have_run(reply) {
+            self.ran = Some(reply.clone());
+        }
+    }
+
+    /// Returns what the caller is told after the last try.
+    ///
+    /// A request that may have run in an earlier try isn't said not to have run
+    /// because a later one didn't.
+    fn told(self, last: PeerReply) -> PeerReply {
+        match self.ran {
+            Some(ran) if !may_have_run(&last) => ran,
+            _ => last,
+        }
+    }
+}
+
+fn may_have_run(reply: &PeerReply) -> bool {
+    match reply {
+        PeerReply::Answered(_) => true,
+        PeerReply::Failed(code) => code.outcome() == Outcome::Unknown,
+    }
+}
+
 /// Why an attempt wasn't made.
 enum Stop {
     /// Another backend server may be tried.
@@ -116,7 +170,7 @@
 }
 
 fn candidates(worker: &Worker, journey: &Journey) -> Vec<Candidate> {
-    let Some(service) = journey.table.services.get(&journey.route.service) else {
+    let Some(service) = journey.table.services.get(&journey.service) else {
         return Vec::new();
     };
     service.endpoints.iter().map(|endpoint| candidate(worker, endpoint)).collect()
@@ -141,17 +195,41 @@
     tried: &[usize],
 ) -> Option<usize> {
     let versions = journey.versions.as_ref()?;
-    let in_turn = [Some(&versions.version), versions.stand_in.as_ref()];
+    let stand_in = versions.stand_in.clone().map(Some);
+    let in_turn = [Some(versions.version.clone()), stand_in];
+    let seed = xxh3_64(journey.service.as_str().as_bytes());
     in_turn.into_iter().flatten().find_map(|version| {
+        let chosen = match (&version, versions.instances) {
+            (Some(v), Some(n)) if versions.version.as_ref() == Some(v) => {
+                Some(concentrated(journey, v, n, seed))
+            }
+            _ => None,
+        };
         let is_out = |i: &usize| {
             let endpoint = endpoint_at(journey, *i);
-            tried.contains(i) || endpoint.is_none_or(|endpoint| endpoint.version != *version)
+            let is_other = |endpoint: &Arc<Endpoint>| {
+                version.as_ref().is_some_and(|version| endpoint.version != *version)
+            };
+            let is_left_out = chosen.as_ref().is_some_and(|chosen| !chosen.contains(i));
+            tried.contains(i) || is_left_out || endpoint.as_ref().is_none_or(is_other)
         };
         let out: Vec<usize> = (0..candidates.len()).filter(is_out).collect();
         choose(worker, candidates, &out)
     })
 }
 
+/// Returns the `n` instances of a version that all nodes concentrate its calls on.
+fn concentrated(journey: &Journey, version: &BackendVersion, n: usize, seed: u64) -> Vec<usize> {
+    let Some(service) = journey.table.services.get(&journey.service) else { return Vec::new() };
+    let of_version = |i: &usize| service.endpoints[*i].version == *version;
+    let mut indexes: Vec<usize> = (0..service.endpoints.len()).filter(of_version).collect();
+    indexes.sort_by_key(|i| {
+        xxh3_64_with_seed(service.endpoints[*i].instance.as_str().as_bytes(), seed)
+    });
+    indexes.truncate(n);
+    indexes
+}
+
 /// Tells the local breaker of the tried version how a call ended.
 fn note_ending(worker: &Worker, journey: &Journey, reply: &PeerReply) {
     let is_failed = match reply {
@@ -222,16 +300,30 @@
 /// Tells whether another backend server may be tried.
 ///
 /// What ran, or may have run, is tried again only where running twice does no
-/// harm. A request that nobody takes is not offered to everybody.
-fn may_retry(code: Code, journey: &Journey) -> bool {
-    match code {
-        Code::Quarantined | Code::DeadlineBeforeStart | Code::Cancelled => false,
-        Code::DeadlineWhileRunning | Code::CancelledWhileRunning => false,
-        _ => code.outcome() == Outcome::NotRun || journey.route.idempotent,
+/// harm; then that holds for a backend server's own failure too. One that ran out
+/// of time is not tried again, because there is none left.
+fn may_retry(reply: &PeerReply, journey: &Journey) -> bool {
+    match reply {
+        PeerReply::Answered(answer) => {
+            journey.route.idempotent && RETRIED_STATUSES.contains(&answer.status)
+        }
+        PeerReply::Failed(
+            Code::Quarantined
+            | Code::DeadlineBeforeStart
+            | Code::Cancelled
+            | Code::DeadlineWhileRunning
+            | Code::CancelledWhileRunning,
+        ) => false,
+        PeerReply::Failed(code) => code.outcome() == Outcome::NotRun || journey.route.idempotent,
     }
 }
 
-/// Tells whether a failed try reached no backend server.
-fn puts_no_load(code: Code) -> bool {
-    matches!(code, Code::Leaving | Code::Unreachable | Code::NoBackendServer | Code::Fenced)
+/// Returns the number of free tries after a failure; none where the failed try put
+/// load on a backend server.
+fn free_tries_for(code: Code) -> u32 {
+    match code {
+        Code::Leaving | Code::Unreachable | Code::NoBackendServer | Code::Fenced => MAX_FREE_TRIES,
+        Code::Overloaded => MAX_TRIES_WITHOUT_ROOM,
+        _ => 0,
+    }
 }
--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -12,6 +12,7 @@
     calls::deadline::{next_depth, time_left},
     code::Code,
     config::model::Route,
+    ids::ServiceName,
     table::Table,
 };
 use savorykeel_ports::peer::PeerReply;
@@ -19,10 +20,10 @@
 
 use crate::{
     burn::{self, EndedCall},
-    calls::{dispatch::dispatch, journey::Journey},
+    calls::{dispatch::dispatch, journey::Journey, trail},
     http::{
-        BodyError, DEADLINE_HEADER, DEPTH_HEADER, HttpResult, IDEMPOTENCY_KEY_HEADER,
-        answer_response, code_response, discard_body, number_header, read_body, to_port_request,
+        BodyError, HttpResult, IDEMPOTENCY_KEY_HEADER, answer_response, code_response,
+        discard_body, number_header, read_body, text_header, to_port_request,
     },
     moves::hub::VersionChoice,
     state::InFlight,
@@ -36,45 +37,69 @@
     let mut payload = req.take_payload();
     match answer(&worker, &req, &mut payload, caller).await {
         Ok(response) => Ok(response),
-        Err(failure) => {
+        Err(Refused { code, detail, is_logged }) => {
+            if !is_logged {
+                let id = text_header(req.headers(), worker.state.headers.request_id);
+                trail::log_refused(&worker.state, &id, req.path(), code);
+            }
+            let failure = code_response(code, detail);
             discard_body(&mut payload).await;
             Ok(failure)
         }
     }
 }
 
+/// A request that gets an answer of the node's own.
+struct Refused {
+    code: Code,
+    detail: String,
+    /// Whether a line about it was written with what it met on its way.
+    is_logged: bool,
+}
+
+impl Refused {
+    fn new(code: Code, detail: impl Into<String>) -> Self {
+        Self { code, detail: detail.into(), is_logged: false }
+    }
+}
+
 async fn answer(
     worker: &Rc<Worker>,
     req: &Request,
     payload: &mut Payload,
     caller: String,
-) -> Result<Response, Response> {
+) -> Result<Response, Refused> {
     let started = Instant::now();
     let table = worker.state.control.table().ok_or_else(|| {
-        code_response(Code::NoConfiguration, "this node has not applied a configuration yet")
+        Refused::new(Code::NoConfiguration, "this node has not applied a configuration yet")
     })?;
     let host = req.headers().get("host").and_then(|host| host.to_str().ok());
     let route = table
         .route(req.method().as_str(), host, req.path())
         .cloned()
-        .ok_or_else(|| code_response(Code::NoRoute, format!("no route for {}", req.path())))?;
-    let above = number_header::<u32>(req.headers(), DEPTH_HEADER).unwrap_or(0);
+        .ok_or_else(|| Refused::new(Code::NoRoute, format!("no route for {}", req.path())))?;
+    let names = &worker.state.headers;
+    let above = names.depth.and_then(|name| number_header::<u32>(req.headers(), name)).unwrap_or(0);
     let depth = next_depth(above, table.configuration.limits.call_depth)
-        .map_err(|code| code_response(code, format!("{above} calls are above this one")))?;
-    let left = number_header::<u64>(req.headers(), DEADLINE_HEADER).map(Duration::from_millis);
+        .map_err(|code| Refused::new(code, format!("{above} calls are above this one")))?;
+    let left = number_header::<u64>(req.headers(), names.deadline).map(Duration::from_millis);
     let timeout = time_left(route.timeout, left);
     let limit = usize::try_from(route.body_limit).unwrap_or(usize::MAX);
     let limit = limit.min(worker.state.settings.limits.body_bytes);
     let body = read_body(payload, limit, timeout).await.map_err(|e| body_failure(&e, limit))?;
-    let versions = choose_versions(worker, &table, &route, req);
+    let service = route.choose_part(worker.rng.borrow_mut().random()).clone();
+    let versions = choose_versions(worker, &table, &route, &service, req);
     let journey = Journey {
         versions,
         request: to_port_request(req, body),
         deadline: started + timeout,
         table,
         route,
+        service,
         caller,
         depth,
+        id: text_header(req.headers(), names.request_id),
+        trail: RefCell::default(),
         last_tried: RefCell::default(),
     };
     let journey = Rc::new(journey);
@@ -83,7 +108,9 @@
     let name = &journey.route.name;
     match reply {
         PeerReply::Answered(answer) => Ok(answer_response(answer)),
-        PeerReply::Failed(code) => Err(code_response(code, format!("route {name}: {code}"))),
+        PeerReply::Failed(code) => {
+            Err(Refused { is_logged: true, ..Refused::new(code, format!("route {name}: {code}")) })
+        }
     }
 }
 
@@ -96,13 +123,14 @@
     worker: &Worker,
     table: &Table,
     route: &Route,
+    service: &ServiceName,
     req: &Request,
 ) -> Option<VersionChoice> {
-    let service = table.services.get(&route.service)?;
+    let service_table = table.services.get(service)?;
     let key = req.headers().get(IDEMPOTENCY_KEY_HEADER).map(|key| xxh3_64(key.as_bytes()));
     let hash = key.unwrap_or_else(|| worker.rng.borrow_mut().random());
     let moves = &worker.state.control.moves;
-    moves.choose(service, &route.service, &route.name, hash, worker.state.now())
+    moves.choose(service_table, service, &route.name, hash, worker.state.now())
 }
 
 fn observe(worker: &Worker, journey: &Journey, reply: &PeerReply, took: Duration) {
@@ -110,6 +138,7 @@
     let call = EndedCall {
         table: &journey.table,
         route: &journey.route,
+        service: &journey.service,
         endpoint: endpoint.as_deref(),
         ended: match reply {
             PeerReply::Answered(answer) => Ok(answer.status),
@@ -118,15 +147,16 @@
         took,
     };
     burn::observe(&worker.state, &call);
+    trail::log_end(&worker.state, journey, reply, took);
 }
 
-fn body_failure(error: &BodyError, limit: usize) -> Response {
+fn body_failure(error: &BodyError, limit: usize) -> Refused {
     match error {
         BodyError::TooLarge => {
-            code_response(Code::BodyTooLarge, format!("the route takes {limit} bytes"))
+            Refused::new(Code::BodyTooLarge, format!("the route takes {limit} bytes"))
         }
-        BodyError::Broken => code_response(Code::BadRequest, "the body ended early"),
-        BodyError::TooSlow => code_response(Code::DeadlineBeforeStart, "the body came too slowly"),
+        BodyError::Broken => Refused::new(Code::BadRequest, "the body ended early"),
+        BodyError::TooSlow => Refused::new(Code::DeadlineBeforeStart, "the body came too slowly"),
     }
 }
 
--- a/crates/node/src/calls/journey.rs
+++ b/crates/node/src/calls/journey.rs
@@ -9,18 +9,23 @@
 use savorykeel_policy::{
     calls::{ledger_view::LedgerKey, quarantine::Fingerprint},
     config::model::Route,
+    ids::ServiceName,
     table::{Endpoint, Table},
 };
 use savorykeel_ports::peer::HttpRequest;
 
 use crate::{http::IDEMPOTENCY_KEY_HEADER, moves::hub::VersionChoice};
 
+use super::trail::Trail;
+
 /// A request with the table that it uses from start to end.
 pub(crate) struct Journey {
     /// Table that all decisions are made by.
     pub(crate) table: Arc<Table>,
     /// Route that took the request.
     pub(crate) route: Arc<Route>,
+    /// Service that is to answer, one of the route's.
+    pub(crate) service: ServiceName,
     /// The request.
     pub(crate) request: HttpRequest,
     /// Name of the caller for fair queueing.
@@ -31,6 +36,10 @@
     pub(crate) deadline: Instant,
     /// Versions of the backend server that may take it; none when none may.
     pub(crate) versions: Option<VersionChoice>,
+    /// Id that the caller gave the request; empty when it gave none.
+    pub(crate) id: String,
+    /// What the request met on its way.
+    pub(crate) trail: RefCell<Trail>,
     /// Backend server that was tried last, for the burn report.
     pub(crate) last_tried: RefCell<Option<Arc<Endpoint>>>,
 }
@@ -59,7 +68,7 @@
         }
         let key =
             self.request.headers.iter().find(|header| header.name == IDEMPOTENCY_KEY_HEADER)?;
-        let (service, req) = (&self.route.service, &self.request);
+        let (service, req) = (&self.service, &self.request);
         Some(Keyed {
             key: LedgerKey::of(service.as_str(), self.route.name.as_str(), &key.value),
             fingerprint: Fingerprint::of(service, &req.method, &req.target, &req.body),
--- a/crates/node/src/calls/keyed.rs
+++ b/crates/node/src/calls/keyed.rs
@@ -118,7 +118,7 @@
     }
 
     fn view(&self) -> Arc<LedgerView> {
-        group::view(&self.worker.state, &self.journey.route.service)
+        group::view(&self.worker.state, &self.journey.service)
     }
 
     /// Returns what became of another attempt; nothing when it never ran.
--- a/crates/node/src/calls/ledger_loop.rs
+++ b/crates/node/src/calls/ledger_loop.rs
@@ -4,7 +4,7 @@
 //! the founder may answer for keys that nobody told it of. Every other member
 //! fetches the claims first. See `docs/design/0005-ledger.md`.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use futures_util::future::join_all;
 use savorykeel_adapters::log::HttpLog;
@@ -22,7 +22,7 @@
 use slog::{info, warn};
 use tokio_util::sync::CancellationToken;
 
-use crate::{state::NodeState, worker::Worker};
+use crate::{settings::StoreChoice, state::NodeState, worker::Worker};
 
 use super::{group, ledger_client, state::to_millis};
 
@@ -46,9 +46,13 @@
 }
 
 /// Runs until `cancel` is cancelled.
+///
+/// Without a log service nobody can tell who founded a group, so keyed requests
+/// are then told that their key is uncertain.
 pub(crate) async fn run(worker: Rc<Worker>, cancel: CancellationToken) {
+    let StoreChoice::LogService(base) = worker.state.settings.store.clone() else { return };
     let work = async {
-        let log = open_log(&worker.state).await;
+        let log = open_log(&worker.state, base).await;
         let mut recorded = worker.state.now();
         loop {
             ntex::time::sleep(to_millis(PERIOD)).await;
@@ -64,9 +68,9 @@
     }
 }
 
-async fn open_log(state: &NodeState) -> HttpLog {
+async fn open_log(state: &NodeState, base: Arc<str>) -> HttpLog {
     loop {
-        match HttpLog::new(state.settings.log_service.clone()).await {
+        match HttpLog::new(base.clone()).await {
             Ok(log) => return log,
             Err(e) => warn!(state.log, "no client for the log service"; "problem" => %e),
         }
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -6,10 +6,12 @@
 
 pub(crate) mod announce;
 mod attempt;
+pub(crate) mod beside;
 pub(crate) mod crashes;
 mod dispatch;
 pub(crate) mod entry;
 pub(crate) mod group;
+pub(crate) mod heartbeat;
 mod journey;
 mod kept_answer;
 mod keyed;
@@ -19,3 +21,4 @@
 pub(crate) mod serve;
 mod slots;
 pub(crate) mod state;
+mod trail;
--- a/crates/node/src/calls/serve.rs
+++ b/crates/node/src/calls/serve.rs
@@ -22,22 +22,25 @@
 };
 use savorykeel_ports::{
     backend::{BackendError, BackendServer},
-    peer::{Attempt, Header, HttpAnswer, LoadHint, PeerCall, PeerReply, Settlement},
+    edge::HeaderNames,
+    peer::{Attempt, Header, HttpAnswer, HttpRequest, LoadHint, PeerCall, PeerReply, Settlement},
 };
+use slog::info;
 use tokio::sync::SemaphorePermit;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    http::{DEADLINE_HEADER, DEPTH_HEADER, REQUEST_ID_HEADER},
     moves::observe::{TimeGiven, observation},
     state::{InFlight, NodeState},
     worker::Worker,
 };
 
-use super::{announce::Announcement, crashes, state::reply_bytes, state::to_millis};
-
-/// Prefix of the headers that only nodes write.
-const OWN_HEADER_PREFIX: &str = "savorykeel-";
+use super::{
+    beside::{self, Backend},
+    crashes,
+    state::reply_bytes,
+    state::to_millis,
+};
 
 /// Runs a call in a task of its own, so that it goes on when the connection
 /// that brought it ends.
@@ -65,7 +68,9 @@
 }
 
 fn load_hint(state: &NodeState) -> LoadHint {
-    let slots = state.backend.lock().as_ref().map_or(0, |backend| backend.record.slots);
+    let book = state.backend.lock();
+    let slots = book.known().map_or(0, |known| known.announcement.slots);
+    drop(book);
     LoadHint { in_flight: state.calls.slots.load(), slots }
 }
 
@@ -74,7 +79,10 @@
     let id = call.attempt.id;
     let cancel = CancellationToken::new();
     worker.state.calls.cancels.lock().insert(id, cancel.clone());
+    let (request, route) = (request_name(&worker.state, &call), call.route.clone());
+    let began = Instant::now();
     let reply = run(&worker, call, &cancel).await;
+    log_run(&worker.state, &request, &route, &reply, began.elapsed());
     let calls = &worker.state.calls;
     calls.cancels.lock().remove(&id);
     let kept = Arc::new(reply.clone());
@@ -82,6 +90,29 @@
     reply
 }
 
+/// Returns the id that the caller gave a request, else that of the attempt.
+fn request_name(state: &NodeState, call: &PeerCall) -> String {
+    let name = state.headers.request_id;
+    let header = call.request.headers.iter().find(|header| header.name == name);
+    let given = header.map(|header| String::from_utf8_lossy(&header.value).into_owned());
+    given.unwrap_or_else(|| call.attempt.id.to_string())
+}
+
+/// Logs how a request ended beside the backend server.
+fn log_run(state: &NodeState, request: &str, route: &RouteName, reply: &PeerReply, took: Duration) {
+    if !state.lines.allow(state.now(), &state.log) {
+        return;
+    }
+    let outcome = match reply {
+        PeerReply::Answered(answer) => answer.status.to_string(),
+        PeerReply::Failed(code) => code.to_string(),
+    };
+    let server = state.backend.lock().known().map(|known| known.announcement.life.id.clone());
+    info!(state.log, "request served"; "id" => request, "route" => %route, "server" => server,
+        "outcome" => outcome, "load" => state.calls.slots.load(),
+        "took_ms" => took.as_millis() as u64);
+}
+
 async fn run(worker: &Rc<Worker>, call: PeerCall, cancel: &CancellationToken) -> PeerReply {
     let _in_flight = InFlight::enter(&worker.state.serving);
     match prepare_and_forward(worker, call, cancel).await {
@@ -105,7 +136,7 @@
     let waited = started.elapsed();
     let applicant = Applicant {
         caller: call.caller.as_str().into(),
-        urgent: call.urgent,
+        priority: call.priority,
         deadline: state.now() + call.time_left.saturating_sub(waited),
     };
     let patience = call.time_left.saturating_sub(waited);
@@ -129,14 +160,16 @@
 }
 
 /// Returns the backend server if it takes the call.
-fn backend_for(state: &NodeState, call: &PeerCall) -> Result<Announcement, Code> {
+fn backend_for(state: &NodeState, call: &PeerCall) -> Result<Backend, Code> {
     if state.is_leaving() {
         return Err(Code::Leaving);
     }
-    let backend = state.backend.lock().clone();
+    let backend = beside::taking_work(state, state.settings.limits.leave_grace);
     let backend = backend.filter(|backend| backend.record.service == call.service);
-    let backend = backend.ok_or(Code::NoBackendServer)?;
-    if backend.record.draining { Err(Code::Leaving) } else { Ok(backend) }
+    backend.ok_or_else(|| match beside::is_leaving(state, &call.service) {
+        true => Code::Leaving,
+        false => Code::NoBackendServer,
+    })
 }
 
 /// Waits until a suspect may run; others needn't wait.
@@ -173,26 +206,23 @@
 
 async fn forward(
     worker: &Rc<Worker>,
-    backend: &Announcement,
+    backend: &Backend,
     call: PeerCall,
     left: Duration,
     fingerprint: Fingerprint,
 ) -> Result<PeerReply, Code> {
     let connections = backend.connections as usize / worker.state.settings.workers;
-    let client = worker.backend(backend.addr, connections).await.map_err(|_| Code::Unreachable)?;
-    let (id, depth) = (call.attempt.id, call.depth);
-    let mut request = call.request;
-    request.headers.retain(|header| !header.name.starts_with(OWN_HEADER_PREFIX));
-    add_header(&mut request.headers, REQUEST_ID_HEADER, id.to_string());
-    add_header(&mut request.headers, DEADLINE_HEADER, left.as_millis().to_string());
-    add_header(&mut request.headers, DEPTH_HEADER, depth.to_string());
+    let client = worker.backend(backend.addr, connections);
+    let names = worker.state.headers;
+    let route = call.route.clone();
+    let request = server_request(&names, backend, call, left);
     let running = crashes::Running::enter(&worker.state, fingerprint);
     let is_suspect = standing(&worker.state, fingerprint) != Ok(Standing::Clear);
     let started = Instant::now();
     let result = client.run(&request, left).await;
     if !is_suspect {
         let version = &backend.record.version;
-        count(worker, &call.route, version, &result, TimeSpent { took: started.elapsed(), left });
+        count(worker, &route, version, &result, TimeSpent { took: started.elapsed(), left });
     }
     match &result {
         Ok(_) => running.ended_well(worker),
@@ -202,10 +232,36 @@
         Err(_) => {}
     }
     let mut answer = result.map_err(|e| failure_code(&e))?;
-    answer.headers.retain(|header| !header.name.starts_with(OWN_HEADER_PREFIX));
+    answer.headers.retain(|header| !names.is_kept_back(&header.name));
     Ok(PeerReply::Answered(answer))
 }
 
+/// Returns the request as the backend server gets it.
+fn server_request(
+    names: &HeaderNames,
+    backend: &Backend,
+    call: PeerCall,
+    left: Duration,
+) -> HttpRequest {
+    let mut request = call.request;
+    let headers = &mut request.headers;
+    headers.retain(|header| !names.is_set_by_nodes(&header.name));
+    if !names.callers_choose_id {
+        add_header(headers, names.request_id, call.attempt.id.to_string());
+    }
+    add_header(headers, names.deadline, left.as_millis().to_string());
+    if let Some(name) = names.depth {
+        add_header(headers, name, call.depth.to_string());
+    }
+    if let Some(name) = names.calling_service {
+        add_header(headers, name, call.caller);
+    }
+    if let Some(name) = names.expected_server {
+        add_header(headers, name, backend.life.id.clone());
+    }
+    request
+}
+
 /// How long a call took and could take.
 struct TimeSpent {
     took: Duration,
@@ -237,6 +293,7 @@
 fn failure_code(error: &BackendError) -> Code {
     match error {
         BackendError::NotSent(_) => Code::Unreachable,
+        BackendError::NotRun(_) => Code::BackendRefused,
         BackendError::Lost(_) => Code::BackendConnectionLost,
         BackendError::TimedOut => Code::DeadlineWhileRunning,
         BackendError::BadAnswer(_) => Code::BadBackendAnswer,
--- a/crates/node/src/calls/state.rs
+++ b/crates/node/src/calls/state.rs
@@ -16,7 +16,7 @@
     calls::{
         balance::Balancer,
         quarantine::Quarantine,
-        retry::RetryBudget,
+        retry::RetryBudgets,
         settle::{NodeStamp, SettleLimits, SettleStore},
     },
     ids::RequestId,
@@ -33,9 +33,6 @@
 /// Fences kept for each kept answer.
 const FENCES_PER_ANSWER: usize = 2;
 
-/// Share of calls that may be retried before a configuration says otherwise.
-const INITIAL_RETRY_SHARE: f64 = 0.1;
-
 /// State of the calls of one node.
 pub(crate) struct CallState {
     /// Random number of this life of the node.
@@ -53,7 +50,7 @@
     /// Calls chosen for in turn.
     pub(crate) turns: AtomicUsize,
     /// Retries that are allowed.
-    pub(crate) budget: Mutex<RetryBudget>,
+    pub(crate) budgets: Mutex<RetryBudgets>,
     /// Requests that may crash backend servers.
     pub(crate) quarantine: Mutex<Quarantine>,
     /// Lets one suspect run at a time.
@@ -72,7 +69,7 @@
 
 impl CallState {
     /// Creates the state of a node that starts.
-    pub(crate) fn new(settings: &Settings, now: Tick) -> Self {
+    pub(crate) fn new(settings: &Settings) -> Self {
         let limits = SettleLimits {
             entries: settings.limits.kept_answers,
             fences: settings.limits.kept_answers * FENCES_PER_ANSWER,
@@ -88,7 +85,7 @@
             slots: Slots::new(),
             balancer: Mutex::default(),
             turns: AtomicUsize::new(0),
-            budget: Mutex::new(RetryBudget::new(INITIAL_RETRY_SHARE, now)),
+            budgets: Mutex::default(),
             quarantine: Mutex::default(),
             trial: Semaphore::new(1),
             crashes: AtomicU64::new(0),
--- a/crates/node/src/control/checkpoints.rs
+++ b/crates/node/src/control/checkpoints.rs
@@ -4,7 +4,10 @@
 
 use ntex::time::sleep;
 use savorykeel_policy::{config::checkpoint::Checkpoint, time::Tick};
-use savorykeel_ports::log::{CHECKPOINT_STREAM, LogError, LogService, Offset};
+use savorykeel_ports::{
+    desired::DesiredState,
+    log::{CHECKPOINT_STREAM, LogError, LogService, Offset},
+};
 use slog::{crit, info, warn};
 
 use super::{
@@ -31,11 +34,12 @@
 }
 
 /// Writes checkpoints for as long as this node has the duty.
-pub(super) async fn write<L: LogService, P>(cx: Rc<ControlContext<L, P>>) {
+pub(super) async fn write<L: LogService + DesiredState, P>(cx: Rc<ControlContext<L, P>>) {
     let mut seen = Seen::default();
     loop {
         sleep(to_millis(jittered(cx.times.checkpoint / LOOKS_PER_CHECKPOINT))).await;
-        let is_due = cx.state.is_serving()
+        let is_due = !cx.log.is_kept()
+            && cx.state.is_serving()
             && cx.state.held_position().0 > 0
             && !cx.state.is_stopped()
             && cx
--- /dev/null
+++ b/crates/node/src/control/desired.rs
@@ -0,0 +1,61 @@
+//! Follows the configuration that a platform keeps for operators.
+
+use std::time::Duration;
+
+use savorykeel_policy::config::fold::Replaced;
+use savorykeel_ports::{
+    desired::{Desired, DesiredState},
+    log::LogService,
+};
+use slog::{error, info, warn};
+
+use super::{context::ControlContext, event::Event, reader::Progress, state::Counters};
+
+/// Reads what changed, waiting up to `wait`, and takes it over whole.
+///
+/// What the platform keeps is the end of its log, so a read that succeeds confirms
+/// the position that this node holds.
+pub(super) async fn read_once<L: LogService + DesiredState, P>(
+    cx: &ControlContext<L, P>,
+    wait: Duration,
+) -> Progress {
+    let state = &cx.state;
+    let asked_at = state.now();
+    Counters::add(&state.counters.log_reads, 1);
+    let read = match cx.log.read_desired(wait).await {
+        Ok(read) => read,
+        Err(e) => {
+            Counters::add(&state.counters.log_failures, 1);
+            warn!(state.logger, "the store can't be read"; "problem" => %e);
+            return Progress::Failed;
+        }
+    };
+    for problem in &read.unusable {
+        warn!(state.logger, "a document of operators can't be used"; "problem" => problem);
+    }
+    if let Some(desired) = read.changed {
+        take_over(cx, *desired);
+    }
+    state.confirm(state.held_position(), asked_at);
+    state.rebuild();
+    Progress::AtEnd
+}
+
+fn take_over<L, P>(cx: &ControlContext<L, P>, desired: Desired) {
+    let state = &cx.state;
+    Counters::add(&state.counters.log_records, 1);
+    let (position, label) = (desired.position, desired.label);
+    state.saw_log_next(position.0);
+    match state.with_fold(|fold| fold.replace(position, desired.configuration)) {
+        Ok(Replaced::Taken) => {
+            info!(state.logger, "configuration accepted"; "version" => position.0, "label" => label);
+            state.emit(Event::Advanced);
+        }
+        Ok(Replaced::Known) => {}
+        Err(refusals) => {
+            let reasons: Vec<String> = refusals.0.iter().map(ToString::to_string).collect();
+            error!(state.logger, "configuration refused; the last one stays in force";
+                "version" => position.0, "label" => label, "reasons" => reasons.join("; "));
+        }
+    }
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod checkpoints;
 mod context;
+mod desired;
 mod duty;
 mod event;
 mod exchange;
@@ -30,7 +31,7 @@
 
 use futures_util::future::join_all;
 use savorykeel_policy::distribution::message::MessageBody;
-use savorykeel_ports::{log::LogService, peer::PeerLinks};
+use savorykeel_ports::{desired::DesiredState, log::LogService, peer::PeerLinks};
 use tokio_util::sync::CancellationToken;
 
 /// Longest time that a stopping node waits for its neighbours to take its last word.
@@ -40,7 +41,7 @@
 /// that this node is gone.
 pub async fn run<L, P>(cx: ControlContext<L, P>, cancel: CancellationToken)
 where
-    L: LogService + 'static,
+    L: LogService + DesiredState + 'static,
     P: PeerLinks + 'static,
 {
     let cx = Rc::new(cx);
--- a/crates/node/src/control/presence.rs
+++ b/crates/node/src/control/presence.rs
@@ -21,7 +21,7 @@
     context::ControlContext,
     duty,
     maintain::pick,
-    reader::{jittered, read_tail, to_millis},
+    reader::{jittered, to_millis},
     state::Counters,
 };
 
@@ -60,7 +60,7 @@
 ///
 /// Nodes without the duty never do, so that the cost for the log doesn't grow
 /// with their number.
-async fn wait_for_turn<L, P>(cx: &ControlContext<L, P>) {
+async fn wait_for_turn<L: LogService, P>(cx: &ControlContext<L, P>) {
     loop {
         let (is_alone, is_present) = cx.state.with_members(|members| {
             let is_alone = members.active().count() <= 1;
@@ -69,7 +69,7 @@
         if is_alone {
             return sleep(to_millis(jittered(ALONE_PERIOD))).await;
         }
-        if is_present {
+        if is_present && !cx.log.keeps_newest() {
             return sleep(to_millis(jittered(cx.times.presence.min(PRESENT_PERIOD)))).await;
         }
         sleep(to_millis(jittered(DUTY_CHECK))).await;
@@ -81,7 +81,11 @@
 ) -> Result<(), LogError> {
     let seen = read_presence(cx).await?;
     meet(cx, &seen).await;
-    if is_append_due(cx, &seen) {
+    let is_due = match cx.log.keeps_newest() {
+        true => !is_own_known(cx, &seen),
+        false => is_append_due(cx, &seen),
+    };
+    if is_due {
         append(cx).await?;
     }
     Ok(())
@@ -90,9 +94,9 @@
 async fn read_presence<L: LogService, P>(
     cx: &ControlContext<L, P>,
 ) -> Result<Vec<PresenceRecord>, LogError> {
-    let records = read_tail(cx, PRESENCE_STREAM, PRESENCE_TAIL).await?;
-    let parsed = records.iter().filter_map(|record| PresenceRecord::parse(&record.body).ok());
-    Ok(parsed.collect())
+    Counters::add(&cx.state.counters.log_reads, 1);
+    let records = cx.log.kept(PRESENCE_STREAM, PRESENCE_TAIL).await?;
+    Ok(records.iter().filter_map(|record| PresenceRecord::parse(record).ok()).collect())
 }
 
 /// Asks some of the nodes in the stream that this node doesn't know yet.
@@ -118,6 +122,13 @@
     Contact { instance: record.instance.clone(), addr: record.peer_addr }
 }
 
+/// Tells whether the stream holds this node's record with its present address.
+fn is_own_known<L, P>(cx: &ControlContext<L, P>, seen: &[PresenceRecord]) -> bool {
+    let identity = &cx.state.identity;
+    let mut known = seen.iter().map(|record| &record.node);
+    known.any(|node| node.instance == identity.instance && node.peer_addr == identity.peer_addr)
+}
+
 /// Tells whether the availability zone is too little known in the stream.
 fn is_append_due<L, P>(cx: &ControlContext<L, P>, seen: &[PresenceRecord]) -> bool {
     let identity = &cx.state.identity;
@@ -136,8 +147,9 @@
     }
     let record = PresenceRecord::new(node, (cx.state.clock.wall)());
     Counters::add(&cx.state.counters.log_appends, 1);
-    match cx.log.append(PRESENCE_STREAM, record.to_bytes()).await {
-        Ok(_) => {
+    let key = cx.state.identity.instance.as_str();
+    match cx.log.keep(PRESENCE_STREAM, key, record.to_bytes()).await {
+        Ok(()) => {
             info!(cx.state.logger, "presence appended");
             Ok(())
         }
--- a/crates/node/src/control/reader.rs
+++ b/crates/node/src/control/reader.rs
@@ -8,6 +8,7 @@
     config::{checkpoint::Checkpoint, fold::Step},
     time::Tick,
 };
+use savorykeel_ports::desired::DesiredState;
 use savorykeel_ports::log::{
     CHECKPOINT_STREAM, CONFIGURATION_STREAM, LogError, LogPage, LogRecord, LogService, Offset,
 };
@@ -15,7 +16,7 @@
 
 use super::{
     context::{ControlContext, ControlMode},
-    duty,
+    desired, duty,
     event::Event,
     state::{ControlState, Counters},
 };
@@ -40,14 +41,18 @@
 ///
 /// Failures are retried more and more slowly, each time after a random wait, so
 /// that the readers don't come back all at once.
-pub(super) async fn read_on<L: LogService, P>(cx: &ControlContext<L, P>) {
+pub(super) async fn read_on<L: LogService + DesiredState, P>(cx: &ControlContext<L, P>) {
     let mut failures = 0;
     loop {
         if !has_to_read(cx) {
             sleep(to_millis(DUTY_CHECK)).await;
             continue;
         }
-        match read_once(cx, cx.times.log_wait).await {
+        let progress = match cx.log.is_kept() {
+            true => desired::read_once(cx, cx.times.log_wait).await,
+            false => read_once(cx, cx.times.log_wait).await,
+        };
+        match progress {
             Progress::Failed | Progress::Stopped => {
                 failures = (failures + 1).min(MAX_BACKOFF_STEPS);
                 sleep(to_millis(jittered(cx.times.log_retry * failures))).await;
--- a/crates/node/src/control/start.rs
+++ b/crates/node/src/control/start.rs
@@ -8,10 +8,12 @@
     metrics::Metrics,
     peer::{LinkSettings, RpcLinks},
 };
-use slog::error;
+use savorykeel_platform::PlatformStore;
+use savorykeel_ports::{desired::DesiredState, log::LogService};
+use slog::{Logger, error};
 use tokio_util::sync::CancellationToken;
 
-use crate::settings::ControlSettings;
+use crate::settings::{ControlSettings, StoreChoice};
 
 use super::{
     context::{ControlContext, ControlTimes},
@@ -37,18 +39,46 @@
 pub async fn start(
     state: Arc<ControlState>,
     settings: ControlSettings,
-    log_service: Arc<str>,
+    store: StoreChoice,
     source: IpAddr,
     metrics: Metrics,
     cancel: CancellationToken,
 ) {
-    let log = loop {
-        match HttpLog::new(log_service.clone()).await {
-            Ok(log) => break log,
-            Err(e) => error!(state.logger, "no client for the log service"; "problem" => %e),
+    let parts = Parts { state, settings, source, metrics };
+    match store {
+        StoreChoice::LogService(base) => {
+            let log = log_client(&parts.state.logger, base).await;
+            run_with(log, parts, cancel).await;
+        }
+        StoreChoice::Platform(settings) => {
+            run_with(PlatformStore::new(&settings), parts, cancel).await;
+        }
+    }
+}
+
+/// What the control loops are made of, apart from the store.
+struct Parts {
+    state: Arc<ControlState>,
+    settings: ControlSettings,
+    source: IpAddr,
+    metrics: Metrics,
+}
+
+async fn log_client(logger: &Logger, base: Arc<str>) -> HttpLog {
+    loop {
+        match HttpLog::new(base.clone()).await {
+            Ok(log) => return log,
+            Err(e) => error!(logger, "no client for the log service"; "problem" => %e),
         }
         sleep(to_millis(CLIENT_RETRY)).await;
-    };
+    }
+}
+
+async fn run_with<L>(log: L, parts: Parts, cancel: CancellationToken)
+where
+    L: LogService + DesiredState + 'static,
+{
+    let Parts { state, settings, source, metrics } = parts;
     let links = RpcLinks::new(link_settings(source), cancel.child_token());
     let for_reset = links.clone();
     let cx = ControlContext {
--- a/crates/node/src/front/acceptor.rs
+++ b/crates/node/src/front/acceptor.rs
@@ -29,6 +29,8 @@
     Caller,
     /// The backend server on the same instance.
     Backend,
+    /// Whoever asks whether the node takes new work.
+    Readiness,
     /// Another node.
     Peer,
 }
--- a/crates/node/src/front/service.rs
+++ b/crates/node/src/front/service.rs
@@ -5,7 +5,7 @@
 use async_channel::Receiver;
 use ntex::{
     Pipeline, Service, ServiceFactory, SharedCfg, fn_service,
-    http::{ConnectionType, HttpService, HttpServiceConfig, Request},
+    http::{ConnectionType, HttpService, HttpServiceConfig, Request, Response},
     io::Io,
     time::Seconds,
 };
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    calls::{announce, entry},
+    calls::{announce, entry, heartbeat},
     http::HttpResult,
     settings::Limits,
     worker::Worker,
@@ -34,13 +34,19 @@
 ) {
     let limits = worker.state.settings.limits;
     let (for_callers, for_backend) = (worker.clone(), worker.clone());
+    let for_readiness = worker.clone();
     let callers = http_service(&limits, move |req| handle_caller(for_callers.clone(), req)).await;
     let backend = http_service(&limits, move |req| handle_backend(for_backend.clone(), req)).await;
-    let (Some(callers), Some(backend)) = (callers, backend) else { return };
+    let readiness = move |req| handle_readiness(for_readiness.clone(), req);
+    let readiness = http_service(&limits, readiness).await;
+    let (Some(callers), Some(backend), Some(readiness)) = (callers, backend, readiness) else {
+        return;
+    };
     while let Ok(accepted) = accepted.recv().await {
         match accepted.origin {
             Origin::Caller => serve_http(callers.clone(), accepted),
             Origin::Backend => serve_http(backend.clone(), accepted),
+            Origin::Readiness => serve_http(readiness.clone(), accepted),
             Origin::Peer => serve_peer(&worker, handler.clone(), accepted, cancel.clone()),
         }
     }
@@ -99,7 +105,7 @@
 }
 
 async fn handle_caller(worker: Rc<Worker>, req: Request) -> HttpResult {
-    let caller = req.peer_addr().map_or_else(String::new, |addr| addr.ip().to_string());
+    let caller = caller_name(&worker, &req);
     let mut response = entry::handle(worker.clone(), req, caller).await?;
     if worker.state.is_leaving() {
         response.head_mut().set_connection_type(ConnectionType::Close);
@@ -107,10 +113,39 @@
     Ok(response)
 }
 
+/// Names the caller for fair queueing, and for backend servers that ask for it.
+///
+/// Where the settings name the service on the instance, everything that enters
+/// here comes from it; otherwise callers are told apart by their address.
+fn caller_name(worker: &Worker, req: &Request) -> String {
+    let expected = worker.state.expected_server();
+    let by_addr = || req.peer_addr().map_or_else(String::new, |addr| addr.ip().to_string());
+    expected.map_or_else(by_addr, |expected| expected.service.as_str().to_owned())
+}
+
+/// Answers whether the node takes new work of callers.
+async fn handle_readiness(worker: Rc<Worker>, req: Request) -> HttpResult {
+    if req.path() != savorykeel_platform::READINESS_PATH {
+        return Ok(Response::NotFound().finish());
+    }
+    let state = &worker.state;
+    let is_ready = state.control.table().is_some() && !state.is_leaving();
+    let mut response = match is_ready {
+        true => Response::Ok(),
+        false => Response::ServiceUnavailable(),
+    };
+    Ok(response.finish())
+}
+
 async fn handle_backend(worker: Rc<Worker>, req: Request) -> HttpResult {
     if req.path() == announce::ANNOUNCEMENT_PATH {
         return announce::handle(&worker.state, req).await;
     }
+    if savorykeel_platform::is_heartbeat(req.path())
+        && let Some(backend) = &worker.state.settings.backend
+    {
+        return heartbeat::handle(&worker.state, req, backend.lease).await;
+    }
     let caller = worker.state.service();
     let caller = caller.map_or_else(String::new, |service| service.as_str().to_owned());
     entry::handle(worker, req, caller).await
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -27,14 +27,8 @@
 /// Carries the outcome on every answer.
 pub(crate) const OUTCOME_HEADER: &str = "savorykeel-outcome";
 
-/// Carries the milliseconds left until the deadline, in and out.
-pub(crate) const DEADLINE_HEADER: &str = "savorykeel-deadline-ms";
-
-/// Carries the number of calls above this one.
-pub(crate) const DEPTH_HEADER: &str = "savorykeel-depth";
-
-/// Carries the attempt's id towards the backend server.
-pub(crate) const REQUEST_ID_HEADER: &str = "savorykeel-request-id";
+/// Tells a caller that was refused when to come back, in seconds.
+const RETRY_AFTER_HEADER: &str = "retry-after";
 
 /// Most bytes of an unwanted body that are read before the answer.
 const MAX_DISCARDED_BYTES: usize = 32 << 20;
@@ -119,6 +113,11 @@
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
+/// Reads a header as text; empty when it is absent or no text.
+pub(crate) fn text_header(headers: &HeaderMap, name: &str) -> String {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+}
+
 /// The body of an answer to HEAD: a length without bytes.
 struct StatedLength(u64);
 
@@ -166,10 +165,12 @@
         detail: detail.into(),
     };
     let outcome: &'static str = code.outcome().into();
-    Response::build(status)
-        .header(CODE_HEADER, code.number().to_string())
-        .header(OUTCOME_HEADER, outcome)
-        .json(&body)
+    let mut response = Response::build(status);
+    response.header(CODE_HEADER, code.number().to_string()).header(OUTCOME_HEADER, outcome);
+    if let Some(after) = code.retry_after() {
+        response.header(RETRY_AFTER_HEADER, after.as_secs_f64().to_string());
+    }
+    response.json(&body)
 }
 
 /// Result of the HTTP services; they answer every request themselves.
--- a/crates/node/src/moves/hub.rs
+++ b/crates/node/src/moves/hub.rs
@@ -7,6 +7,7 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Weak},
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
@@ -20,7 +21,7 @@
         evidence::{COLD_START, EvidenceKey, Observation, Report},
         gossip::MoveGossip,
         split::VersionSplit,
-        status::{MoveEnding, MoveReport},
+        status::{MoveEnding, MoveReport, MoveStatus},
     },
     table::{ServiceTable, Table},
     time::{Tick, WallMillis},
@@ -29,24 +30,57 @@
 /// The version that a call goes to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionChoice {
-    /// The version.
-    pub version: BackendVersion,
+    /// The version; any when none is named.
+    pub version: Option<BackendVersion>,
     /// The version to try when no backend server of the first can take the call.
     pub stand_in: Option<BackendVersion>,
+    /// Number of its instances that take calls; all when none. A new version's calls
+    /// are concentrated while its share is small.
+    pub instances: Option<usize>,
+}
+
+impl VersionChoice {
+    /// Returns the choice of one version for all calls.
+    fn only(version: Option<BackendVersion>) -> Self {
+        Self { version, stand_in: None, instances: None }
+    }
 }
 
 /// Splits of all services as the call path reads them.
 #[derive(Default)]
 struct Splits {
-    by_service: BTreeMap<ServiceName, Option<VersionSplit>>,
+    by_service: BTreeMap<ServiceName, ServiceSplit>,
     /// What they were derived from.
     revision: BookRevision,
     table: Weak<Table>,
 }
 
+/// Which versions of a service take calls.
+#[derive(Debug, Clone)]
+enum ServiceSplit {
+    /// Any, because no configuration named one.
+    Any,
+    /// None.
+    Nothing,
+    /// One or two by name; the new one's calls go to so many of its instances.
+    Versions(VersionSplit, Option<usize>),
+}
+
+impl ServiceSplit {
+    fn of(book: &MoveBook, table: &ServiceTable, service: &ServiceName) -> Self {
+        if book.is_open(service) {
+            return Self::Any;
+        }
+        match book.split(table, service) {
+            Some(split) => Self::Versions(split, book.concentration(table, service)),
+            None => Self::Nothing,
+        }
+    }
+}
+
 /// The backend server beside the node.
 struct Beside {
-    started: Tick,
+    cold_until: Tick,
 }
 
 /// What a node's threads share about moves.
@@ -73,14 +107,23 @@
     ) -> Option<VersionChoice> {
         let splits = self.splits.load();
         let known = splits.by_service.get(service).cloned();
-        let split = known.unwrap_or_else(|| self.book.lock().split(table, service))?;
+        let split = known.unwrap_or_else(|| ServiceSplit::of(&self.book.lock(), table, service));
+        let (split, instances) = match split {
+            ServiceSplit::Any => return Some(VersionChoice::only(None)),
+            ServiceSplit::Nothing => return None,
+            ServiceSplit::Versions(split, instances) => (split, instances),
+        };
         let chosen = split.choose(hash);
         let stand_in = split.stand_in(chosen);
         match stand_in {
             Some(old) if chosen == split.new_version() && !self.allows(route, chosen, now) => {
-                Some(VersionChoice { version: old.clone(), stand_in: None })
+                Some(VersionChoice::only(Some(old.clone())))
             }
-            _ => Some(VersionChoice { version: chosen.clone(), stand_in: stand_in.cloned() }),
+            _ => Some(VersionChoice {
+                version: Some(chosen.clone()),
+                stand_in: stand_in.cloned(),
+                instances: instances.filter(|_| chosen == split.new_version()),
+            }),
         }
     }
 
@@ -114,19 +157,21 @@
     /// Tells whether the backend server beside the node started a moment ago.
     pub fn is_cold(&self, now: Tick) -> bool {
         let beside = self.beside.lock();
-        beside.as_ref().is_none_or(|beside| now.since(beside.started) < COLD_START)
+        beside.as_ref().is_none_or(|beside| now < beside.cold_until)
     }
 
-    /// Notes that a backend server started beside the node.
+    /// Notes that a backend server started beside the node; `cold` is how long it is
+    /// slower than usual, where it says so.
     pub fn backend_started(
         &self,
         instance: &InstanceName,
         incarnation: u64,
         zone: &ZoneName,
         record: &BackendRecord,
+        cold: Option<Duration>,
         now: Tick,
     ) {
-        *self.beside.lock() = Some(Beside { started: now });
+        *self.beside.lock() = Some(Beside { cold_until: now + cold.unwrap_or(COLD_START) });
         let mut book = self.book.lock();
         book.announce(instance, incarnation, zone, &record.service, &record.version);
     }
@@ -149,6 +194,19 @@
         }
     }
 
+    /// Takes in how moves stand by what a platform keeps.
+    pub fn merge_statuses(&self, statuses: &[MoveStatus]) {
+        let mut book = self.book.lock();
+        for status in statuses {
+            book.merge_status(status);
+        }
+    }
+
+    /// Returns how the move of the service beside this node stands.
+    pub fn status(&self, table: &Table) -> Option<MoveStatus> {
+        self.book.lock().status(table)
+    }
+
     /// Returns all targets and states.
     pub fn everything(&self) -> MoveGossip {
         self.book.lock().delta_since(BookRevision::default())
@@ -198,9 +256,10 @@
         if is_same_table && splits.revision == book.revision() {
             return false;
         }
-        let services = table.services.iter();
-        let by_service =
-            services.map(|(name, service)| (name.clone(), book.split(service, name))).collect();
+        let split = |(name, service): (&ServiceName, &ServiceTable)| {
+            (name.clone(), ServiceSplit::of(&book, service, name))
+        };
+        let by_service = table.services.iter().map(split).collect();
         let revision = book.revision();
         self.splits.store(Arc::new(Splits { by_service, revision, table: Arc::downgrade(table) }));
         true
--- a/crates/node/src/moves/mod.rs
+++ b/crates/node/src/moves/mod.rs
@@ -8,10 +8,11 @@
 mod message;
 pub(crate) mod observe;
 mod spread;
+mod statuses;
 
 use std::{rc::Rc, sync::Arc};
 
-use savorykeel_ports::{log::LogService, peer::PeerLinks};
+use savorykeel_ports::{desired::DesiredState, log::LogService, peer::PeerLinks};
 
 use crate::control::{ControlContext, state::TopicHandler};
 
@@ -21,10 +22,16 @@
 /// Runs this node's part in moves for ever.
 pub(crate) async fn run<L, P>(cx: Rc<ControlContext<L, P>>)
 where
-    L: LogService + 'static,
+    L: LogService + DesiredState + 'static,
     P: PeerLinks + 'static,
 {
-    tokio::join!(spread::run(cx.clone()), endings::keep(cx));
+    let keep = async {
+        match cx.log.is_kept() {
+            true => statuses::keep(cx.clone()).await,
+            false => endings::keep(cx.clone()).await,
+        }
+    };
+    tokio::join!(spread::run(cx.clone()), keep);
 }
 
 /// Returns what answers the messages of other nodes about moves.
--- a/crates/node/src/moves/observe.rs
+++ b/crates/node/src/moves/observe.rs
@@ -35,7 +35,7 @@
             Ending::TimedOut
         }
         Err(BackendError::TimedOut) => Ending::Cancelled,
-        Err(BackendError::NotSent(_)) => return None,
+        Err(BackendError::NotSent(_) | BackendError::NotRun(_)) => return None,
     };
     Some(Observation { ending, took, is_cold })
 }
--- a/crates/node/src/moves/spread.rs
+++ b/crates/node/src/moves/spread.rs
@@ -32,11 +32,12 @@
 /// Time between two rounds.
 const ROUND: Millis = Millis(100);
 
-/// Time between two looks at the evidence.
-const LOOK_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two looks at the evidence: a quarter of the time in which a short
+/// move has to notice a fault.
+const LOOK_PERIOD: Duration = Duration::from_millis(250);
 
 /// Shortest time between two reports of evidence to the same node.
-const MIN_REPORT_PERIOD: Duration = Duration::from_secs(1);
+const MIN_REPORT_PERIOD: Duration = Duration::from_millis(500);
 
 /// Longest time between two reports of evidence to the same node; reports of both
 /// versions must not be far apart, or a common fault shows on one of them first.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -18,7 +18,7 @@
     time::{Millis, sleep},
 };
 use savorykeel_adapters::metrics::{Metrics, MetricsError};
-use savorykeel_ports::clock::Clock;
+use savorykeel_ports::{clock::Clock, edge::PRODUCT_HEADERS};
 use serde::Serialize;
 use slog::{Logger, info, warn};
 use tokio_util::sync::CancellationToken;
@@ -26,15 +26,15 @@
 use crate::{
     admin,
     burn::BurnState,
-    calls::{announce, state::CallState},
+    calls::{beside, state::CallState},
     control::{
         self,
         state::{ControlState, Identity},
     },
     front::{self, Acceptor, Origin},
-    settings::Settings,
+    settings::{Settings, StoreChoice},
     state::NodeState,
-    telemetry,
+    telemetry::{self, LineLimit},
     worker::{Worker, WorkerSeed},
 };
 
@@ -44,16 +44,15 @@
 /// Time between two looks at the backend server's lease.
 const LEASE_POLL: Duration = Duration::from_millis(200);
 
-/// Time for which a leaving node still takes new connections of callers, so that
-/// other nodes and callers learn that it leaves before it refuses them.
-const LINGER: Duration = Duration::from_millis(1_500);
-
 /// Time for which a leaving node waits for callers to close idle connections.
 const IDLE_CONNECTIONS: Duration = Duration::from_secs(3);
 
 /// Most connections of other nodes.
 const MAX_PEERS: usize = 65_536;
 
+/// Most connections that ask whether the node takes new work.
+const MAX_QUESTIONERS: usize = 64;
+
 /// Longest time that operators' requests in flight hold up a node that stops.
 const OPERATORS_SHUTDOWN: Millis = Millis(1_000);
 
@@ -107,6 +106,7 @@
     backend: TcpListener,
     peers: TcpListener,
     operators: TcpListener,
+    readiness: Option<TcpListener>,
 }
 
 impl Listeners {
@@ -117,6 +117,7 @@
             backend: bind("backend", listen.backend)?,
             peers: bind("peers", listen.peers)?,
             operators: bind("operators", listen.operators)?,
+            readiness: listen.readiness.map(|addr| bind("readiness", addr)).transpose()?,
         })
     }
 
@@ -135,26 +136,44 @@
     TcpListener::bind(addr).map_err(|source| NodeError::Bind { field, addr, source })
 }
 
-/// Runs a node on the calling thread until `stop` is cancelled.
+/// What ends a node and what changes while it runs.
+pub struct Lifecycle {
+    /// Ends the node when cancelled.
+    pub stop: CancellationToken,
+    /// Settings that were read again. Only the expected backend server follows
+    /// them; anything else takes a restart.
+    pub reloads: async_channel::Receiver<Settings>,
+}
+
+impl Lifecycle {
+    /// Runs a node until `stop` is cancelled, with the settings that it starts with.
+    pub fn until(stop: CancellationToken) -> Self {
+        let (_, reloads) = async_channel::bounded(1);
+        Self { stop, reloads }
+    }
+}
+
+/// Runs a node on the calling thread until it is told to stop.
 ///
-/// `on_ready` hears the bound addresses once the node takes requests. After
-/// `stop`, the node announces that it leaves and lets calls in flight end, at
+/// `on_ready` hears the bound addresses once the node takes requests. After the
+/// stop, the node announces that it leaves and lets calls in flight end, at
 /// most for the drain limit of the settings.
 pub fn run(
     settings: Settings,
     log: Logger,
-    stop: CancellationToken,
+    lifecycle: Lifecycle,
     on_ready: impl FnOnce(&Addresses) + 'static,
 ) -> Result<Ending, NodeError> {
     let listeners = Listeners::bind(&settings)?;
     let name = settings.instance.as_str().to_owned();
-    System::new(&name, DefaultRuntime).block_on(run_node(settings, log, stop, listeners, on_ready))
+    System::new(&name, DefaultRuntime)
+        .block_on(run_node(settings, log, lifecycle, listeners, on_ready))
 }
 
 async fn run_node(
     settings: Settings,
     log: Logger,
-    stop: CancellationToken,
+    lifecycle: Lifecycle,
     listeners: Listeners,
     on_ready: impl FnOnce(&Addresses),
 ) -> Result<Ending, NodeError> {
@@ -170,6 +189,12 @@
         Acceptor::start(listeners.callers, Origin::Caller, limit, accepted_tx.clone())?;
     let mut backend =
         Acceptor::start(listeners.backend, Origin::Backend, limit, accepted_tx.clone())?;
+    let _readiness = listeners
+        .readiness
+        .map(|listener| {
+            Acceptor::start(listener, Origin::Readiness, MAX_QUESTIONERS, accepted_tx.clone())
+        })
+        .transpose()?;
     let mut peers = Acceptor::start(listeners.peers, Origin::Peer, MAX_PEERS, accepted_tx)?;
     spawn_lease_watch(state.clone(), cancel.clone());
     ntex::rt::spawn(telemetry::run(state.clone(), cancel.clone())).detach();
@@ -177,7 +202,8 @@
     let control = spawn_control(&state, &control_cancel);
     info!(state.log, "node started"; "callers" => %addresses.callers, "peers" => %addresses.peers);
     on_ready(&addresses);
-    stop.cancelled().await;
+    spawn_reload(state.clone(), lifecycle.reloads);
+    lifecycle.stop.cancelled().await;
     announce_leaving(&state).await;
     callers.stop().await;
     let ending = drain(&state, &callers).await;
@@ -207,15 +233,23 @@
     };
     let journal_file = settings.journal_file.as_deref();
     let control = ControlState::new(identity, clock, log.clone(), journal_file)?;
-    let calls = CallState::new(&settings, (clock.tick)());
+    let calls = CallState::new(&settings);
+    let headers = match settings.store {
+        StoreChoice::LogService(_) => PRODUCT_HEADERS,
+        StoreChoice::Platform(_) => savorykeel_platform::HEADERS,
+    };
+    let expected = settings.backend.as_ref().map(|backend| backend.expected.clone());
     Ok(Arc::new(NodeState {
         settings,
         clock,
         log,
         metrics,
+        lines: LineLimit::default(),
         burn: BurnState::default(),
         control,
         calls,
+        headers,
+        expected: parking_lot::Mutex::new(expected),
         backend: parking_lot::Mutex::default(),
         leaving: AtomicBool::new(false),
         entered: AtomicU32::new(0),
@@ -245,11 +279,26 @@
     Ok(server)
 }
 
+/// Follows settings that were read again.
+fn spawn_reload(state: Arc<NodeState>, reloads: async_channel::Receiver<Settings>) {
+    ntex::rt::spawn(async move {
+        while let Ok(settings) = reloads.recv().await {
+            let expected = settings.backend.map(|backend| backend.expected);
+            if let Some(expected) = &expected {
+                info!(state.log, "settings read again"; "service" => %expected.service,
+                    "addr" => %expected.addr);
+            }
+            *state.expected.lock() = expected;
+        }
+    })
+    .detach();
+}
+
 fn spawn_lease_watch(state: Arc<NodeState>, cancel: CancellationToken) {
     ntex::rt::spawn(async move {
         while !cancel.is_cancelled() {
             sleep(LEASE_POLL).await;
-            announce::expire(&state);
+            beside::expire(&state);
         }
     })
     .detach();
@@ -258,12 +307,12 @@
 fn spawn_control(state: &Arc<NodeState>, cancel: &CancellationToken) -> JoinHandle<()> {
     let source = state.settings.listen.peers.ip();
     let control = state.settings.control;
-    let log_service = state.settings.log_service.clone();
+    let store = state.settings.store.clone();
     let shared = state.control.clone();
     ntex::rt::spawn(control::start(
         shared,
         control,
-        log_service,
+        store,
         source,
         state.metrics.clone(),
         cancel.clone(),
@@ -275,7 +324,7 @@
     info!(state.log, "node is leaving");
     state.control.begin_leaving();
     state.leaving.store(true, Ordering::Release);
-    sleep(LINGER).await;
+    sleep(state.settings.limits.linger).await;
 }
 
 /// Waits until the calls in flight have ended and callers closed their
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -2,11 +2,12 @@
 
 use std::{fmt::Display, net::SocketAddr, ops::RangeInclusive, sync::Arc, time::Duration};
 
-use savorykeel_policy::refusal::Checker;
+use savorykeel_platform::{MeshDefaults, StoreSettings};
+use savorykeel_policy::{refusal::Checker, server::book::ExpectedServer};
 
 use super::{
-    Limits, Listen, MetricsSettings, RawLimits, RawListen, RawMetrics, RawSettings, RawTesting,
-    Settings, SettingsRefusals, Testing,
+    BackendSettings, Limits, Listen, MetricsSettings, RawBackend, RawLimits, RawListen, RawMetrics,
+    RawSettings, RawTesting, Settings, SettingsRefusals, StoreChoice, Testing,
 };
 
 const WORKERS: RangeInclusive<usize> = 1..=64;
@@ -82,7 +83,8 @@
     let listen = check_listen(checker, &raw.listen);
     let advertised = raw.advertise.peers.as_deref();
     let advertise_peers = advertised.and_then(|addr| remote_addr(checker, "advertise.peers", addr));
-    let log_service = check_log_service(checker, &raw.log_service);
+    let store = check_store(checker, &raw, listen.as_ref());
+    let backend = raw.backend.as_ref().map(|backend| check_backend(checker, backend));
     let metrics = raw.metrics.as_ref().map(|metrics| check_metrics(checker, metrics));
     number(checker, "workers", raw.workers, &WORKERS);
     let limits = check_limits(checker, &raw.limits);
@@ -105,7 +107,8 @@
         region: region?,
         listen,
         advertise_peers,
-        log_service: log_service?,
+        store: store?,
+        backend: backend.flatten(),
         metrics: metrics.flatten(),
         token_file: raw.operators.token_file,
         journal_file: raw.journal_file,
@@ -121,19 +124,61 @@
     let backend = addr(checker, "listen.backend", &raw.backend);
     let peers = addr(checker, "listen.peers", &raw.peers);
     let operators = addr(checker, "listen.operators", &raw.operators);
-    let named = [
+    let readiness = raw.readiness.as_ref();
+    let readiness = readiness.and_then(|raw| addr(checker, "listen.readiness", raw));
+    let mut named = vec![
         ("listen.callers", callers?),
         ("listen.backend", backend?),
         ("listen.peers", peers?),
         ("listen.operators", operators?),
     ];
+    named.extend(readiness.map(|addr| ("listen.readiness", addr)));
     for (i, (path, addr)) in named.iter().enumerate() {
         let taken = named[..i].iter().find(|(_, other)| other == addr && addr.port() != 0);
         if let Some((other, _)) = taken {
             checker.refuse(*path, format!("{addr} is also {other}: give each its own port"));
         }
     }
-    Some(Listen { callers: callers?, backend: backend?, peers: peers?, operators: operators? })
+    Some(Listen {
+        callers: callers?,
+        backend: backend?,
+        peers: peers?,
+        operators: operators?,
+        readiness,
+    })
+}
+
+/// Checks where configuration comes from: the log service or the platform.
+fn check_store(
+    checker: &mut Checker,
+    raw: &RawSettings,
+    listen: Option<&Listen>,
+) -> Option<StoreChoice> {
+    let Some(platform) = &raw.platform else {
+        return check_log_service(checker, &raw.log_service).map(StoreChoice::LogService);
+    };
+    if !raw.log_service.is_empty() {
+        checker.refuse("platform", "it stands beside log_service: use one of them");
+    }
+    checker.share("platform.retry_share", platform.retry_share);
+    checker.share("platform.unproven_share", platform.unproven_share);
+    let addr = remote_addr(checker, "platform.store", &platform.store)?;
+    Some(StoreChoice::Platform(StoreSettings {
+        addr,
+        source: listen?.peers.ip(),
+        defaults: MeshDefaults {
+            retry_share: platform.retry_share,
+            unproven_share: platform.unproven_share,
+        },
+    }))
+}
+
+fn check_backend(checker: &mut Checker, raw: &RawBackend) -> Option<BackendSettings> {
+    millis(checker, "backend.lease_ms", raw.lease, &PERIOD_MILLIS);
+    let service = checker.name("backend.service", &raw.service);
+    let addr = remote_addr(checker, "backend.address", &raw.address);
+    let expected = ExpectedServer { service: service?, addr: addr? };
+    Some(BackendSettings { expected, lease: raw.lease })
 }
 
 fn check_log_service(checker: &mut Checker, raw: &str) -> Option<Arc<str>> {
@@ -193,6 +238,8 @@
     millis(checker, "limits.kept_ms", raw.kept, &LONG_MILLIS);
     millis(checker, "limits.key_kept_ms", raw.key_kept, &LONG_MILLIS);
     millis(checker, "limits.drain_ms", raw.drain, &LONG_MILLIS);
+    millis(checker, "limits.linger_ms", raw.linger, &LONG_MILLIS);
+    millis(checker, "limits.leave_grace_ms", raw.leave_grace, &LONG_MILLIS);
     if raw.silence < raw.heartbeat * 2 {
         checker.refuse(
             "limits.silence_ms",
@@ -216,5 +263,7 @@
         kept: raw.kept,
         key_kept: raw.key_kept,
         drain: raw.drain,
+        linger: raw.linger,
+        leave_grace: raw.leave_grace,
     }
 }
--- a/crates/node/src/settings/checked.rs
+++ b/crates/node/src/settings/checked.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
-use savorykeel_policy::ids::{InstanceName, RegionName, ZoneName};
+use savorykeel_platform::StoreSettings;
+use savorykeel_policy::{
+    ids::{InstanceName, RegionName, ZoneName},
+    server::book::ExpectedServer,
+};
 
 use super::ControlSettings;
 
@@ -20,8 +24,10 @@
     /// Address at which other nodes reach this one, where it differs from the
     /// address that `listen.peers` is bound to.
     pub advertise_peers: Option<SocketAddr>,
-    /// Base URL of the platform's log service, without a slash at its end.
-    pub log_service: Arc<str>,
+    /// Where configuration comes from and what must last is kept.
+    pub store: StoreChoice,
+    /// The backend server on the instance, where the settings say which.
+    pub backend: Option<BackendSettings>,
     /// Where metrics go; nowhere when absent.
     pub metrics: Option<MetricsSettings>,
     /// File that holds the bearer token for requests that write. Without it the
@@ -39,6 +45,24 @@
     pub testing: Testing,
 }
 
+/// Where configuration comes from and what must last is kept.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreChoice {
+    /// The log service at this base URL, without a slash at its end.
+    LogService(Arc<str>),
+    /// The platform's store.
+    Platform(StoreSettings),
+}
+
+/// The backend server on the instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendSettings {
+    /// Which one is expected.
+    pub expected: ExpectedServer,
+    /// Time for which an announcement holds.
+    pub lease: Duration,
+}
+
 /// Mechanisms that a test switched off.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Testing {
@@ -67,6 +91,8 @@
     pub peers: SocketAddr,
     /// For operators.
     pub operators: SocketAddr,
+    /// For questions whether the node takes new work.
+    pub readiness: Option<SocketAddr>,
 }
 
 /// Where metrics go.
@@ -105,4 +131,8 @@
     pub key_kept: Duration,
     /// Longest time that a graceful shutdown waits for requests in flight.
     pub drain: Duration,
+    /// Time for which a node that leaves still takes new connections of callers.
+    pub linger: Duration,
+    /// Time for which a backend server that leaves is still given work.
+    pub leave_grace: Duration,
 }
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -7,11 +7,13 @@
 mod load;
 mod raw;
 
-pub use checked::{Limits, Listen, MetricsSettings, Settings, Testing};
+pub use checked::{
+    BackendSettings, Limits, Listen, MetricsSettings, Settings, StoreChoice, Testing,
+};
 pub use load::{SettingsError, parse, read};
 pub use raw::{
-    ControlSettings, RawAdvertise, RawLimits, RawListen, RawMetrics, RawOperators, RawSettings,
-    RawTesting,
+    ControlSettings, RawAdvertise, RawBackend, RawLimits, RawListen, RawMetrics, RawOperators,
+    RawPlatform, RawSettings, RawTesting,
 };
 
 use savorykeel_policy::refusal::Refusal;
--- a/crates/node/src/settings/raw.rs
+++ b/crates/node/src/settings/raw.rs
@@ -22,8 +22,16 @@
     /// Addresses that the node gives to others, where they differ.
     #[serde(default)]
     pub advertise: RawAdvertise,
-    /// Base URL of the platform's log service.
+    /// Base URL of the log service that operators publish through; it can't stand
+    /// beside `platform`.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
     pub log_service: String,
+    /// The platform that keeps the configuration in place of the log service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub platform: Option<RawPlatform>,
+    /// The backend server on the instance, where the settings are to say which.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub backend: Option<RawBackend>,
     /// Where metrics go; nowhere when absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub metrics: Option<RawMetrics>,
@@ -96,6 +104,33 @@
     }
 }
 
+/// The platform that keeps the configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPlatform {
+    /// Address of the platform's store, as `ip:port`.
+    pub store: String,
+    /// Retries allowed as a share of requests, 0 to 1.
+    pub retry_share: f64,
+    /// Largest share of a service's traffic that an unproven version may get.
+    pub unproven_share: f64,
+}
+
+/// The backend server on the instance.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawBackend {
+    /// Service that it runs; announcements of another one aren't used.
+    pub service: String,
+    /// Address at which it takes requests, as `ip:port`.
+    pub address: String,
+    /// Time for which an announcement holds.
+    #[serde(rename = "lease_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub lease: Duration,
+}
+
 /// Addresses on which the node listens, each as `ip:port`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -108,6 +143,9 @@
     pub peers: String,
     /// For operators.
     pub operators: String,
+    /// For questions whether the node takes new work; none when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub readiness: Option<String>,
 }
 
 /// Addresses that the node gives to others.
@@ -182,6 +220,15 @@
     #[serde(rename = "drain_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub drain: Duration,
+    /// Time for which a node that leaves still takes new connections of callers.
+    #[serde(rename = "linger_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub linger: Duration,
+    /// Time for which a backend server that said that it leaves is still given
+    /// what other nodes sent before they heard of it.
+    #[serde(rename = "leave_grace_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub leave_grace: Duration,
 }
 
 impl Default for RawLimits {
@@ -199,6 +246,8 @@
             kept: Duration::from_secs(120),
             key_kept: Duration::from_secs(600),
             drain: Duration::from_secs(30),
+            linger: Duration::from_millis(1_500),
+            leave_grace: Duration::ZERO,
         }
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -10,15 +10,17 @@
 
 use parking_lot::Mutex;
 use savorykeel_adapters::metrics::Metrics;
-use savorykeel_policy::{ids::ServiceName, time::Tick};
-use savorykeel_ports::clock::Clock;
+use savorykeel_policy::{
+    ids::ServiceName,
+    server::book::{ExpectedServer, ServerBook},
+    time::Tick,
+};
+use savorykeel_ports::{clock::Clock, edge::HeaderNames};
 use slog::Logger;
 
 use crate::{
-    burn::BurnState,
-    calls::{announce::Announcement, state::CallState},
-    control::state::ControlState,
-    settings::Settings,
+    burn::BurnState, calls::state::CallState, control::state::ControlState, settings::Settings,
+    telemetry::LineLimit,
 };
 
 /// State of one node, shared by its worker threads.
@@ -31,14 +33,20 @@
     pub(crate) log: Logger,
     /// Metrics, which go nowhere unless the settings name a server.
     pub(crate) metrics: Metrics,
+    /// Bounds the lines about requests.
+    pub(crate) lines: LineLimit,
     /// How the calls that entered at this node ended.
     pub(crate) burn: BurnState,
     /// Configuration and membership.
     pub(crate) control: Arc<ControlState>,
     /// Calls.
     pub(crate) calls: CallState,
+    /// Names of the headers towards callers and backend servers.
+    pub(crate) headers: HeaderNames,
+    /// What the settings file may change while the node runs.
+    pub(crate) expected: Mutex<Option<ExpectedServer>>,
     /// The backend server beside the node, while its lease lasts.
-    pub(crate) backend: Mutex<Option<Announcement>>,
+    pub(crate) backend: Mutex<ServerBook>,
     /// Whether the node is leaving and takes no new work for its backend server.
     pub(crate) leaving: AtomicBool,
     /// Calls that entered at this node and have no answer yet.
@@ -60,7 +68,16 @@
 
     /// Returns the service of the backend server beside the node.
     pub(crate) fn service(&self) -> Option<ServiceName> {
-        self.backend.lock().as_ref().map(|backend| backend.record.service.clone())
+        let expected = self.expected.lock().as_ref().map(|expected| expected.service.clone());
+        expected.or_else(|| {
+            let book = self.backend.lock();
+            book.known().map(|known| known.announcement.service.clone())
+        })
+    }
+
+    /// Returns the backend server that the settings place beside the node.
+    pub(crate) fn expected_server(&self) -> Option<ExpectedServer> {
+        self.expected.lock().clone()
     }
 
     /// Tells whether no call is in flight at the node.
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
+use parking_lot::Mutex;
 use savorykeel_adapters::metrics::Gauge;
+use savorykeel_policy::time::Tick;
+use slog::{Logger, warn};
 use tokio_util::sync::CancellationToken;
 
 use crate::state::NodeState;
@@ -26,3 +29,42 @@
         }
     }
 }
+
+/// Lines about requests that a node writes in a second; beyond it they are counted.
+/// A node answers some hundred requests a second at its share of a processor.
+const LINES_PER_SECOND: u32 = 400;
+
+/// Bounds the lines about requests, so that an overload isn't made worse by its own
+/// log.
+#[derive(Debug, Default)]
+pub(crate) struct LineLimit {
+    second: Mutex<Second>,
+}
+
+#[derive(Debug, Default)]
+struct Second {
+    number: u64,
+    written: u32,
+    dropped: u32,
+}
+
+impl LineLimit {
+    /// Tells whether a line may be written now; says how many were left out before.
+    pub(crate) fn allow(&self, now: Tick, log: &Logger) -> bool {
+        let number = now.0 / 1_000;
+        let mut second = self.second.lock();
+        if second.number != number {
+            let dropped = second.dropped;
+            *second = Second { number, written: 0, dropped: 0 };
+            if dropped > 0 {
+                warn!(log, "lines about requests left out"; "lines" => dropped);
+            }
+        }
+        if second.written >= LINES_PER_SECOND {
+            second.dropped += 1;
+            return false;
+        }
+        second.written += 1;
+        true
+    }
+}
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -14,7 +14,6 @@
     backend::HttpBackend,
     peer::{LinkSettings, PeerHandler, RpcLinks},
 };
-use savorykeel_ports::backend::BackendError;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -81,21 +80,17 @@
     /// Returns a client for the backend server at `addr`.
     ///
     /// `connections` is this worker's share of the backend server's limit.
-    pub(crate) async fn backend(
-        &self,
-        addr: SocketAddr,
-        connections: usize,
-    ) -> Result<HttpBackend, BackendError> {
+    pub(crate) fn backend(&self, addr: SocketAddr, connections: usize) -> HttpBackend {
         if let Some(cached) = &*self.backend.borrow()
             && cached.addr == addr
             && cached.connections == connections
         {
-            return Ok(cached.client.clone());
+            return cached.client.clone();
         }
-        let client = HttpBackend::new(addr, connections).await?;
+        let client = HttpBackend::new(addr, connections, self.state.headers);
         *self.backend.borrow_mut() =
             Some(CachedBackend { addr, connections, client: client.clone() });
-        Ok(client)
+        client
     }
 
     /// Makes later requests use new connections to the backend server.
--- a/crates/operator/src/route.rs
+++ b/crates/operator/src/route.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use savorykeel_policy::config::raw::{RawMatch, RawRoute};
+use savorykeel_policy::config::raw::RawRoute;
 
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(5);
 const DEFAULT_BODY_LIMIT_BYTES: u64 = 1 << 20;
@@ -34,13 +34,9 @@
 
     fn new(name: String, service: String, path: String, idempotent: bool) -> Self {
         let raw = RawRoute {
-            name,
-            matches: RawMatch { path, ..RawMatch::default() },
-            service,
-            idempotent,
-            urgent: false,
             timeout_ms: DEFAULT_TIMEOUT.as_millis() as u64,
             body_limit_bytes: DEFAULT_BODY_LIMIT_BYTES,
+            ..RawRoute::to(service, name, path, idempotent)
         };
         Self { raw }
     }
--- a/crates/operator/src/service.rs
+++ b/crates/operator/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use savorykeel_policy::config::raw::{RawObjective, RawService};
+use savorykeel_policy::config::raw::RawService;
 
 /// A service, while it is being built.
 #[derive(Debug, Clone, PartialEq)]
@@ -14,9 +14,7 @@
 impl Service {
     /// Returns a service whose traffic `version` should carry.
     pub fn new(name: impl Into<String>, version: impl Into<String>) -> Self {
-        let raw =
-            RawService { version: version.into(), by: None, objective: RawObjective::default() };
-        Self { name: name.into(), raw }
+        Self { name: name.into(), raw: RawService::of(version) }
     }
 
     /// Sets the time, as RFC 3339, by which all traffic should reach the version.
--- a/crates/policy/src/calls/admission.rs
+++ b/crates/policy/src/calls/admission.rs
@@ -7,15 +7,16 @@
 //! `docs/design/0006-load.md`.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     sync::Arc,
     time::Duration,
 };
 
 use crate::{code::Code, time::Tick};
 
-/// Starts in a row that urgent requests may take while others wait.
-const URGENT_STARTS_IN_A_ROW: u32 = 8;
+/// Starts in a row that requests of the first waiting rank may take while others
+/// wait; the next start goes to the next rank, so that none starves.
+const STARTS_IN_A_ROW: u32 = 8;
 
 /// Queued requests for each slot.
 const QUEUE_PER_SLOT: usize = 2;
@@ -35,8 +36,8 @@
 pub struct Applicant {
     /// Name of the caller, for fairness.
     pub caller: Arc<str>,
-    /// Whether it goes before others.
-    pub urgent: bool,
+    /// Rank among the requests that wait, 0 first.
+    pub priority: u32,
     /// Moment at which its caller stops waiting.
     pub deadline: Tick,
 }
@@ -152,10 +153,10 @@
 pub struct AdmissionQueue {
     slots: u32,
     running: u32,
-    urgent: FairQueue,
-    normal: FairQueue,
+    /// Queued requests by rank; no queue is empty.
+    ranks: BTreeMap<u32, FairQueue>,
     next_ticket: u64,
-    urgent_starts: u32,
+    starts_in_a_row: u32,
     /// Average time that a request holds a slot, in milliseconds.
     run_time_ms: f64,
 }
@@ -166,10 +167,9 @@
         Self {
             slots,
             running: 0,
-            urgent: FairQueue::default(),
-            normal: FairQueue::default(),
+            ranks: BTreeMap::new(),
             next_ticket: 0,
-            urgent_starts: 0,
+            starts_in_a_row: 0,
             run_time_ms: 0.0,
         }
     }
@@ -181,7 +181,7 @@
 
     /// Returns the number of queued requests.
     pub fn queued(&self) -> usize {
-        self.urgent.len + self.normal.len
+        self.ranks.values().map(|queue| queue.len).sum()
     }
 
     /// Returns the number of slots.
@@ -225,14 +225,18 @@
 
     /// Removes a queued request whose caller gave up; tells whether it was queued.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        self.urgent.remove(ticket) || self.normal.remove(ticket)
+        let was_queued = self.ranks.values_mut().any(|queue| queue.remove(ticket));
+        self.drop_empty();
+        was_queued
     }
 
     /// Sheds queued requests that are past their deadline.
     pub fn expire(&mut self, now: Tick) -> Release {
         let mut expired = Vec::new();
-        self.urgent.drain_expired(now, &mut expired);
-        self.normal.drain_expired(now, &mut expired);
+        for queue in self.ranks.values_mut() {
+            queue.drain_expired(now, &mut expired);
+        }
+        self.drop_empty();
         let shed = expired.into_iter().map(|ticket| (ticket, Code::DeadlineBeforeStart)).collect();
         Release { started: Vec::new(), shed }
     }
@@ -243,41 +247,39 @@
 
     /// Tells whether a request is likely to end before its deadline.
     fn can_start_in_time(&self, applicant: &Applicant, now: Tick) -> bool {
-        let ahead = if applicant.urgent { self.urgent.len } else { self.queued() };
+        let before = self.ranks.range(..=applicant.priority);
+        let ahead: usize = before.map(|(_, queue)| queue.len).sum();
         let rounds = (ahead + 1) as f64 / f64::from(self.slots.max(1));
         let needed_ms = (rounds + 1.0) * self.run_time_ms;
         applicant.deadline.since(now).as_secs_f64() * 1_000.0 > needed_ms
     }
 
-    /// Sheds the newest queued request of the caller that has most of them.
+    /// Sheds a queued request in favour of a new one; tells whether it did.
     ///
-    /// A caller can't push out another one's request unless that one has more
-    /// requests queued, and only urgent requests push out urgent ones.
+    /// The request comes from the last rank, from the caller that has most there,
+    /// and is its newest. A request of a lower rank always makes room. Within one
+    /// rank a caller can't push out another one's request unless that one has more
+    /// requests queued.
     fn make_room(&mut self, applicant: &Applicant, release: &mut Release) -> bool {
-        let own = self.normal.len_of(&applicant.caller);
-        let victim = match self.normal.longest() {
-            Some((caller, len)) if applicant.urgent || len > own + 1 => {
-                self.normal.remove_at(&caller, len - 1)
-            }
-            _ if applicant.urgent => self.urgent_victim(applicant),
-            _ => None,
-        };
+        let Some((&rank, queue)) = self.ranks.iter_mut().next_back() else { return false };
+        let Some((caller, len)) = queue.longest() else { return false };
+        let is_outranked = rank > applicant.priority;
+        let is_unfair = rank == applicant.priority && len > queue.len_of(&applicant.caller) + 1;
+        if !is_outranked && !is_unfair {
+            return false;
+        }
+        let victim = queue.remove_at(&caller, len - 1);
+        self.drop_empty();
         let Some(victim) = victim else { return false };
         release.shed.push((victim.ticket, Code::Overloaded));
         true
     }
 
-    fn urgent_victim(&mut self, applicant: &Applicant) -> Option<Waiter> {
-        let own = self.urgent.len_of(&applicant.caller);
-        let (caller, len) = self.urgent.longest()?;
-        if len > own + 1 { self.urgent.remove_at(&caller, len - 1) } else { None }
-    }
-
     fn enqueue(&mut self, applicant: &Applicant) -> Ticket {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        let queue = if applicant.urgent { &mut self.urgent } else { &mut self.normal };
-        queue.push(&applicant.caller, Waiter { ticket, deadline: applicant.deadline });
+        let waiter = Waiter { ticket, deadline: applicant.deadline };
+        self.ranks.entry(applicant.priority).or_default().push(&applicant.caller, waiter);
         ticket
     }
 
@@ -292,12 +294,25 @@
     }
 
     fn next_waiter(&mut self) -> Option<Waiter> {
-        let takes_urgent = self.normal.len == 0 || self.urgent_starts < URGENT_STARTS_IN_A_ROW;
-        if takes_urgent && let Some(waiter) = self.urgent.pop() {
-            self.urgent_starts += 1;
-            return Some(waiter);
-        }
-        self.urgent_starts = 0;
-        self.normal.pop().or_else(|| self.urgent.pop())
+        let first = *self.ranks.keys().next()?;
+        let second = self.ranks.keys().nth(1).copied();
+        let rank = match second {
+            Some(second) if self.starts_in_a_row >= STARTS_IN_A_ROW => {
+                self.starts_in_a_row = 0;
+                second
+            }
+            Some(_) => {
+                self.starts_in_a_row += 1;
+                first
+            }
+            None => first,
+        };
+        let waiter = self.ranks.get_mut(&rank)?.pop();
+        self.drop_empty();
+        waiter
+    }
+
+    fn drop_empty(&mut self) {
+        self.ranks.retain(|_, queue| queue.len > 0);
     }
 }
--- a/crates/policy/src/calls/retry.rs
+++ b/crates/policy/src/calls/retry.rs
@@ -1,19 +1,23 @@
-//! The retry budget of one node.
+//! The retry budgets of one node.
 //!
-//! Retries are a share of the calls, so that they can't multiply an overload.
-//! Only the entry node of the hop that failed retries, and a backend server's
-//! own answer is never retried, so that a deep chain retries at one layer only.
+//! Retries are a share of the calls, so that they can't multiply an overload. A
+//! node has a budget for each service out of its own calls to it, so that the sum
+//! over all nodes is the same share of all calls, without any word between them.
+//! What a node saves up or gets without calls is small, because all nodes together
+//! may spend it at once.
 
-use crate::time::Tick;
+use std::collections::HashMap;
+
+use crate::{ids::ServiceName, time::Tick};
 
 /// Retries a second that are allowed however few calls there are.
-pub const FLOOR_PER_SECOND: f64 = 1.0;
+pub const FLOOR_PER_SECOND: f64 = 0.1;
 
-/// Largest number of retries that can be saved up.
-pub const MAX_SAVED: f64 = 100.0;
+/// Largest number of retries that can be saved up for one service.
+pub const MAX_SAVED: f64 = 4.0;
 
-/// Tries of one call, the first one included.
-pub const MAX_TRIES: u32 = 3;
+/// Retries that a node may make before it has counted any call.
+const INITIAL: f64 = 1.0;
 
 /// A token bucket that calls and time fill and retries empty.
 #[derive(Debug)]
@@ -26,7 +30,7 @@
 impl RetryBudget {
     /// Creates a budget of `share` retries a call.
     pub fn new(share: f64, now: Tick) -> Self {
-        Self { share, saved: FLOOR_PER_SECOND, filled_at: now }
+        Self { share, saved: INITIAL, filled_at: now }
     }
 
     /// Changes the share, because configurations change it.
@@ -51,3 +55,28 @@
         true
     }
 }
+
+/// The budgets of one node by service.
+#[derive(Debug, Default)]
+pub struct RetryBudgets {
+    by_service: HashMap<ServiceName, RetryBudget>,
+}
+
+impl RetryBudgets {
+    /// Counts a call to a service that isn't a retry; `share` retries come with it.
+    pub fn count_call(&mut self, service: &ServiceName, share: f64, now: Tick) {
+        if let Some(budget) = self.by_service.get_mut(service) {
+            budget.set_share(share);
+            budget.count_call();
+            return;
+        }
+        let mut budget = RetryBudget::new(share, now);
+        budget.count_call();
+        self.by_service.insert(service.clone(), budget);
+    }
+
+    /// Takes one retry from a service's budget if there is one.
+    pub fn try_spend(&mut self, service: &ServiceName, now: Tick) -> bool {
+        self.by_service.get_mut(service).is_some_and(|budget| budget.try_spend(now))
+    }
+}
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -3,8 +3,21 @@
 //! The table with what each code means and what to do is `docs/CODES.md`; a
 //! test keeps both in step. A number is never used again for something else.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
+/// Pause after a refusal for load: some slots of a backend server are free again
+/// after one run, which takes a few hundred milliseconds.
+const OVERLOAD_PAUSE: Duration = Duration::from_millis(300);
+
+/// Pause after a refusal by a node that has just started; it knows its
+/// surroundings within about a second.
+const START_PAUSE: Duration = Duration::from_millis(500);
+
+/// Pause after a refusal that another node or another moment may not repeat.
+const MOVED_PAUSE: Duration = Duration::from_millis(100);
+
 /// What a caller may conclude about its request.
 #[derive(
     Debug,
@@ -85,6 +98,8 @@
     Cancelled = 115,
     /// Too many calls are below one another.
     TooDeep = 116,
+    /// The backend server answered that it did not run the request.
+    BackendRefused = 117,
     /// The connection to the backend server ended after the request was sent.
     BackendConnectionLost = 200,
     /// The deadline passed while the request was running.
@@ -131,6 +146,21 @@
         }
     }
 
+    /// Returns when a caller that was refused may come back; none where sending
+    /// again doesn't help or isn't safe.
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            Code::Overloaded | Code::RetryBudgetExhausted | Code::BackendRefused => {
+                Some(OVERLOAD_PAUSE)
+            }
+            Code::NoConfiguration | Code::NoBackendServer => Some(START_PAUSE),
+            Code::Leaving | Code::Unreachable | Code::Fenced | Code::DeadlineBeforeStart => {
+                Some(MOVED_PAUSE)
+            }
+            _ => None,
+        }
+    }
+
     /// Returns the HTTP status that goes with the code.
     pub fn http_status(self) -> u16 {
         match self {
--- a/crates/policy/src/config/check.rs
+++ b/crates/policy/src/config/check.rs
@@ -2,13 +2,18 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use crate::{ids::ServiceName, refusal::Checker, time::WallMillis};
+use crate::{
+    ids::{ConfigVersion, ServiceName},
+    refusal::Checker,
+    time::WallMillis,
+};
 
 use super::{
     model::{
-        CONFIGURATION_FORMAT, Configuration, Limits, MAX_BODY_BYTES, MAX_CALL_DEPTH,
-        MAX_HOST_BYTES, MAX_METHODS, MAX_PATH_BYTES, MAX_ROUTES, MAX_SERVICES, MAX_TIMEOUT,
-        Objective, Refusals, Route, Service,
+        CONFIGURATION_FORMAT, Configuration, DueTime, LOWEST_PRIORITY, Limits, MAX_ATTEMPTS,
+        MAX_BODY_BYTES, MAX_CALL_DEPTH, MAX_HOST_BYTES, MAX_IDLE, MAX_METHODS, MAX_PARTS,
+        MAX_PATH_BYTES, MAX_ROUTES, MAX_SERVICES, MAX_TIMEOUT, MAX_WEIGHT, Objective, Part,
+        Refusals, Route, Service, USUAL_PRIORITY,
     },
     raw::{RawConfiguration, RawLimits, RawMatch, RawObjective, RawRoute, RawService},
     rfc3339::has_rfc3339_shape,
@@ -57,10 +62,29 @@
 }
 
 fn check_service(checker: &mut Checker, path: &str, raw: &RawService) -> Option<Service> {
-    let version = checker.name(&format!("{path}.version"), &raw.version);
-    let by = raw.by.as_deref().and_then(|by| check_time(checker, &format!("{path}.by"), by));
+    let version = match &raw.version {
+        Some(version) => Some(checker.name(&format!("{path}.version"), version)?),
+        None => None,
+    };
+    let due = check_due(checker, path, raw);
+    if due.is_some() && version.is_none() {
+        checker.refuse(format!("{path}.version"), "it is absent while a time is asked for");
+    }
     let objective = check_objective(checker, &format!("{path}.objective"), &raw.objective);
-    Some(Service { version: version?, by, objective })
+    checker.require(raw.connections != Some(0), &format!("{path}.connections"), || {
+        "0 connections: use at least 1, or leave it out".into()
+    });
+    let asked = raw.asked.map(ConfigVersion);
+    Some(Service { version, due, asked, connections: raw.connections, objective })
+}
+
+fn check_due(checker: &mut Checker, path: &str, raw: &RawService) -> Option<DueTime> {
+    if raw.by.is_some() && raw.within_ms.is_some() {
+        checker.refuse(format!("{path}.within_ms"), "it stands beside `by`: use one of them");
+    }
+    let by = raw.by.as_deref().and_then(|by| check_time(checker, &format!("{path}.by"), by));
+    let within = raw.within_ms.map(|ms| DueTime::Within(Duration::from_millis(ms)));
+    by.map(DueTime::By).or(within)
 }
 
 fn check_time(checker: &mut Checker, path: &str, raw: &str) -> Option<WallMillis> {
@@ -119,15 +143,18 @@
     services: &BTreeMap<ServiceName, Service>,
 ) -> Option<Route> {
     let name = checker.name(&format!("{path}.name"), &raw.name);
-    let service = checker.name::<ServiceName>(&format!("{path}.service"), &raw.service);
-    if let Some(service) = &service {
-        checker.require(services.contains_key(service), &format!("{path}.service"), || {
-            format!(
-                "route {:?} names the unknown service {:?}: add it under services",
-                raw.name, raw.service
-            )
-        });
-    }
+    let parts = check_parts(checker, path, raw, services);
+    let priority = check_priority(checker, path, raw);
+    let attempts_path = format!("{path}.attempts");
+    checker.require((1..=MAX_ATTEMPTS).contains(&raw.attempts), &attempts_path, || {
+        format!("{}: use 1 to {MAX_ATTEMPTS}", raw.attempts)
+    });
+    let objective = raw.objective_ms.map(Duration::from_millis);
+    let objective_path = format!("{path}.objective_ms");
+    let is_objective = objective.is_none_or(|o| !o.is_zero() && o <= MAX_TIMEOUT);
+    checker.require(is_objective, &objective_path, || {
+        format!("use 1 to {} ms, or leave it out", MAX_TIMEOUT.as_millis())
+    });
     check_match(checker, &format!("{path}.match"), &raw.matches);
     let timeout = Duration::from_millis(raw.timeout_ms);
     let timeout_path = format!("{path}.timeout_ms");
@@ -143,14 +170,79 @@
         host: raw.matches.host.as_ref().map(|host| host.to_ascii_lowercase().into()),
         path: raw.matches.path.as_str().into(),
         methods: raw.matches.methods.iter().map(|m| m.as_str().into()).collect(),
-        service: service?,
+        below: raw.matches.below,
+        parts: parts?,
         idempotent: raw.idempotent,
-        urgent: raw.urgent,
+        priority,
+        attempts: raw.attempts,
+        objective,
         timeout,
         body_limit: raw.body_limit_bytes,
     })
 }
 
+/// Checks the services that answer: one by name, or several with weights.
+fn check_parts(
+    checker: &mut Checker,
+    path: &str,
+    raw: &RawRoute,
+    services: &BTreeMap<ServiceName, Service>,
+) -> Option<Vec<Part>> {
+    if raw.split.is_empty() {
+        let service =
+            check_answering(checker, &format!("{path}.service"), raw, &raw.service, services)?;
+        return Some(vec![Part { service, weight: 1 }]);
+    }
+    checker.require(raw.service.is_empty(), &format!("{path}.service"), || {
+        "it stands beside `split`: use one of them".into()
+    });
+    checker.require(raw.split.len() <= MAX_PARTS, &format!("{path}.split"), || {
+        format!("{} services: use at most {MAX_PARTS}", raw.split.len())
+    });
+    let mut parts = Vec::with_capacity(raw.split.len());
+    for (i, part) in raw.split.iter().enumerate() {
+        let part_path = format!("{path}.split[{i}]");
+        checker.require(part.weight <= MAX_WEIGHT, &format!("{part_path}.weight"), || {
+            format!("{}: use at most {MAX_WEIGHT}", part.weight)
+        });
+        let service_path = format!("{part_path}.service");
+        let service = check_answering(checker, &service_path, raw, &part.service, services);
+        parts.extend(service.map(|service| Part { service, weight: part.weight }));
+    }
+    let has_weight = parts.iter().any(|part| part.weight > 0);
+    checker.require(has_weight, &format!("{path}.split"), || {
+        "no part has a weight above 0: no service would answer".into()
+    });
+    Some(parts)
+}
+
+fn check_answering(
+    checker: &mut Checker,
+    path: &str,
+    raw: &RawRoute,
+    name: &str,
+    services: &BTreeMap<ServiceName, Service>,
+) -> Option<ServiceName> {
+    let service = checker.name::<ServiceName>(path, name)?;
+    checker.require(services.contains_key(&service), path, || {
+        format!("route {:?} names the unknown service {name:?}: add it under services", raw.name)
+    });
+    Some(service)
+}
+
+fn check_priority(checker: &mut Checker, path: &str, raw: &RawRoute) -> u32 {
+    let path = format!("{path}.priority");
+    checker.require(!(raw.urgent && raw.priority.is_some()), &path, || {
+        "it stands beside `urgent`: use one of them".into()
+    });
+    let usual = if raw.urgent { 0 } else { USUAL_PRIORITY };
+    let priority = raw.priority.unwrap_or(usual);
+    checker.require(priority <= LOWEST_PRIORITY, &path, || {
+        format!("{priority}: use 0 to {LOWEST_PRIORITY}")
+    });
+    priority
+}
+
 fn check_match(checker: &mut Checker, path: &str, raw: &RawMatch) {
     let path_path = format!("{path}.path");
     checker.require(raw.path.starts_with('/'), &path_path, || {
@@ -192,9 +284,14 @@
     checker.require((1..=MAX_CALL_DEPTH).contains(&raw.call_depth), "limits.call_depth", || {
         format!("{}: use 1 to {MAX_CALL_DEPTH}", raw.call_depth)
     });
+    let idle = Duration::from_millis(raw.idle_ms);
+    checker.require(!idle.is_zero() && idle <= MAX_IDLE, "limits.idle_ms", || {
+        format!("{} ms: use 1 to {}", raw.idle_ms, MAX_IDLE.as_millis())
+    });
     Limits {
         retry_share: raw.retry_share,
         unproven_share: raw.unproven_share,
         call_depth: raw.call_depth,
+        idle,
     }
 }
--- a/crates/policy/src/config/fold.rs
+++ b/crates/policy/src/config/fold.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    model::Configuration,
+    model::{Configuration, Refusals},
     raw::RawConfiguration,
     record::{PublishRecord, RecordError},
 };
@@ -91,6 +91,15 @@
     Stopped,
 }
 
+/// What became of a configuration that a platform keeps whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Replaced {
+    /// It is in force.
+    Taken,
+    /// It is no newer than what is held.
+    Known,
+}
+
 /// The state after the records up to a position.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Fold {
@@ -213,6 +222,25 @@
         self.configuration = Some(configuration);
     }
 
+    /// Takes over a configuration that a platform keeps whole, instead of folding
+    /// records.
+    ///
+    /// Its position stands for its version, because both only grow. A configuration
+    /// that breaks a rule leaves the last one in force.
+    pub fn replace(
+        &mut self,
+        position: Position,
+        raw: RawConfiguration,
+    ) -> Result<Replaced, Refusals> {
+        if position <= self.position {
+            return Ok(Replaced::Known);
+        }
+        let configuration = Configuration::try_from(raw.clone())?;
+        self.enforce(ConfigVersion(position.0), Arc::new(raw), Arc::new(configuration));
+        self.position = position;
+        Ok(Replaced::Taken)
+    }
+
     /// Replaces the state by that of an image that lies further on.
     ///
     /// Returns whether the image was taken; an image that isn't ahead is left.
--- a/crates/policy/src/config/shadow.rs
+++ b/crates/policy/src/config/shadow.rs
@@ -14,8 +14,9 @@
     methods: BTreeSet<Arc<str>>,
 }
 
-/// A host and a path prefix without its last slash.
-type Place = (Option<Arc<str>>, Arc<str>);
+/// A host, a path prefix without its last slash, and whether only paths below it
+/// are taken.
+type Place = (Option<Arc<str>>, Arc<str>, bool);
 
 /// The places of earlier routes, in the order in which routes are tried.
 #[derive(Default)]
@@ -40,7 +41,7 @@
 
     /// Adds a route after those that are known.
     pub(super) fn add(&mut self, route: &Route) {
-        let place = (route.host.clone(), trim(&route.path).into());
+        let place = (route.host.clone(), trim(&route.path).into(), route.below);
         let taken = self.taken.entry(place).or_default();
         taken.is_all |= route.methods.is_empty();
         taken.methods.extend(route.methods.iter().cloned());
@@ -53,9 +54,17 @@
     let slashes = path.match_indices('/').map(|(at, _)| &path[..at]);
     let mut places = Vec::new();
     for prefix in slashes.chain([path]) {
-        places.push((None, prefix.into()));
-        if route.host.is_some() {
-            places.push((route.host.clone(), prefix.into()));
+        // A route that takes only what is below a prefix hides the prefix itself
+        // from no other route.
+        let is_itself = prefix.len() == path.len();
+        for below in [false, true] {
+            if below && is_itself && !route.below {
+                continue;
+            }
+            places.push((None, prefix.into(), below));
+            if route.host.is_some() {
+                places.push((route.host.clone(), prefix.into(), below));
+            }
         }
     }
     places
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod membership;
 pub mod moves;
 pub mod refusal;
+pub mod server;
 pub mod table;
 pub mod time;
--- a/crates/policy/src/moves/book.rs
+++ b/crates/policy/src/moves/book.rs
@@ -3,10 +3,13 @@
 //! Targets and states are known to every node, because every node chooses
 //! versions. Reports of evidence go to the nodes of the same service alone.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
-    config::model::Configuration,
+    config::model::{Configuration, DueTime},
     ids::{BackendVersion, ConfigVersion, InstanceName, RouteName, ServiceName, ZoneName},
     membership::entry::Stamp,
     table::{ServiceTable, Table},
@@ -15,12 +18,13 @@
 
 use super::{
     capacity::Capacity,
-    course::{phase_of, slots_of},
+    course::{instances_of, phase_of, slots_of},
     evidence::{Evidence, Observation, Report},
     gossip::{KnownState, MoveGossip, ServiceMoves},
+    short,
     split::VersionSplit,
-    state::{MoveKey, MoveState, Permille},
-    status::{ENDING_FORMAT, MoveEnding, MoveReport, Seen},
+    state::{BadKind, BadReason, MoveKey, MoveState, Permille},
+    status::{ENDING_FORMAT, MoveEnding, MovePhase, MoveReport, MoveStatus, Seen},
     targets::Targets,
     watch::{Look, Watch},
 };
@@ -39,6 +43,8 @@
     evidence: Evidence,
     own: Option<Report>,
     watches: BTreeMap<MoveKey, Watch>,
+    /// When moves were first seen, by what a platform keeps.
+    since: BTreeMap<MoveKey, WallMillis>,
 }
 
 impl MoveBook {
@@ -129,6 +135,46 @@
         self.merge_state(key, &ending.state)
     }
 
+    /// Takes in how moves stand by what a platform keeps.
+    pub fn merge_status(&mut self, status: &MoveStatus) -> bool {
+        let key = MoveKey { service: status.service.clone(), asked: status.asked };
+        let since = self.since.entry(key.clone()).or_insert(status.since);
+        *since = status.since.min(*since);
+        let state = match status.phase {
+            MovePhase::Running => return false,
+            MovePhase::Done => {
+                MoveState { share: Permille::FULL, done: true, ..MoveState::default() }
+            }
+            MovePhase::TakenBack => {
+                // What showed is known to the nodes that saw it.
+                let bad = BadReason { kind: BadKind::Failing, route: None };
+                MoveState { bad: Some(bad), ..MoveState::default() }
+            }
+        };
+        self.merge_state(key, &state)
+    }
+
+    /// Returns how the move of the service beside this node stands; none while the
+    /// service has no move or no node of it has looked yet.
+    pub fn status(&self, table: &Table) -> Option<MoveStatus> {
+        let service = &self.own.as_ref()?.service;
+        let course = self.course(table.services.get(service)?, service)?;
+        let key = MoveKey { service: service.clone(), asked: course.target.asked };
+        let due = self.watches.get(&key)?.due();
+        let phase = match &course.state {
+            state if state.bad.is_some() => MovePhase::TakenBack,
+            state if state.done => MovePhase::Done,
+            _ => MovePhase::Running,
+        };
+        Some(MoveStatus {
+            service: service.clone(),
+            version: course.target.version,
+            asked: key.asked,
+            phase,
+            since: due.start,
+        })
+    }
+
     /// Returns how the calls of a service are split now, or none when no backend
     /// server may take them.
     pub fn split(&self, table: &ServiceTable, service: &ServiceName) -> Option<VersionSplit> {
@@ -159,7 +205,8 @@
         let look = Look {
             tick,
             wall,
-            by: self.targets.by(&service),
+            due: self.targets.due(&service),
+            since: self.since.get(&key).copied(),
             unproven: Permille::from_share(table.configuration.limits.unproven_share),
             old: course.old.as_ref(),
             base: course.base,
@@ -168,10 +215,12 @@
                 new_slots: slots_of(service_table, &course.target.version),
                 old_slots: course.old.as_ref().map_or(0, |old| slots_of(service_table, old)),
             },
+            new_instances: instances_of(service_table, &course.target.version),
+            longest_request: longest_request(table, &service),
             evidence: &self.evidence,
         };
         self.watches.retain(|watched, _| *watched == key);
-        let routes = table.configuration.routes.iter().filter(|r| r.service == service).count();
+        let routes = table.configuration.routes.iter().filter(|r| r.leads_to(&service)).count();
         let watch = self
             .watches
             .entry(key.clone())
@@ -216,6 +265,32 @@
         })
     }
 
+    /// Tells on how many instances the calls of a service's new version are
+    /// concentrated; none when on all.
+    pub fn concentration(&self, table: &ServiceTable, service: &ServiceName) -> Option<usize> {
+        let course = self.course(table, service)?;
+        let is_short =
+            matches!(self.targets.due(service), Some(DueTime::Within(s)) if s <= short::LONGEST);
+        let share = course.state.effective_share();
+        let instances = instances_of(table, &course.target.version) as usize;
+        let is_rising = is_short && !course.state.done && course.old.is_some();
+        is_rising.then(|| short::instances_for(share, instances))
+    }
+
+    /// Tells whether any version of a service takes calls, because no
+    /// configuration named one.
+    pub fn is_open(&self, service: &ServiceName) -> bool {
+        self.targets.current(service).is_none()
+    }
+
+    fn asked_by(&self, service: &ServiceName) -> Option<WallMillis> {
+        match self.targets.due(service)? {
+            DueTime::By(at) => Some(at),
+            // Only a node of the service knows since when.
+            DueTime::Within(_) => None,
+        }
+    }
+
     fn touch(&mut self, service: &ServiceName) {
         self.revision.0 += 1;
         self.revisions.insert(service.clone(), self.revision);
@@ -278,7 +353,7 @@
             from: course.old,
             to: course.target.version,
             share_permille: share,
-            by: self.targets.by(service),
+            by: watch.map(|watch| watch.due().at).or_else(|| self.asked_by(service)),
             by_note: watch.map(|watch| watch.due().note),
             reason: course.state.bad,
             old: watch.map_or(Seen::default(), Watch::seen_old),
@@ -287,3 +362,9 @@
         })
     }
 }
+
+/// Returns the longest time that a request to a service may take.
+fn longest_request(table: &Table, service: &ServiceName) -> Duration {
+    let routes = table.configuration.routes.iter().filter(|route| route.leads_to(service));
+    routes.map(|route| route.timeout).max().unwrap_or_default()
+}
--- a/crates/policy/src/moves/course.rs
+++ b/crates/policy/src/moves/course.rs
@@ -53,6 +53,11 @@
     live.map(|endpoint| endpoint.slots).sum()
 }
 
+/// Returns the number of a version's live instances.
+pub(super) fn instances_of(table: &ServiceTable, version: &BackendVersion) -> u32 {
+    table.endpoints.iter().filter(|endpoint| endpoint.version == *version).count() as u32
+}
+
 impl MoveBook {
     /// Returns the state of a target: all states that were noted under an id
     /// within its run belong to it.
@@ -84,8 +89,10 @@
         };
         let known = base.filter(is_usable);
         let earlier = || runs.iter().rev().find(|run| is_usable(run)).cloned();
-        let old = known.or_else(earlier).map(|run| run.version);
-        let old = old.or_else(|| self.unknown_base(table, &runs, &target));
+        let old = known
+            .map(|run| run.version)
+            .or_else(|| self.unnamed_base(table, &runs, &target))
+            .or_else(|| earlier().map(|run| run.version));
         let base = if runs.is_empty() { Base::Unknown } else { Base::Known };
         Some(Course { target, state, old, base })
     }
@@ -97,30 +104,38 @@
             let state = self.state(service, run);
             state.done && state.bad.is_none()
         };
-        let done = runs.iter().rev().find(is_done);
-        done.or_else(|| runs.iter().find(|run| self.state(service, run).bad.is_none())).cloned()
+        if let Some(done) = runs.iter().rev().find(is_done) {
+            return Some(done.clone());
+        }
+        // A target of a later configuration that was never done took traffic from
+        // a version that no configuration named.
+        let named = runs.iter().filter(|run| run.asked == FIRST_VERSION);
+        named.into_iter().find(|run| self.state(service, run).bad.is_none()).cloned()
     }
 
-    /// Takes the version with most live instances when no earlier target is
-    /// known, so that a node without history doesn't hand all traffic to the
-    /// target.
+    /// Takes the version with most live instances among those that were never a
+    /// target, so that a node without history, or a service whose configuration
+    /// named no version before, doesn't hand all traffic to the target.
     ///
     /// Before the first configuration no version carried traffic, so that its
     /// targets have no base and versions that it doesn't name get no call.
-    fn unknown_base(
+    fn unnamed_base(
         &self,
         table: &ServiceTable,
         runs: &[Target],
         target: &Target,
     ) -> Option<BackendVersion> {
-        if !runs.is_empty() || target.asked == FIRST_VERSION {
+        let first = runs.first().unwrap_or(target);
+        if first.asked == FIRST_VERSION {
             return None;
         }
         let mut counts: BTreeMap<&BackendVersion, usize> = BTreeMap::new();
         for endpoint in &table.endpoints {
             *counts.entry(&endpoint.version).or_default() += 1;
         }
-        counts.remove(&target.version);
+        for named in runs.iter().chain([target]) {
+            counts.remove(&named.version);
+        }
         let most = counts.into_iter().max_by_key(|(_, count)| *count);
         most.map(|(version, _)| version.clone())
     }
--- a/crates/policy/src/moves/mod.rs
+++ b/crates/policy/src/moves/mod.rs
@@ -5,7 +5,8 @@
 //! that late, repeated and crossing updates are harmless. The reasons are in
 //! `docs/design/0009-moves-agreement.md`, the test is in
 //! `docs/design/0007-judge.md` and the shares are in
-//! `docs/design/0008-ramp.md`.
+//! `docs/design/0008-ramp.md`. Moves that last seconds go by
+//! `docs/design/0014-short-moves.md`.
 
 pub mod book;
 pub mod breaker;
@@ -17,8 +18,10 @@
 pub mod histogram;
 pub mod judge;
 mod question;
+pub mod quick;
 pub mod ramp;
 pub mod recheck;
+pub mod short;
 pub mod split;
 pub mod state;
 pub mod status;
--- a/crates/policy/src/moves/ramp.rs
+++ b/crates/policy/src/moves/ramp.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::time::WallMillis;
+use crate::{config::model::DueTime, time::WallMillis};
 
 use super::state::Permille;
 
@@ -74,8 +74,15 @@
 
 impl Due {
     /// Understands the time asked for by a move that starts now.
-    pub fn new(start: WallMillis, by: Option<WallMillis>) -> Self {
-        let (at, note) = match by {
+    pub fn new(start: WallMillis, asked: Option<DueTime>) -> Self {
+        let asked = match asked {
+            Some(DueTime::Within(span)) => {
+                return Self { start, at: start + span.min(MAX_SPAN), note: ByNote::AsAsked };
+            }
+            Some(DueTime::By(at)) => Some(at),
+            None => None,
+        };
+        let (at, note) = match asked {
             None => (start + DEFAULT_SPAN, ByNote::Missing),
             Some(by) if by <= start => (start + LATE_SPAN, ByNote::Past),
             Some(by) if by < start + MIN_SPAN => (start + MIN_SPAN, ByNote::TooSoon),
--- a/crates/policy/src/moves/status.rs
+++ b/crates/policy/src/moves/status.rs
@@ -98,3 +98,30 @@
 
 /// Format of [`MoveEnding`].
 pub const ENDING_FORMAT: u32 = 1;
+
+/// How a move between versions stands, as operators read it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum MovePhase {
+    /// The share of the new version rises.
+    Running,
+    /// All traffic reached the new version.
+    Done,
+    /// The new version is bad and gets no traffic.
+    TakenBack,
+}
+
+/// What the platform keeps for operators about a move.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MoveStatus {
+    /// Service that moves.
+    pub service: ServiceName,
+    /// Version that gains traffic.
+    pub version: BackendVersion,
+    /// Position at which the move was asked for: the move's id.
+    pub asked: ConfigVersion,
+    /// How the move stands.
+    pub phase: MovePhase,
+    /// When the first node of the service saw the move.
+    pub since: WallMillis,
+}
--- a/crates/policy/src/moves/targets.rs
+++ b/crates/policy/src/moves/targets.rs
@@ -10,9 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    config::model::Configuration,
+    config::model::{Configuration, DueTime},
     ids::{BackendVersion, ConfigVersion, ServiceName},
-    time::WallMillis,
 };
 
 /// Notes kept for each service.
@@ -81,7 +80,7 @@
     /// Version of the newest configuration noted.
     pub applied: ConfigVersion,
     services: BTreeMap<ServiceName, ServiceTargets>,
-    by: BTreeMap<ServiceName, WallMillis>,
+    due: BTreeMap<ServiceName, DueTime>,
 }
 
 impl Targets {
@@ -91,11 +90,14 @@
             return;
         }
         self.applied = version;
-        self.by.clear();
+        self.due.clear();
         for (name, service) in &configuration.services {
-            self.services.entry(name.clone()).or_default().note(version, &service.version);
-            if let Some(by) = service.by {
-                self.by.insert(name.clone(), by);
+            if let Some(target) = &service.version {
+                let asked = service.asked.unwrap_or(version);
+                self.services.entry(name.clone()).or_default().note(asked, target);
+            }
+            if let Some(due) = service.due {
+                self.due.insert(name.clone(), due);
             }
         }
     }
@@ -116,9 +118,9 @@
         self.runs(service).pop()
     }
 
-    /// Returns the time by which the target in force should carry all traffic.
-    pub fn by(&self, service: &ServiceName) -> Option<WallMillis> {
-        self.by.get(service).copied()
+    /// Returns when the target in force should carry all traffic.
+    pub fn due(&self, service: &ServiceName) -> Option<DueTime> {
+        self.due.get(service).copied()
     }
 
     /// Returns the notes about a service, for gossip.
--- a/crates/policy/src/moves/watch.rs
+++ b/crates/policy/src/moves/watch.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
+    config::model::DueTime,
     ids::{BackendVersion, RouteName},
     time::{Tick, WallMillis},
 };
@@ -11,8 +12,10 @@
     capacity::Capacity,
     evidence::Evidence,
     judge::{Judge, Judgement},
+    quick::{QuickJudge, worse},
     ramp::{Due, Proof, RampInput, next_share},
     recheck::Rechecks,
+    short::{self, ShortInput},
     state::{MoveState, Permille},
     status::Seen,
     window::{Increments, Window},
@@ -53,8 +56,10 @@
     pub tick: Tick,
     /// Wall-clock time.
     pub wall: WallMillis,
-    /// Time by which the configuration asks for the whole share.
-    pub by: Option<WallMillis>,
+    /// When the configuration asks for the whole share.
+    pub due: Option<DueTime>,
+    /// When the move was first seen by any node, where that is known.
+    pub since: Option<WallMillis>,
     /// Largest share before there is evidence.
     pub unproven: Permille,
     /// Version that loses traffic, when it has live instances.
@@ -65,16 +70,28 @@
     pub new: &'a BackendVersion,
     /// Slots of both.
     pub capacity: Capacity,
+    /// Live instances of the new version.
+    pub new_instances: u32,
+    /// Longest time that a request to the service may take.
+    pub longest_request: Duration,
     /// Evidence of the service's nodes.
     pub evidence: &'a Evidence,
 }
 
+impl Look<'_> {
+    /// Returns the start of the move; a clock that was set back doesn't lengthen it.
+    fn start(&self) -> WallMillis {
+        self.since.map_or(self.wall, |since| since.min(self.wall))
+    }
+}
+
 /// Watches one move.
 #[derive(Debug, Clone)]
 pub struct Watch {
     due: Due,
-    by: Option<WallMillis>,
+    asked: Option<DueTime>,
     judge: Judge,
+    quick: QuickJudge,
     increments: Increments,
     rechecks: Rechecks,
     step: Permille,
@@ -91,9 +108,10 @@
     /// Starts to watch a move of a service with `route_count` routes.
     pub fn new(route_count: usize, look: &Look<'_>, state: &MoveState) -> Self {
         Self {
-            due: Due::new(look.wall, look.by),
-            by: look.by,
+            due: Due::new(look.start(), look.due),
+            asked: look.due,
             judge: Judge::new(route_count, look.tick),
+            quick: QuickJudge::default(),
             increments: Increments::default(),
             rechecks: Rechecks::new(look.tick, state.rechecks),
             step: state.share,
@@ -113,7 +131,11 @@
         self.follow(look, state);
         let window = self.increments.advance(look.tick, look.evidence, look.old, look.new);
         self.count(look.tick, &window);
-        let judgement = self.judge.look(look.tick, state.rechecks, &window);
+        let quick = self.quick.look(look.tick, look.evidence, look.old, look.new);
+        let mut judgement = self.judge.look(look.tick, state.rechecks, &window);
+        if self.is_short() && !state.done {
+            judgement = worse(quick, judgement);
+        }
         self.rechecks.look(&window, state.done);
         let mut wanted = state.clone();
         if state.bad.is_some() {
@@ -156,11 +178,16 @@
         self.judge.weight()
     }
 
+    /// Tells whether the move is to be done within seconds of its beginning.
+    pub fn is_short(&self) -> bool {
+        matches!(self.asked, Some(DueTime::Within(span)) if span <= short::LONGEST)
+    }
+
     /// Takes over what other nodes decided since the last look.
     fn follow(&mut self, look: &Look<'_>, state: &MoveState) {
-        if look.by != self.by {
-            self.by = look.by;
-            self.due = Due::new(look.wall, look.by);
+        if look.due != self.asked {
+            self.asked = look.due;
+            self.due = Due::new(look.start(), look.due);
         }
         if state.share != self.step {
             self.step = state.share;
@@ -191,9 +218,26 @@
         }
         self.old_seen = look.tick;
         let in_step = look.tick.since(self.step_since);
-        let is_settled = in_step >= SETTLE_TIME;
+        let settle = match self.is_short() {
+            true => short::settle_time(look.longest_request),
+            false => SETTLE_TIME,
+        };
         if wanted.share == Permille::FULL {
-            wanted.done = is_settled && look.capacity.ceiling() == Permille::FULL;
+            let is_clear = !self.is_short() || judgement == Judgement::Clear;
+            let has_room = look.capacity.ceiling() == Permille::FULL;
+            wanted.done = in_step >= settle && has_room && is_clear;
+            return;
+        }
+        if self.is_short() {
+            wanted.share = short::next_share(&ShortInput {
+                share: wanted.share,
+                elapsed: Duration::from_millis(look.wall.0.saturating_sub(self.due.start.0)),
+                span: Duration::from_millis(self.due.at.0.saturating_sub(self.due.start.0)),
+                longest_request: look.longest_request,
+                judgement: &judgement,
+                unproven: look.unproven,
+                new_instances: look.new_instances,
+            });
             return;
         }
         wanted.share = next_share(&RampInput {
--- a/crates/ports/src/backend.rs
+++ b/crates/ports/src/backend.rs
@@ -13,6 +13,9 @@
     /// The request was sent, at least in part, and no whole answer came.
     #[error("the backend server gave no whole answer: {0}")]
     Lost(String),
+    /// The backend server answered that it did not run the request.
+    #[error("the backend server did not run the request: status {0}")]
+    NotRun(u16),
     /// The deadline passed after the request was sent.
     #[error("the backend server gave no answer in time")]
     TimedOut,
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -6,5 +6,7 @@
 
 pub mod backend;
 pub mod clock;
+pub mod desired;
+pub mod edge;
 pub mod log;
 pub mod peer;
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -66,8 +66,8 @@
     pub route: RouteName,
     /// Whether running the request twice does the same as running it once.
     pub idempotent: bool,
-    /// Whether the request goes before others when a queue forms.
-    pub urgent: bool,
+    /// Rank of the request when a queue forms, 0 first.
+    pub priority: u32,
     /// Time left until the deadline; a duration, because clocks differ.
     pub time_left: Duration,
     /// Number of calls above this one.
--- a/tests/feature/check_configuration.rs
+++ b/tests/feature/check_configuration.rs
@@ -54,6 +54,16 @@
     document
 }
 
+/// Sets the values at several JSON pointers.
+fn with_all(changes: &[(&str, Value)]) -> Value {
+    let mut document = good();
+    for (pointer, value) in changes {
+        let (parent, key) = pointer.rsplit_once('/').unwrap();
+        document.pointer_mut(parent).unwrap()[key] = value.clone();
+    }
+    document
+}
+
 fn check(text: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_savorykeel"))
         .args(["check", "--configuration", "-"])
@@ -92,6 +102,16 @@
     any_method = { with("/routes/0/match/methods", Some(json!([]))) },
     no_routes = { with("/routes", Some(json!([]))) },
     longest_timeout = { with("/routes/0/timeout_ms", Some(json!(300_000))) },
+    any_version = { with_all(&[("/services/gate/version", json!(null)), ("/services/gate/by", json!(null))]) },
+    within = { with_all(&[("/services/gate/by", json!(null)), ("/services/gate/within_ms", json!(12_000))]) },
+    asked = { with("/services/gate/asked", Some(json!(3))) },
+    connections = { with("/services/gate/connections", Some(json!(120))) },
+    split = { with_all(&[("/routes/0/service", json!("")), ("/routes/0/split", json!([{"service": "gate", "weight": 9}, {"service": "gate", "weight": 0}]))]) },
+    rank = { with_all(&[("/routes/0/urgent", json!(false)), ("/routes/0/priority", json!(15))]) },
+    most_attempts = { with("/routes/0/attempts", Some(json!(16))) },
+    route_objective = { with("/routes/0/objective_ms", Some(json!(600))) },
+    below = { with("/routes/0/match/below", Some(json!(true))) },
+    idle = { with("/limits/idle_ms", Some(json!(3_600_000))) },
     largest_body = { with("/routes/0/body_limit_bytes", Some(json!(16_777_216))) },
 )]
 fn good_documents_pass_both(document: Value) {
@@ -131,6 +151,19 @@
     path_with_query = { with("/routes/0/match/path", Some(json!("/gate?x"))), "routes[0].match.path: it holds a character" },
     host_with_port = { with("/routes/0/match/host", Some(json!("a.example:80"))), "routes[0].match.host: \"a.example:80\" is not a host name" },
     limit_field = { with("/limits/colour", Some(json!(1))), "limits.colour: unknown field `colour`" },
+    by_and_within = { with("/services/gate/within_ms", Some(json!(1))), "services.gate.within_ms: it stands beside `by`" },
+    time_without_version = { with("/services/gate/version", Some(json!(null))), "services.gate.version: it is absent while a time is asked for" },
+    no_connections = { with("/services/gate/connections", Some(json!(0))), "services.gate.connections: 0 connections" },
+    no_service = { with("/routes/0/service", None), "routes[0].service: \"\" is not a name" },
+    service_and_split = { with("/routes/0/split", Some(json!([{"service": "gate", "weight": 1}]))), "routes[0].service: it stands beside `split`" },
+    no_weight = { with_all(&[("/routes/0/service", json!("")), ("/routes/0/split", json!([{"service": "gate", "weight": 0}]))]), "routes[0].split: no part has a weight above 0" },
+    heavy = { with_all(&[("/routes/0/service", json!("")), ("/routes/0/split", json!([{"service": "gate", "weight": 1_000_001}]))]), "routes[0].split[0].weight: 1000001: use at most 1000000" },
+    negative_weight = { with_all(&[("/routes/0/service", json!("")), ("/routes/0/split", json!([{"service": "gate", "weight": -1}]))]), "routes[0].split[0].weight: invalid value" },
+    urgent_and_rank = { with("/routes/0/priority", Some(json!(0))), "routes[0].priority: it stands beside `urgent`" },
+    low_rank = { with_all(&[("/routes/0/urgent", json!(false)), ("/routes/0/priority", json!(16))]), "routes[0].priority: 16: use 0 to 15" },
+    no_attempts = { with("/routes/0/attempts", Some(json!(0))), "routes[0].attempts: 0: use 1 to 16" },
+    no_route_objective = { with("/routes/0/objective_ms", Some(json!(0))), "routes[0].objective_ms: use 1 to 300000 ms" },
+    no_idle = { with("/limits/idle_ms", Some(json!(0))), "limits.idle_ms: 0 ms: use 1 to 3600000" },
     top_field = { with("/comment", Some(json!("hello"))), "comment: unknown field `comment`" },
 )]
 fn bad_documents_fail_both(document: Value, expected: &str) {
