Stay in the zone, answer side by side, and refuse early

Change: the expected time is that of the route, scaled by the instance, with the load that the node beside it reports; another zone is taken when an answer here is expected late and there much sooner. Links are asked for a sign of life only while a request waits. Callers' connections run requests side by side on the library's codec and are closed when idle before the node ends. Requests that can't be fast wait no longer than half of their time; one that no node has room for isn't offered to a second. All instances of the old version take calls while the new one has no share.

Ruled out: telling calls of backend servers from callers by their address: both come from the instance's own.

--- a/crates/adapters/schema/peer.capnp
+++ b/crates/adapters/schema/peer.capnp
@@ -33,6 +33,7 @@
   request @9 :Request;
   aimLife @10 :UInt64;
   aimTick @11 :UInt64;
+  wantedLeftMs @12 :UInt32;
 }
 
 struct Reply {
@@ -42,6 +43,7 @@
     answer @2 :Answer;
     failed @3 :UInt16;
   }
+  runMs @4 :UInt32;
 }
 
 struct Settlement {
--- a/crates/adapters/src/peer/client.rs
+++ b/crates/adapters/src/peer/client.rs
@@ -1,7 +1,7 @@
 //! Links to other nodes: one connection to each, opened when first needed.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     future::Future,
     net::{IpAddr, SocketAddr},
@@ -79,12 +79,29 @@
     }
 }
 
+/// Counts a request on a link until the value is dropped.
+struct Pending<'a>(&'a Cell<u32>);
+
+impl<'a> Pending<'a> {
+    fn enter(pending: &'a Cell<u32>) -> Self {
+        pending.set(pending.get() + 1);
+        Self(pending)
+    }
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Waits for a reply, or until the link is down.
 async fn await_reply<T>(
     addr: SocketAddr,
     link: &Link,
     reply: Promise<T, capnp::Error>,
 ) -> Result<T, PeerError> {
+    let _pending = Pending::enter(&link.pending);
     let reply: std::pin::Pin<Box<dyn Future<Output = Result<T, capnp::Error>>>> = Box::pin(reply);
     tokio::select! {
         biased;
--- a/crates/adapters/src/peer/decode.rs
+++ b/crates/adapters/src/peer/decode.rs
@@ -30,6 +30,7 @@
         idempotent: from.get_idempotent(),
         priority: from.get_priority(),
         time_left: Duration::from_millis(from.get_time_left_ms().into()),
+        wanted_left: Duration::from_millis(from.get_wanted_left_ms().into()),
         depth: from.get_depth(),
         caller: from.get_caller()?.to_string()?,
         request: read_request(from.get_request()?)?,
@@ -65,7 +66,11 @@
 }
 
 pub(super) fn read_reply(from: reply::Reader<'_>) -> Result<(PeerReply, LoadHint), Error> {
-    let load = LoadHint { in_flight: from.get_in_flight(), slots: from.get_slots() };
+    let load = LoadHint {
+        in_flight: from.get_in_flight(),
+        slots: from.get_slots(),
+        run_time: Duration::from_millis(from.get_run_ms().into()),
+    };
     let reply = match from.which()? {
         reply::Answer(answer) => PeerReply::Answered(read_answer(answer?)?),
         reply::Failed(number) => PeerReply::Failed(read_code(number)?),
--- a/crates/adapters/src/peer/encode.rs
+++ b/crates/adapters/src/peer/encode.rs
@@ -31,6 +31,7 @@
     to.set_idempotent(from.idempotent);
     to.set_priority(from.priority);
     to.set_time_left_ms(millis(from.time_left));
+    to.set_wanted_left_ms(millis(from.wanted_left));
     to.set_depth(from.depth);
     to.set_caller(from.caller.as_str());
     write_request(&from.request, to.init_request());
@@ -60,6 +61,7 @@
 pub(super) fn write_reply(from: &PeerReply, load: LoadHint, mut to: reply::Builder<'_>) {
     to.set_in_flight(load.in_flight);
     to.set_slots(load.slots);
+    to.set_run_ms(millis(load.run_time));
     match from {
         PeerReply::Answered(answer) => write_answer(answer, to.init_answer()),
         PeerReply::Failed(code) => to.set_failed(Code::number(*code)),
--- a/crates/adapters/src/peer/link.rs
+++ b/crates/adapters/src/peer/link.rs
@@ -19,6 +19,8 @@
     pub(super) client: peer::Client,
     /// Newest stamp heard of the other node.
     pub(super) stamp: Cell<NodeStamp>,
+    /// Requests on the link that have no reply yet.
+    pub(super) pending: Cell<u32>,
     /// Cancelled when the connection ended or went silent.
     pub(super) down: CancellationToken,
 }
@@ -45,7 +47,7 @@
             down.cancel();
             return Err(io::ErrorKind::TimedOut.into());
         };
-        let link = Rc::new(Link { client, stamp: Cell::new(stamp), down });
+        let link = Rc::new(Link { client, stamp: Cell::new(stamp), pending: Cell::new(0), down });
         ntex::rt::spawn(watch(link.clone(), settings)).detach();
         Ok(link)
     }
@@ -76,13 +78,25 @@
     down.cancel();
 }
 
+/// Heartbeat intervals after which one is sent although no request waits, so that
+/// the stamp stays younger than what the other node remembers.
+const IDLE_INTERVALS: u32 = 8;
+
 /// Sends heartbeats and cancels `down` when one stays unanswered.
+///
+/// A link on which no request waits has nothing to lose, so it is asked seldom.
 async fn watch(link: Rc<Link>, settings: LinkSettings) {
+    let mut idle = 0;
     loop {
         tokio::select! {
             () = sleep(to_millis(settings.heartbeat_interval)) => {}
             () = link.down.cancelled() => return,
         }
+        idle += 1;
+        if link.pending.get() == 0 && idle < IDLE_INTERVALS {
+            continue;
+        }
+        idle = 0;
         let limit = to_millis(settings.heartbeat_timeout);
         match timeout(limit, heartbeat(&link.client)).await {
             Ok(Some(stamp)) => link.stamp.set(stamp),
--- a/crates/node/src/calls/attempt.rs
+++ b/crates/node/src/calls/attempt.rs
@@ -9,12 +9,14 @@
 
 use rand::RngExt;
 use savorykeel_policy::{
-    calls::deadline::next_hop,
+    calls::{balance::Load, deadline::next_hop},
     code::Code,
     ids::{InstanceName, RequestId},
     table::Endpoint,
 };
-use savorykeel_ports::peer::{Attempt, PeerCall, PeerError, PeerLinks, PeerReply, Settlement};
+use savorykeel_ports::peer::{
+    Attempt, LoadHint, PeerCall, PeerError, PeerLinks, PeerReply, Settlement,
+};
 
 use crate::worker::Worker;
 
@@ -74,10 +76,11 @@
         service: journey.service.clone(),
         route: journey.route.name.clone(),
         idempotent: journey.route.idempotent,
-        priority: journey.route.priority,
+        priority: journey.priority(),
         time_left: next_hop(journey.time_left())?,
+        wanted_left: journey.wanted_left(),
         depth: journey.depth,
-        caller: journey.caller.clone(),
+        caller: journey.caller.name.clone(),
         request: journey.request.clone(),
     })
 }
@@ -88,14 +91,21 @@
 
 async fn send(worker: &Rc<Worker>, aimed: &Aimed, call: PeerCall) -> Result<PeerReply, PeerError> {
     if is_own(worker, &aimed.instance) {
-        return Ok(serve::run_detached(worker.clone(), call).await.0);
+        let (reply, load) = serve::run_detached(worker.clone(), call).await;
+        note_load(worker, aimed, load);
+        return Ok(reply);
     }
     let (reply, load) = worker.links.call(aimed.addr, &call).await?;
-    let state = &worker.state;
-    state.calls.balancer.lock().hint(&aimed.instance, load.in_flight, state.now());
+    note_load(worker, aimed, load);
     Ok(reply)
 }
 
+fn note_load(worker: &Worker, aimed: &Aimed, load: LoadHint) {
+    let state = &worker.state;
+    let load = Load { in_flight: load.in_flight, run_time: load.run_time };
+    state.calls.balancer.lock().hint(&aimed.instance, load, state.now());
+}
+
 /// Says what became of a request whose connection was lost.
 async fn lost(worker: &Rc<Worker>, journey: &Journey, aimed: &Aimed) -> PeerReply {
     if worker.state.calls.testing.without_settle {
--- a/crates/node/src/calls/dispatch.rs
+++ b/crates/node/src/calls/dispatch.rs
@@ -7,7 +7,7 @@
 };
 
 use savorykeel_policy::{
-    calls::balance::{CallEnd, Candidate},
+    calls::balance::{CallEnd, Candidate, Wanted},
     code::{Code, Outcome},
     ids::{BackendVersion, InstanceName},
     table::Endpoint,
@@ -77,6 +77,7 @@
                 choice.end(call_end(&reply), started);
                 journey.trail.borrow_mut().note(&candidates[i].instance, &reply, started);
                 note_ending(worker, journey, &reply);
+                learn(worker, journey, &reply, started);
                 reply
             }
             Err(Stop::Try(code)) => {
@@ -96,6 +97,11 @@
             // over a new one.
             tried.pop();
         }
+        if matches!(last, PeerReply::Failed(Code::Overloaded))
+            && !has_room_elsewhere(worker, &candidates, &tried)
+        {
+            return last;
+        }
         if let PeerReply::Failed(code) = last
             && free_tries < free_tries_for(code)
         {
@@ -112,6 +118,16 @@
     }
 }
 
+/// Tells whether a backend server that wasn't tried is known to have a free slot.
+///
+/// While all are full, offering each request to another one only adds messages.
+fn has_room_elsewhere(worker: &Worker, candidates: &[Candidate], tried: &[usize]) -> bool {
+    let balancer = worker.state.calls.balancer.lock();
+    let now = worker.state.now();
+    let mut others = candidates.iter().enumerate().filter(|(i, _)| !tried.contains(i));
+    others.any(|(_, candidate)| balancer.has_room(candidate, now))
+}
+
 /// What the tries of one request came to.
 #[derive(Default)]
 struct Outcomes {
@@ -197,6 +213,7 @@
     let versions = journey.versions.as_ref()?;
     let stand_in = versions.stand_in.clone().map(Some);
     let in_turn = [Some(versions.version.clone()), stand_in];
+    let wanted = Wanted { route: journey.route.name.clone(), within: journey.wanted_left() };
     let seed = xxh3_64(journey.service.as_str().as_bytes());
     in_turn.into_iter().flatten().find_map(|version| {
         let chosen = match (&version, versions.instances) {
@@ -214,10 +231,18 @@
             tried.contains(i) || is_left_out || endpoint.as_ref().is_none_or(is_other)
         };
         let out: Vec<usize> = (0..candidates.len()).filter(is_out).collect();
-        choose(worker, candidates, &out)
+        choose(worker, candidates, &out, &wanted)
     })
 }
 
+/// Learns the usual time of the route from an answer.
+fn learn(worker: &Worker, journey: &Journey, reply: &PeerReply, started: Instant) {
+    if let PeerReply::Answered(_) = reply {
+        let mut balancer = worker.state.calls.balancer.lock();
+        balancer.learn(&journey.route.name, started.elapsed());
+    }
+}
+
 /// Returns the `n` instances of a version that all nodes concentrate its calls on.
 fn concentrated(journey: &Journey, version: &BackendVersion, n: usize, seed: u64) -> Vec<usize> {
     let Some(service) = journey.table.services.get(&journey.service) else { return Vec::new() };
@@ -242,13 +267,18 @@
     moves.note_entry(&journey.route.name, &endpoint.version, is_failed, worker.state.now());
 }
 
-fn choose(worker: &Worker, candidates: &[Candidate], tried: &[usize]) -> Option<usize> {
+fn choose(
+    worker: &Worker,
+    candidates: &[Candidate],
+    tried: &[usize],
+    wanted: &Wanted,
+) -> Option<usize> {
     if worker.state.calls.testing.round_robin {
         return in_turn(worker, candidates, tried);
     }
     let mut balancer = worker.state.calls.balancer.lock();
     let rng = &mut *worker.rng.borrow_mut();
-    balancer.choose(candidates, tried, worker.state.now(), rng)
+    balancer.choose(candidates, tried, wanted, worker.state.now(), rng)
 }
 
 /// Chooses the next backend server in turn, for measurements.
@@ -288,7 +318,11 @@
 
 fn call_end(reply: &PeerReply) -> CallEnd {
     match reply {
+        PeerReply::Answered(answer) if RETRIED_STATUSES.contains(&answer.status) => {
+            CallEnd::AnsweredBadly
+        }
         PeerReply::Answered(_) => CallEnd::Answered,
+        PeerReply::Failed(Code::BackendRefused) => CallEnd::AnsweredBadly,
         PeerReply::Failed(Code::Overloaded | Code::DeadlineBeforeStart) => CallEnd::Shed,
         PeerReply::Failed(Code::Quarantined | Code::Cancelled | Code::CancelledWhileRunning) => {
             CallEnd::Cancelled
--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -20,10 +20,14 @@
 
 use crate::{
     burn::{self, EndedCall},
-    calls::{dispatch::dispatch, journey::Journey, trail},
+    calls::{
+        dispatch::dispatch,
+        journey::{Caller, Journey},
+        trail,
+    },
     http::{
-        BodyError, HttpResult, IDEMPOTENCY_KEY_HEADER, answer_response, code_response,
-        discard_body, number_header, read_body, text_header, to_port_request,
+        BodyError, IDEMPOTENCY_KEY_HEADER, answer_response, code_response, discard_body,
+        number_header, read_body, text_header, to_port_request,
     },
     moves::hub::VersionChoice,
     state::InFlight,
@@ -31,12 +35,12 @@
 };
 
 /// Answers a request from a caller or from the backend server beside the node.
-pub(crate) async fn handle(worker: Rc<Worker>, req: Request, caller: String) -> HttpResult {
+pub(crate) async fn handle(worker: Rc<Worker>, req: Request, caller: Caller) -> Response {
     let _in_flight = InFlight::enter(&worker.state.entered);
     let mut req = req;
     let mut payload = req.take_payload();
     match answer(&worker, &req, &mut payload, caller).await {
-        Ok(response) => Ok(response),
+        Ok(response) => response,
         Err(Refused { code, detail, is_logged }) => {
             if !is_logged {
                 let id = text_header(req.headers(), worker.state.headers.request_id);
@@ -44,7 +48,7 @@
             }
             let failure = code_response(code, detail);
             discard_body(&mut payload).await;
-            Ok(failure)
+            failure
         }
     }
 }
@@ -67,7 +71,7 @@
     worker: &Rc<Worker>,
     req: &Request,
     payload: &mut Payload,
-    caller: String,
+    caller: Caller,
 ) -> Result<Response, Refused> {
     let started = Instant::now();
     let table = worker.state.control.table().ok_or_else(|| {
@@ -92,6 +96,7 @@
     let journey = Journey {
         versions,
         request: to_port_request(req, body),
+        wanted: started + wanted_time(&table, &route, &service),
         deadline: started + timeout,
         table,
         route,
@@ -133,6 +138,12 @@
     moves.choose(service_table, service, &route.name, hash, worker.state.now())
 }
 
+/// Returns the time within which an answer counts as fast.
+fn wanted_time(table: &Table, route: &Route, service: &ServiceName) -> Duration {
+    let of_service = || table.services.get(service).map(|s| s.service.objective.latency);
+    route.objective.or_else(of_service).unwrap_or(route.timeout)
+}
+
 fn observe(worker: &Worker, journey: &Journey, reply: &PeerReply, took: Duration) {
     let endpoint = journey.last_tried.borrow();
     let call = EndedCall {
--- a/crates/node/src/calls/journey.rs
+++ b/crates/node/src/calls/journey.rs
@@ -18,6 +18,16 @@
 
 use super::trail::Trail;
 
+/// Who sent a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Caller {
+    /// Name for fair queueing.
+    pub(crate) name: String,
+    /// Whether it is the backend server beside the node, which runs a request of
+    /// its own meanwhile.
+    pub(crate) is_backend: bool,
+}
+
 /// A request with the table that it uses from start to end.
 pub(crate) struct Journey {
     /// Table that all decisions are made by.
@@ -28,10 +38,12 @@
     pub(crate) service: ServiceName,
     /// The request.
     pub(crate) request: HttpRequest,
-    /// Name of the caller for fair queueing.
-    pub(crate) caller: String,
+    /// Who sent the request.
+    pub(crate) caller: Caller,
     /// Number of calls above this one.
     pub(crate) depth: u32,
+    /// Until when an answer counts as fast.
+    pub(crate) wanted: Instant,
     /// When the caller stops waiting.
     pub(crate) deadline: Instant,
     /// Versions of the backend server that may take it; none when none may.
@@ -59,6 +71,22 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the rank of the request when a queue forms, 0 first.
+    ///
+    /// Calls of backend servers go before all others, because each holds a slot
+    /// elsewhere until it is answered.
+    pub(crate) fn priority(&self) -> u32 {
+        match self.caller.is_backend {
+            true => 0,
+            false => self.route.priority + 1,
+        }
+    }
+
+    /// Returns the time left within which an answer counts as fast.
+    pub(crate) fn wanted_left(&self) -> Duration {
+        self.wanted.saturating_duration_since(Instant::now())
+    }
+
     /// Returns what the ledger knows the request by.
     ///
     /// Requests that may run twice, or that carry no key, aren't in the ledger.
--- a/crates/node/src/calls/mod.rs
+++ b/crates/node/src/calls/mod.rs
@@ -12,7 +12,7 @@
 pub(crate) mod entry;
 pub(crate) mod group;
 pub(crate) mod heartbeat;
-mod journey;
+pub(crate) mod journey;
 mod kept_answer;
 mod keyed;
 pub(crate) mod ledger;
--- a/crates/node/src/calls/serve.rs
+++ b/crates/node/src/calls/serve.rs
@@ -71,7 +71,8 @@
     let book = state.backend.lock();
     let slots = book.known().map_or(0, |known| known.announcement.slots);
     drop(book);
-    LoadHint { in_flight: state.calls.slots.load(), slots }
+    let (in_flight, run_time) = (state.calls.slots.load(), state.calls.slots.run_time());
+    LoadHint { in_flight, slots, run_time }
 }
 
 /// Runs an admitted call and remembers how it ended.
@@ -138,6 +139,7 @@
         caller: call.caller.as_str().into(),
         priority: call.priority,
         deadline: state.now() + call.time_left.saturating_sub(waited),
+        wanted: state.now() + call.wanted_left.saturating_sub(waited),
     };
     let patience = call.time_left.saturating_sub(waited);
     let slots = match state.calls.testing.without_admission {
--- a/crates/node/src/calls/slots.rs
+++ b/crates/node/src/calls/slots.rs
@@ -63,6 +63,11 @@
         inner.queue.running() + inner.queue.queued() as u32
     }
 
+    /// Returns the average time of a run.
+    pub(crate) fn run_time(&self) -> Duration {
+        self.inner.lock().queue.run_time()
+    }
+
     /// Waits for one of `slots` slots, at most for `patience`.
     pub(crate) async fn acquire(
         &self,
--- a/crates/node/src/calls/trail.rs
+++ b/crates/node/src/calls/trail.rs
@@ -55,7 +55,7 @@
     let version = versions.and_then(|choice| choice.version.as_ref()).map(|v| v.as_str());
     info!(state.log, "request ended"; "id" => &journey.id, "route" => %journey.route.name,
         "service" => %journey.service, "config" => journey.table.version.0,
-        "version" => version, "may_go" => versions.is_some(),
+        "version" => version, "rank" => journey.priority(), "may_go" => versions.is_some(),
         "outcome" => outcome(reply), "tries" => journey.trail.borrow().to_text(),
         "took_ms" => took.as_millis() as u64);
 }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -5,6 +5,7 @@
 //! accepted and only then close; see `docs/design/0012-graceful-shutdown.md`.
 
 mod acceptor;
+mod connection;
 mod protocol;
 mod service;
 
--- a/crates/node/src/front/protocol.rs
+++ b/crates/node/src/front/protocol.rs
@@ -34,7 +34,7 @@
     })
 }
 
-fn protocol_response(error: &ProtocolError) -> Response {
+pub(super) fn protocol_response(error: &ProtocolError) -> Response {
     let code = match error {
         ProtocolError::Decode(DecodeError::MaxHeaders | DecodeError::TooLarge(_)) => {
             Code::HeadersTooLarge
--- a/crates/node/src/front/service.rs
+++ b/crates/node/src/front/service.rs
@@ -1,11 +1,11 @@
 //! Serves accepted connections on a worker thread.
 
-use std::rc::Rc;
+use std::{net::SocketAddr, rc::Rc};
 
 use async_channel::Receiver;
 use ntex::{
     Pipeline, Service, ServiceFactory, SharedCfg, fn_service,
-    http::{ConnectionType, HttpService, HttpServiceConfig, Request, Response},
+    http::{HttpService, HttpServiceConfig, Request, Response},
     io::Io,
     time::Seconds,
 };
@@ -14,13 +14,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    calls::{announce, entry, heartbeat},
+    calls::{announce, entry, heartbeat, journey::Caller},
     http::HttpResult,
     settings::Limits,
     worker::Worker,
 };
 
-use super::{Accepted, Origin, protocol};
+use super::{Accepted, Origin, connection, protocol};
 
 /// Time after which an idle connection of a caller is closed.
 const CALLER_KEEP_ALIVE: Seconds = Seconds(75);
@@ -35,16 +35,13 @@
     let limits = worker.state.settings.limits;
     let (for_callers, for_backend) = (worker.clone(), worker.clone());
     let for_readiness = worker.clone();
-    let callers = http_service(&limits, move |req| handle_caller(for_callers.clone(), req)).await;
     let backend = http_service(&limits, move |req| handle_backend(for_backend.clone(), req)).await;
     let readiness = move |req| handle_readiness(for_readiness.clone(), req);
     let readiness = http_service(&limits, readiness).await;
-    let (Some(callers), Some(backend), Some(readiness)) = (callers, backend, readiness) else {
-        return;
-    };
+    let (Some(backend), Some(readiness)) = (backend, readiness) else { return };
     while let Ok(accepted) = accepted.recv().await {
         match accepted.origin {
-            Origin::Caller => serve_http(callers.clone(), accepted),
+            Origin::Caller => serve_caller(for_callers.clone(), accepted),
             Origin::Backend => serve_http(backend.clone(), accepted),
             Origin::Readiness => serve_http(readiness.clone(), accepted),
             Origin::Peer => serve_peer(&worker, handler.clone(), accepted, cancel.clone()),
@@ -72,6 +69,26 @@
     service.pipeline(SharedCfg::new("http").add(http_config(limits)).into()).await.ok()
 }
 
+fn serve_caller(worker: Rc<Worker>, accepted: Accepted) {
+    let addr = accepted.stream.peer_addr().ok();
+    let config = SharedCfg::new("callers").add(http_config(&worker.state.settings.limits));
+    let Ok(io) = ntex::rt::from_tcp_stream(accepted.stream, config.into()) else { return };
+    let idle = worker.state.control.table().map(|table| table.configuration.limits.idle);
+    let for_rules = worker.clone();
+    let rules = connection::Rules {
+        idle: idle.unwrap_or(CALLER_KEEP_ALIVE.into()),
+        closing: worker.state.closing.clone(),
+        is_leaving: Rc::new(move || for_rules.state.is_leaving()),
+    };
+    let open = accepted.open;
+    ntex::rt::spawn(async move {
+        let handle = |req| handle_caller(worker.clone(), req, addr);
+        connection::serve(io, rules, handle).await;
+        drop(open);
+    })
+    .detach();
+}
+
 fn serve_http<S>(service: Pipeline<S>, accepted: Accepted)
 where
     S: Service<Io, Response = ()> + 'static,
@@ -104,22 +121,18 @@
     .detach();
 }
 
-async fn handle_caller(worker: Rc<Worker>, req: Request) -> HttpResult {
-    let caller = caller_name(&worker, &req);
-    let mut response = entry::handle(worker.clone(), req, caller).await?;
-    if worker.state.is_leaving() {
-        response.head_mut().set_connection_type(ConnectionType::Close);
-    }
-    Ok(response)
+async fn handle_caller(worker: Rc<Worker>, req: Request, addr: Option<SocketAddr>) -> Response {
+    let caller = Caller { name: caller_name(&worker, addr), is_backend: false };
+    entry::handle(worker, req, caller).await
 }
 
 /// Names the caller for fair queueing, and for backend servers that ask for it.
 ///
 /// Where the settings name the service on the instance, everything that enters
 /// here comes from it; otherwise callers are told apart by their address.
-fn caller_name(worker: &Worker, req: &Request) -> String {
+fn caller_name(worker: &Worker, addr: Option<SocketAddr>) -> String {
+    let by_addr = || addr.map_or_else(String::new, |addr| addr.ip().to_string());
     let expected = worker.state.expected_server();
-    let by_addr = || req.peer_addr().map_or_else(String::new, |addr| addr.ip().to_string());
     expected.map_or_else(by_addr, |expected| expected.service.as_str().to_owned())
 }
 
@@ -147,6 +160,6 @@
         return heartbeat::handle(&worker.state, req, backend.lease).await;
     }
     let caller = worker.state.service();
-    let caller = caller.map_or_else(String::new, |service| service.as_str().to_owned());
-    entry::handle(worker, req, caller).await
+    let name = caller.map_or_else(String::new, |service| service.as_str().to_owned());
+    Ok(entry::handle(worker, req, Caller { name, is_backend: true }).await)
 }
--- a/crates/node/src/moves/hub.rs
+++ b/crates/node/src/moves/hub.rs
@@ -122,7 +122,8 @@
             _ => Some(VersionChoice {
                 version: Some(chosen.clone()),
                 stand_in: stand_in.cloned(),
-                instances: instances.filter(|_| chosen == split.new_version()),
+                // Without an old version beside it, the chosen one carries all calls.
+                instances: instances.filter(|_| stand_in.is_some()),
             }),
         }
     }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -206,6 +206,7 @@
     lifecycle.stop.cancelled().await;
     announce_leaving(&state).await;
     callers.stop().await;
+    state.closing.cancel();
     let ending = drain(&state, &callers).await;
     backend.stop().await;
     peers.stop().await;
@@ -244,6 +245,7 @@
         clock,
         log,
         metrics,
+        closing: CancellationToken::new(),
         lines: LineLimit::default(),
         burn: BurnState::default(),
         control,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -17,6 +17,7 @@
 };
 use savorykeel_ports::{clock::Clock, edge::HeaderNames};
 use slog::Logger;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     burn::BurnState, calls::state::CallState, control::state::ControlState, settings::Settings,
@@ -33,6 +34,8 @@
     pub(crate) log: Logger,
     /// Metrics, which go nowhere unless the settings name a server.
     pub(crate) metrics: Metrics,
+    /// Cancelled when idle connections of callers are to be closed.
+    pub(crate) closing: CancellationToken,
     /// Bounds the lines about requests.
     pub(crate) lines: LineLimit,
     /// How the calls that entered at this node ended.
--- a/crates/policy/src/calls/admission.rs
+++ b/crates/policy/src/calls/admission.rs
@@ -24,6 +24,10 @@
 /// Least length of the queue.
 const MIN_QUEUE: usize = 8;
 
+/// Part of the time until its deadline within which a request that isn't fast any
+/// more has to end to be queued.
+const LATE_PART: f64 = 0.5;
+
 /// Weight of the newest run in the average run time.
 const RUN_TIME_WEIGHT: f64 = 0.1;
 
@@ -38,6 +42,8 @@
     pub caller: Arc<str>,
     /// Rank among the requests that wait, 0 first.
     pub priority: u32,
+    /// Moment until which an answer counts as fast.
+    pub wanted: Tick,
     /// Moment at which its caller stops waiting.
     pub deadline: Tick,
 }
@@ -184,6 +190,11 @@
         self.ranks.values().map(|queue| queue.len).sum()
     }
 
+    /// Returns the average time of a run; zero when none ended yet.
+    pub fn run_time(&self) -> Duration {
+        Duration::from_secs_f64(self.run_time_ms / 1_000.0)
+    }
+
     /// Returns the number of slots.
     pub fn slots(&self) -> u32 {
         self.slots
@@ -245,13 +256,24 @@
         (self.slots as usize * QUEUE_PER_SLOT).max(MIN_QUEUE)
     }
 
-    /// Tells whether a request is likely to end before its deadline.
+    /// Tells whether a request is likely to end before its deadline, and soon enough
+    /// to be worth its wait.
+    ///
+    /// While more requests come than run, a queue that is longer than what is fast
+    /// makes every answer slow and lets no more of them through. A request that
+    /// can't be fast any more, or that a run alone makes slow, waits no longer than
+    /// half of the time that its caller has, or one run.
     fn can_start_in_time(&self, applicant: &Applicant, now: Tick) -> bool {
         let before = self.ranks.range(..=applicant.priority);
         let ahead: usize = before.map(|(_, queue)| queue.len).sum();
         let rounds = (ahead + 1) as f64 / f64::from(self.slots.max(1));
-        let needed_ms = (rounds + 1.0) * self.run_time_ms;
-        applicant.deadline.since(now).as_secs_f64() * 1_000.0 > needed_ms
+        let wait_ms = rounds * self.run_time_ms;
+        let needed_ms = wait_ms + self.run_time_ms;
+        let left_ms = |until: Tick| until.since(now).as_secs_f64() * 1_000.0;
+        let is_fast = left_ms(applicant.wanted) > needed_ms;
+        let is_short =
+            wait_ms <= self.run_time_ms || needed_ms <= left_ms(applicant.deadline) * LATE_PART;
+        left_ms(applicant.deadline) > needed_ms && (is_fast || is_short)
     }
 
     /// Sheds a queued request in favour of a new one; tells whether it did.
--- a/crates/policy/src/calls/balance.rs
+++ b/crates/policy/src/calls/balance.rs
@@ -1,19 +1,50 @@
 //! Choice of the backend server for one call.
 //!
-//! Two candidates are drawn at random and the cheaper one is taken, by the
-//! node's own requests in flight and latency. Load that rides on replies and the
-//! health endpoint are hints: they add to the cost but never decide alone. See
-//! `docs/design/0006-load.md`.
+//! Two candidates are drawn at random and the one that is expected to answer sooner
+//! is taken, by what the nodes beside them last said of their load and run time,
+//! and by this node's own requests and failures. The own availability zone is
+//! preferred as long as an answer from it is expected to be fast, because a byte
+//! between zones costs more than a few milliseconds. See `docs/design/0006-load.md`.
 
 use std::{collections::HashMap, time::Duration};
 
 use rand::{Rng, RngExt};
 
-use crate::{ids::InstanceName, time::Tick};
+use crate::{
+    config::model::MAX_ROUTES,
+    ids::{InstanceName, RouteName},
+    time::Tick,
+};
 
-/// Busy share of a backend server's slots from which on its availability zone
-/// is no longer preferred.
-const ZONE_PREFERENCE_LIMIT: f64 = 0.75;
+/// Weight of the newest answer in the usual time of a route.
+const ROUTE_WEIGHT: f64 = 0.05;
+
+/// Part of the time wanted for an answer within which the expected time has to lie
+/// for the own availability zone to be preferred: beyond it, about every third
+/// answer is late.
+const ZONE_PREFERENCE_PART: f64 = 0.9;
+
+/// Part of the expected time in the own availability zone below which that of
+/// another one has to lie to be worth the way.
+const OTHER_ZONE_PART: f64 = 0.7;
+
+/// Time constant of the share of failures.
+const FAILURE_WINDOW: Duration = Duration::from_secs(3);
+
+/// Time constant in calls of the same, so that a single failure among few calls
+/// doesn't weigh too much.
+const FAILURE_CALLS: f64 = 8.0;
+
+/// Difference between shares of failures that is no difference yet: one failure
+/// among eight calls.
+const FAILURE_DIFFERENCE: f64 = 0.12;
+
+/// Times of the wanted time that a failed call costs, because its caller has to
+/// come again.
+const FAILURE_COST: f64 = 2.0;
+
+/// Part of a run's time that it takes longer when every slot is busy.
+const BUSY_COST: f64 = 0.3;
 
 /// Time in which a new backend server comes up to its full share.
 const SLOW_START: Duration = Duration::from_secs(10);
@@ -48,6 +79,19 @@
 /// Time for which an unseen backend server is remembered.
 const FORGET_AFTER: Duration = Duration::from_secs(120);
 
+/// What a request wants of the backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wanted {
+    /// Route that took the request.
+    pub route: RouteName,
+    /// Time left within which an answer counts as fast.
+    pub within: Duration,
+}
+
+fn millis(span: Duration) -> f64 {
+    span.as_secs_f64() * 1_000.0
+}
+
 /// One backend server that may take the call.
 #[derive(Debug, Clone)]
 pub struct Candidate {
@@ -66,8 +110,10 @@
 /// How a call ended, as far as it tells about the backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallEnd {
-    /// It answered, whatever the answer says.
+    /// It answered, and not with a failure of its own.
     Answered,
+    /// It answered with a failure of its own.
+    AnsweredBadly,
     /// It was shed; the backend server is busy, not broken.
     Shed,
     /// No answer came.
@@ -76,29 +122,41 @@
     Cancelled,
 }
 
-/// Busy slots as a node last reported them.
+/// Load of a backend server as the node beside it last reported it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run or wait.
+    pub in_flight: u32,
+    /// Average time of a run; zero when none ended yet.
+    pub run_time: Duration,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Hint {
-    in_flight: u32,
+    load: Load,
     at: Tick,
 }
 
 #[derive(Debug)]
 struct Tracked {
     incarnation: u64,
-    first_seen: Tick,
+    /// When it was first seen; none when it was there before this node started.
+    first_seen: Option<Tick>,
     last_seen: Tick,
     in_flight: u32,
     latency_ms: f64,
     latency_at: Tick,
     hint: Option<Hint>,
     failures: u32,
+    /// Share of calls that failed lately, at `failing_at`.
+    failing: f64,
+    failing_at: Tick,
     ejections: u32,
     ejected_until: Option<Tick>,
 }
 
 impl Tracked {
-    fn new(incarnation: u64, first_seen: Tick, now: Tick) -> Self {
+    fn new(incarnation: u64, first_seen: Option<Tick>, now: Tick) -> Self {
         Self {
             incarnation,
             first_seen,
@@ -108,6 +166,8 @@
             latency_at: now,
             hint: None,
             failures: 0,
+            failing: 0.0,
+            failing_at: now,
             ejections: 0,
             ejected_until: None,
         }
@@ -120,11 +180,30 @@
     /// Returns the requests in flight, as the larger of own view and hint.
     fn load(&self, now: Tick) -> u32 {
         let hint = self.hint.filter(|hint| now.since(hint.at) < HINT_LIFETIME);
-        hint.map_or(self.in_flight, |hint| hint.in_flight.max(self.in_flight))
+        hint.map_or(self.in_flight, |hint| hint.load.in_flight.max(self.in_flight))
+    }
+
+    /// Returns the average time of a run as the node beside it reported it.
+    fn reported_ms(&self) -> Option<f64> {
+        self.hint.map(|hint| millis(hint.load.run_time)).filter(|ms| *ms > 0.0)
+    }
+
+    /// Returns the share of calls that failed lately; it fades without calls, so
+    /// that a backend server which recovered is tried again.
+    fn failing(&self, now: Tick) -> f64 {
+        let age = now.since(self.failing_at).as_secs_f64();
+        self.failing * (-age / FAILURE_WINDOW.as_secs_f64()).exp()
+    }
+
+    fn observe_outcome(&mut self, is_failure: bool, now: Tick) {
+        let before = self.failing(now);
+        self.failing = before + (f64::from(u8::from(is_failure)) - before) / FAILURE_CALLS;
+        self.failing_at = now;
     }
 
     fn weight(&self, now: Tick) -> f64 {
-        let warm = now.since(self.first_seen).as_secs_f64() / SLOW_START.as_secs_f64();
+        let Some(first_seen) = self.first_seen else { return 1.0 };
+        let warm = now.since(first_seen).as_secs_f64() / SLOW_START.as_secs_f64();
         warm.clamp(SLOW_START_FLOOR, 1.0)
     }
 
@@ -165,6 +244,8 @@
 /// What one node knows of the backend servers that it calls.
 #[derive(Debug, Default)]
 pub struct Balancer {
+    /// Usual time to an answer by route, in milliseconds.
+    routes: HashMap<RouteName, f64>,
     tracked: HashMap<InstanceName, Tracked>,
     started: Option<Tick>,
 }
@@ -177,19 +258,28 @@
         &mut self,
         candidates: &[Candidate],
         tried: &[usize],
+        wanted: &Wanted,
         now: Tick,
         rng: &mut impl Rng,
     ) -> Option<usize> {
         self.track(candidates, now);
+        let cx = Choice {
+            candidates,
+            wanted_ms: millis(wanted.within),
+            route_ms: self.routes.get(&wanted.route).copied(),
+            usual_run_ms: self.usual_run_ms(candidates),
+            least_failing: self.least_failing(candidates, now),
+            now,
+        };
         let usable = self.usable(candidates, tried, now);
-        let local: Vec<usize> =
-            usable.iter().copied().filter(|&i| candidates[i].is_local).collect();
-        let near = self.cheaper_of_two(candidates, &local, now, rng);
+        let (local, others): (Vec<usize>, Vec<usize>) =
+            usable.into_iter().partition(|&i| candidates[i].is_local);
+        let near = self.cheaper_of_two(&cx, &local, rng);
         let chosen = match near {
-            Some(i) if self.busy_share(&candidates[i], now) < ZONE_PREFERENCE_LIMIT => Some(i),
+            Some(i) if self.is_fast(&cx, i) => Some(i),
             _ => {
-                let any = self.cheaper_of_two(candidates, &usable, now, rng);
-                self.cheaper(candidates, near, any, now)
+                let far = self.cheaper_of_two(&cx, &others, rng);
+                self.worth_the_way(&cx, near, far)
             }
         }?;
         if let Some(tracked) = self.tracked.get_mut(&candidates[chosen].instance) {
@@ -198,28 +288,61 @@
         Some(chosen)
     }
 
+    /// Learns how long requests of a route take.
+    pub fn learn(&mut self, route: &RouteName, latency: Duration) {
+        if self.routes.len() >= MAX_ROUTES && !self.routes.contains_key(route) {
+            self.routes.clear();
+        }
+        let ms = millis(latency);
+        let usual = self.routes.entry(route.clone()).or_insert(ms);
+        *usual += (ms - *usual) * ROUTE_WEIGHT;
+    }
+
+    /// Returns the mean run time of the candidates that reported one.
+    fn usual_run_ms(&self, candidates: &[Candidate]) -> Option<f64> {
+        let tracked = candidates.iter().filter_map(|c| self.tracked.get(&c.instance));
+        let known: Vec<f64> = tracked.filter_map(Tracked::reported_ms).collect();
+        (!known.is_empty()).then(|| known.iter().sum::<f64>() / known.len() as f64)
+    }
+
+    fn least_failing(&self, candidates: &[Candidate], now: Tick) -> f64 {
+        let tracked = candidates.iter().filter_map(|c| self.tracked.get(&c.instance));
+        tracked.map(|tracked| tracked.failing(now)).fold(1.0, f64::min)
+    }
+
     /// Records the end of a call.
     pub fn end(&mut self, instance: &InstanceName, end: CallEnd, latency: Duration, now: Tick) {
         let Some(tracked) = self.tracked.get_mut(instance) else { return };
         tracked.in_flight = tracked.in_flight.saturating_sub(1);
         match end {
-            CallEnd::Answered => {
+            CallEnd::Answered | CallEnd::AnsweredBadly => {
                 tracked.failures = 0;
                 tracked.ejections = tracked.ejections.saturating_sub(1);
                 tracked.observe_latency(latency, now);
+                tracked.observe_outcome(end == CallEnd::AnsweredBadly, now);
+            }
+            CallEnd::Failed => {
+                tracked.count_failure(now);
+                tracked.observe_outcome(true, now);
             }
-            CallEnd::Failed => tracked.count_failure(now),
             CallEnd::Shed | CallEnd::Cancelled => {}
         }
     }
 
     /// Takes in the load that rode on a reply.
-    pub fn hint(&mut self, instance: &InstanceName, in_flight: u32, now: Tick) {
+    pub fn hint(&mut self, instance: &InstanceName, load: Load, now: Tick) {
         if let Some(tracked) = self.tracked.get_mut(instance) {
-            tracked.hint = Some(Hint { in_flight, at: now });
+            tracked.hint = Some(Hint { load, at: now });
         }
     }
 
+    /// Tells whether a candidate said within the last second that a slot is free.
+    pub fn has_room(&self, candidate: &Candidate, now: Tick) -> bool {
+        let Some(tracked) = self.tracked.get(&candidate.instance) else { return true };
+        let is_fresh = tracked.hint.is_some_and(|hint| now.since(hint.at) < HINT_LIFETIME);
+        is_fresh && !tracked.is_ejected(now) && tracked.load(now) < candidate.slots
+    }
+
     /// Returns this node's requests in flight at an instance.
     pub fn in_flight(&self, instance: &InstanceName) -> u32 {
         self.tracked.get(instance).map_or(0, |tracked| tracked.in_flight)
@@ -232,14 +355,14 @@
     fn track(&mut self, candidates: &[Candidate], now: Tick) {
         let warm_until = *self.started.get_or_insert(now) + Duration::from_millis(100);
         for candidate in candidates {
-            let first_seen = if now <= warm_until { Tick(0) } else { now };
+            let first_seen = (now > warm_until).then_some(now);
             let tracked = self
                 .tracked
                 .entry(candidate.instance.clone())
                 .or_insert_with(|| Tracked::new(candidate.incarnation, first_seen, now));
             if tracked.incarnation != candidate.incarnation {
                 let in_flight = tracked.in_flight;
-                *tracked = Tracked::new(candidate.incarnation, now, now);
+                *tracked = Tracked::new(candidate.incarnation, Some(now), now);
                 tracked.in_flight = in_flight;
             }
             tracked.last_seen = now;
@@ -271,27 +394,19 @@
 
     fn cheaper_of_two(
         &self,
-        candidates: &[Candidate],
+        cx: &Choice<'_>,
         among: &[usize],
-        now: Tick,
         rng: &mut impl Rng,
     ) -> Option<usize> {
-        let first = self.draw(candidates, among, now, rng);
+        let first = self.draw(cx, among, rng);
         let others: Vec<usize> = among.iter().copied().filter(|i| Some(*i) != first).collect();
-        let second = self.draw(candidates, &others, now, rng);
-        self.cheaper(candidates, first, second, now)
+        let second = self.draw(cx, &others, rng);
+        self.cheaper(cx, first, second)
     }
 
     /// Draws one candidate with the probability of its weight.
-    fn draw(
-        &self,
-        candidates: &[Candidate],
-        among: &[usize],
-        now: Tick,
-        rng: &mut impl Rng,
-    ) -> Option<usize> {
-        let weight =
-            |i: &usize| self.tracked.get(&candidates[*i].instance).map_or(1.0, |t| t.weight(now));
+    fn draw(&self, cx: &Choice<'_>, among: &[usize], rng: &mut impl Rng) -> Option<usize> {
+        let weight = |i: &usize| self.of(cx, *i).map_or(1.0, |t| t.weight(cx.now));
         let total: f64 = among.iter().map(weight).sum();
         let mut left = rng.random_range(0.0..1.0) * total;
         for i in among {
@@ -303,27 +418,74 @@
         among.last().copied()
     }
 
-    fn cheaper(
+    fn cheaper(&self, cx: &Choice<'_>, a: Option<usize>, b: Option<usize>) -> Option<usize> {
+        let (Some(i), Some(j)) = (a, b) else { return a.or(b) };
+        Some(if self.cost_ms(cx, j) < self.cost_ms(cx, i) { j } else { i })
+    }
+
+    /// Chooses between the own availability zone and another one.
+    fn worth_the_way(
         &self,
-        candidates: &[Candidate],
-        a: Option<usize>,
-        b: Option<usize>,
-        now: Tick,
+        cx: &Choice<'_>,
+        near: Option<usize>,
+        far: Option<usize>,
     ) -> Option<usize> {
-        let (Some(i), Some(j)) = (a, b) else { return a.or(b) };
-        let (cost_i, cost_j) = (self.cost(&candidates[i], now), self.cost(&candidates[j], now));
-        Some(if cost_j < cost_i { j } else { i })
+        let (Some(i), Some(j)) = (near, far) else { return near.or(far) };
+        let is_worth = self.cost_ms(cx, j) < OTHER_ZONE_PART * self.cost_ms(cx, i);
+        Some(if is_worth { j } else { i })
     }
 
-    /// Returns the expected wait: latency times the requests that share a slot.
-    fn cost(&self, candidate: &Candidate, now: Tick) -> f64 {
-        let Some(tracked) = self.tracked.get(&candidate.instance) else { return 0.0 };
-        let load = f64::from(tracked.load(now) + 1) / f64::from(candidate.slots.max(1));
-        tracked.expected_latency_ms(now) * load / tracked.weight(now)
+    /// Tells whether an answer is expected well within the time wanted. While no
+    /// run time is known, that is as long as a slot is free.
+    fn is_fast(&self, cx: &Choice<'_>, i: usize) -> bool {
+        let Some(tracked) = self.of(cx, i) else { return true };
+        let has_free_slot = tracked.load(cx.now) < cx.candidates[i].slots;
+        if tracked.reported_ms().is_none() {
+            return has_free_slot;
+        }
+        self.cost_ms(cx, i) < ZONE_PREFERENCE_PART * cx.wanted_ms
     }
 
-    fn busy_share(&self, candidate: &Candidate, now: Tick) -> f64 {
-        let load = self.tracked.get(&candidate.instance).map_or(0, |t| t.load(now));
-        f64::from(load) / f64::from(candidate.slots.max(1))
+    /// Returns the expected time to an answer, with what failures cost.
+    ///
+    /// A request waits for as many runs as there are requests before it for each
+    /// slot.
+    fn cost_ms(&self, cx: &Choice<'_>, i: usize) -> f64 {
+        let Some(tracked) = self.of(cx, i) else { return 0.0 };
+        let slots = f64::from(cx.candidates[i].slots.max(1));
+        let load = f64::from(tracked.load(cx.now));
+        let waiting = (load + 1.0 - slots).max(0.0) / slots;
+        // A backend server is somewhat slower the more of its slots are busy, and
+        // of two that are alike the emptier one is better.
+        let busy = (load / slots).min(1.0) * BUSY_COST;
+        let queued_ms =
+            tracked.reported_ms().unwrap_or_else(|| tracked.expected_latency_ms(cx.now));
+        let run_ms = match (cx.route_ms, cx.usual_run_ms, tracked.reported_ms()) {
+            // A service's routes take different times, its instances differ by a factor.
+            (Some(route), Some(usual), Some(own)) => route * own / usual,
+            _ => queued_ms,
+        };
+        let expected = run_ms * (1.0 + busy) + queued_ms * waiting;
+        // What fails everywhere is no reason to choose one or the other.
+        let excess = (tracked.failing(cx.now) - cx.least_failing).max(0.0);
+        let failing = if excess < FAILURE_DIFFERENCE { 0.0 } else { excess };
+        expected / tracked.weight(cx.now) + failing * FAILURE_COST * cx.wanted_ms
+    }
+
+    fn of(&self, cx: &Choice<'_>, i: usize) -> Option<&Tracked> {
+        self.tracked.get(&cx.candidates[i].instance)
     }
 }
+
+/// What one choice is made by.
+struct Choice<'a> {
+    candidates: &'a [Candidate],
+    wanted_ms: f64,
+    /// Usual time to an answer of the route, once one was seen.
+    route_ms: Option<f64>,
+    /// Mean run time of the candidates, once one reported its own.
+    usual_run_ms: Option<f64>,
+    /// Smallest share of failures of any candidate.
+    least_failing: f64,
+    now: Tick,
+}
--- a/crates/policy/tests/calls_load.rs
+++ b/crates/policy/tests/calls_load.rs
@@ -6,17 +6,23 @@
 use savorykeel_policy::{
     calls::{
         admission::{AdmissionQueue, Applicant, Release, Ticket, Verdict},
-        balance::{Balancer, CallEnd, Candidate},
+        balance::{Balancer, CallEnd, Candidate, Load, Wanted},
         deadline::{next_depth, next_hop, time_left},
         retry::RetryBudget,
     },
     code::Code,
-    ids::InstanceName,
+    ids::{InstanceName, RouteName},
     time::Tick,
 };
+use yare::parameterized;
 
 fn applicant(caller: &str, urgent: bool, deadline: u64) -> Applicant {
-    Applicant { caller: Arc::from(caller), priority: u32::from(!urgent), deadline: Tick(deadline) }
+    Applicant {
+        caller: Arc::from(caller),
+        priority: u32::from(!urgent),
+        wanted: Tick(deadline),
+        deadline: Tick(deadline),
+    }
 }
 
 fn wait(queue: &mut AdmissionQueue, applicant: &Applicant, release: &mut Release) -> Ticket {
@@ -109,6 +115,11 @@
     assert!(release.started.is_empty());
 }
 
+fn wanted() -> Wanted {
+    let route = RouteName::try_from("unlock").unwrap();
+    Wanted { route, within: Duration::from_millis(500) }
+}
+
 fn candidates(n: usize, local: impl Fn(usize) -> bool) -> Vec<Candidate> {
     let candidate = |i: usize| Candidate {
         instance: InstanceName::try_from(format!("i{i}")).unwrap(),
@@ -127,7 +138,7 @@
     let group = candidates(5, |_| true);
     let mut counts = [0u32; 5];
     for step in 0..5_000 {
-        let i = balancer.choose(&group, &[], Tick(step), &mut rng).unwrap();
+        let i = balancer.choose(&group, &[], &wanted(), Tick(step), &mut rng).unwrap();
         counts[i] += 1;
         let latency = Duration::from_millis(if i == 0 { 200 } else { 10 });
         balancer.end(&group[i].instance, CallEnd::Answered, latency, Tick(step));
@@ -140,12 +151,56 @@
     let mut rng = StdRng::seed_from_u64(4);
     let mut balancer = Balancer::default();
     let group = candidates(4, |i| i < 2);
-    let chosen: Vec<usize> =
-        (0..40).map(|_| balancer.choose(&group, &[], Tick(0), &mut rng).unwrap()).collect();
+    let chosen: Vec<usize> = (0..40)
+        .map(|_| balancer.choose(&group, &[], &wanted(), Tick(0), &mut rng).unwrap())
+        .collect();
     assert!(chosen[..8].iter().all(|i| *i < 2), "idle: the own zone only");
     assert!(chosen[20..].iter().any(|i| *i >= 2), "loaded: other zones too");
 }
 
+/// A group of two zones in which the own zone's backend server has reported its load.
+fn chosen_with(own: Load, other: Load) -> usize {
+    let mut rng = StdRng::seed_from_u64(8);
+    let mut balancer = Balancer::default();
+    let group = candidates(2, |i| i == 0);
+    balancer.choose(&group, &[], &wanted(), Tick(0), &mut rng);
+    balancer.hint(&group[0].instance, own, Tick(1));
+    balancer.hint(&group[1].instance, other, Tick(1));
+    balancer.choose(&group, &[], &wanted(), Tick(2), &mut rng).unwrap()
+}
+
+fn load(in_flight: u32, run_ms: u64) -> Load {
+    Load { in_flight, run_time: Duration::from_millis(run_ms) }
+}
+
+#[parameterized(
+    idle_and_slower = { load(0, 300), load(0, 100), 0 },
+    busy_but_in_time = { load(10, 250), load(0, 250), 0 },
+    too_slow_here = { load(0, 500), load(0, 100), 1 },
+    too_long_a_queue_here = { load(25, 250), load(2, 250), 1 },
+    both_too_slow = { load(0, 500), load(0, 400), 0 },
+    queues_everywhere = { load(25, 250), load(25, 250), 0 },
+)]
+fn another_zone_is_taken_when_it_is_worth_the_way(own: Load, other: Load, expected: usize) {
+    assert_eq!(chosen_with(own, other), expected);
+}
+
+#[test]
+fn a_backend_server_that_fails_part_of_its_calls_gets_few() {
+    let mut rng = StdRng::seed_from_u64(9);
+    let mut balancer = Balancer::default();
+    let group = candidates(4, |_| true);
+    let mut counts = [0u32; 4];
+    for step in 0..2_000u64 {
+        let i = balancer.choose(&group, &[], &wanted(), Tick(step * 5), &mut rng).unwrap();
+        counts[i] += 1;
+        let fails = i == 0 && rng.random_bool(0.45);
+        let end = if fails { CallEnd::AnsweredBadly } else { CallEnd::Answered };
+        balancer.end(&group[i].instance, end, Duration::from_millis(50), Tick(step * 5));
+    }
+    assert!((1..150).contains(&counts[0]), "the failing one got {} of 2000", counts[0]);
+}
+
 #[test]
 fn failing_backend_servers_are_ejected_but_never_most_of_them() {
     let mut rng = StdRng::seed_from_u64(5);
@@ -153,13 +208,13 @@
     let group = candidates(4, |_| true);
     let mut fail = |balancer: &mut Balancer, bad: usize| {
         for _ in 0..400 {
-            let i = balancer.choose(&group, &[], Tick(1), &mut rng).unwrap();
+            let i = balancer.choose(&group, &[], &wanted(), Tick(1), &mut rng).unwrap();
             let end = if i < bad { CallEnd::Failed } else { CallEnd::Answered };
             balancer.end(&group[i].instance, end, Duration::from_millis(5), Tick(1));
         }
         let mut counts = [0u32; 4];
         for _ in 0..200 {
-            let i = balancer.choose(&group, &[], Tick(1), &mut rng).unwrap();
+            let i = balancer.choose(&group, &[], &wanted(), Tick(1), &mut rng).unwrap();
             counts[i] += 1;
             balancer.end(&group[i].instance, CallEnd::Cancelled, Duration::ZERO, Tick(1));
         }
@@ -176,11 +231,11 @@
     let mut rng = StdRng::seed_from_u64(6);
     let mut balancer = Balancer::default();
     let group = candidates(5, |_| true);
-    balancer.choose(&group[..4], &[], Tick(0), &mut rng);
+    balancer.choose(&group[..4], &[], &wanted(), Tick(0), &mut rng);
     let mut share = |at: u64| {
         let mut hits = 0;
         for _ in 0..1_000 {
-            let i = balancer.choose(&group, &[], Tick(at), &mut rng).unwrap();
+            let i = balancer.choose(&group, &[], &wanted(), Tick(at), &mut rng).unwrap();
             hits += u32::from(i == 4);
             balancer.end(&group[i].instance, CallEnd::Cancelled, Duration::ZERO, Tick(at));
         }
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -70,6 +70,8 @@
     pub priority: u32,
     /// Time left until the deadline; a duration, because clocks differ.
     pub time_left: Duration,
+    /// Time left within which an answer counts as fast; zero when that has passed.
+    pub wanted_left: Duration,
     /// Number of calls above this one.
     pub depth: u32,
     /// Name of the caller for fair queueing: an address or a service.
@@ -107,6 +109,8 @@
     pub in_flight: u32,
     /// Requests that the backend server runs at once.
     pub slots: u32,
+    /// Average time of a run; zero when none ended yet.
+    pub run_time: Duration,
 }
 
 /// Why another node gave no reply.
