--- a/crates/adapters/src/logging.rs
+++ b/crates/adapters/src/logging.rs
@@ -1,10 +1,10 @@
-//! Structured logs on standard error.
+//! Structured logs on standard output.
 //!
 //! A line is written by a thread of its own, so that a slow reader of standard
-//! error never holds up a request. Lines that don't fit the queue are counted
-//! and their number is logged. The lines are listed in `docs/OPERATING.md`.
+//! output never holds up a request. Lines that don't fit the queue are counted
+//! and their number is logged. The lines are listed in `docs/OPERATIONS.md`.
 
-use std::io::stderr;
+use std::io::stdout;
 
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use slog_async::{Async, AsyncGuard, OverflowStrategy};
@@ -61,13 +61,13 @@
     pub guard: AsyncGuard,
 }
 
-/// Starts logging to standard error.
+/// Starts logging to standard output.
 pub fn start(format: LogFormat, level: LogLevel) -> Logging {
     let level = Level::from(level);
     match format {
-        LogFormat::Json => queued(slog_json::Json::default(stderr()), level),
+        LogFormat::Json => queued(slog_json::Json::default(stdout()), level),
         LogFormat::Human => {
-            let decorator = slog_term::PlainDecorator::new(stderr());
+            let decorator = slog_term::PlainDecorator::new(stdout());
             queued(slog_term::FullFormat::new(decorator).build(), level)
         }
     }
--- a/crates/bench/src/fleet/process.rs
+++ b/crates/bench/src/fleet/process.rs
@@ -51,7 +51,7 @@
         fs::write(&file, serde_json::to_vec(settings)?)?;
         let log = File::create(dir.join(format!("{}.log", settings.instance)))?;
         let mut child = Command::new(binary)
-            .arg("node")
+            .args(["node", "--log-level", "error"])
             .arg("--settings")
             .arg(&file)
             .stdin(Stdio::null())
--- a/crates/bench/src/latency/mesh.rs
+++ b/crates/bench/src/latency/mesh.rs
@@ -110,7 +110,8 @@
     });
     let file = dir.join(format!("{instance}.json"));
     fs::write(&file, settings.to_string())?;
-    Process::start([Path::new("node"), Path::new("--settings"), &file])
+    let quiet = ["node", "--log-level", "error", "--settings"].map(Path::new);
+    Process::start(quiet.into_iter().chain([file.as_path()]))
 }
 
 /// Starts a backend server with room for every pattern, so that its queue isn't
--- a/crates/bench/src/mesh.rs
+++ b/crates/bench/src/mesh.rs
@@ -322,7 +322,7 @@
     let log = dir.join(format!("{}.log", settings.instance));
     let log = File::options().create(true).append(true).open(log)?;
     let mut child = Command::new(binary)
-        .arg("node")
+        .args(["node", "--log-level", "error"])
         .arg("--settings")
         .arg(&file)
         .stdin(Stdio::null())
--- a/crates/core/flags/node.rs
+++ b/crates/core/flags/node.rs
@@ -8,8 +8,8 @@
 
 /// Runs the node that stands beside a backend server.
 ///
-/// It prints one JSON line with its addresses when it takes requests and logs to
-/// standard error. SIGTERM and SIGINT end it gracefully, a second one at once.
+/// It prints one JSON line with its addresses when it takes requests, and after it
+/// its log, to standard output. SIGTERM and SIGINT end it gracefully, a second one at once.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "node")]
 pub struct NodeFlags {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -196,12 +196,13 @@
         })
         .transpose()?;
     let mut peers = Acceptor::start(listeners.peers, Origin::Peer, MAX_PEERS, accepted_tx)?;
+    // Before anything is logged, so that it is the first line.
+    on_ready(&addresses);
     spawn_lease_watch(state.clone(), cancel.clone());
     ntex::rt::spawn(telemetry::run(state.clone(), cancel.clone())).detach();
     let control_cancel = CancellationToken::new();
     let control = spawn_control(&state, &control_cancel);
     info!(state.log, "node started"; "callers" => %addresses.callers, "peers" => %addresses.peers);
-    on_ready(&addresses);
     spawn_reload(state.clone(), lifecycle.reloads);
     lifecycle.stop.cancelled().await;
     announce_leaving(&state).await;
--- a/tests/feature/calls_limits.rs
+++ b/tests/feature/calls_limits.rs
@@ -107,6 +107,12 @@
 fn a_draining_backend_server_gets_no_new_work() {
     let fleet = start(0);
     let entry = fleet.members[2].callers();
+    // An entry node that hasn't heard of the other backend server yet has nowhere
+    // else to go, and says so.
+    eventually("the entry node knows both", || {
+        assert_eq!(fleet.client.call(entry, Request::get("/gate")).unwrap().status, 200);
+        fleet.of_service("gate").all(|member| !member.runs().is_empty())
+    });
     fleet.members[0].backend().drain();
     let mut i = 0;
     eventually("the other one takes all requests", || {
--- a/tests/feature/check_docs.rs
+++ b/tests/feature/check_docs.rs
@@ -12,7 +12,7 @@
 const METRICS: &str = include_str!("../../docs/METRICS.md");
 const EXIT_CODES: &str = include_str!("../../docs/EXIT-CODES.md");
 const EXIT_SOURCE: &str = include_str!("../../crates/core/exit.rs");
-const OPERATING: &str = include_str!("../../docs/OPERATING.md");
+const OPERATING: &str = include_str!("../../docs/OPERATIONS.md");
 const SCHEMA: &str = include_str!("../../docs/configuration.schema.json");
 
 /// Returns the words that open a row of a table on a page.
--- a/tests/feature/cli_node.rs
+++ b/tests/feature/cli_node.rs
@@ -108,25 +108,27 @@
     assert!(lines.iter().all(|line| line["ts"].is_string()));
 
     let settings = fleet.dir().join("gate-z1-1.json");
-    let stderr = |flags: &[&str]| {
+    let log = |flags: &[&str]| {
         let mut child = Command::new(env!("CARGO_BIN_EXE_savorykeel"))
             .args(["node", "--settings", settings.to_str().unwrap()])
             .args(flags)
             .stdout(Stdio::piped())
-            .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let pid = nix::unistd::Pid::from_raw(child.id().try_into().unwrap());
         // The ready line comes before the signal; without it the process just ends.
         let mut line = String::new();
-        let stdout = child.stdout.take().unwrap();
-        std::io::BufRead::read_line(&mut std::io::BufReader::new(stdout), &mut line).unwrap();
+        let mut stdout = std::io::BufReader::new(child.stdout.take().unwrap());
+        std::io::BufRead::read_line(&mut stdout, &mut line).unwrap();
         nix::sys::signal::kill(pid, Signal::SIGTERM).unwrap();
-        String::from_utf8(child.wait_with_output().unwrap().stderr).unwrap()
+        let mut log = String::new();
+        std::io::Read::read_to_string(&mut stdout, &mut log).unwrap();
+        child.wait().unwrap();
+        log
     };
-    let human = stderr(&["--log-format", "human"]);
+    let human = log(&["--log-format", "human"]);
     assert!(human.contains("INFO node started, "), "{human}");
-    let errors = stderr(&["--log-level", "error"]);
+    let errors = log(&["--log-level", "error"]);
     assert!(!errors.contains("node started"), "{errors}");
 }
 
--- a/tests/harness/process.rs
+++ b/tests/harness/process.rs
@@ -2,10 +2,11 @@
 
 use std::{
     fs::{self, File},
-    io::{BufRead, BufReader},
+    io::{self, BufRead, BufReader},
     net::SocketAddr,
     path::{Path, PathBuf},
-    process::{Child, ChildStdout, Command, ExitStatus, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
+    thread,
 };
 
 use nix::{
@@ -42,8 +43,6 @@
 /// A running node; dropping it kills the process.
 pub struct NodeProcess {
     child: Child,
-    // Kept open, so that the node may write to it.
-    _stdout: BufReader<ChildStdout>,
     ready: Ready,
     dir: PathBuf,
 }
@@ -61,13 +60,14 @@
         let json = serde_json::to_vec_pretty(settings).expect("settings are JSON");
         fs::write(&file, json).expect("the settings file is written");
         let log = File::options().create(true).append(true).open(log_file(dir, instance));
+        let mut log = log.expect("the log file is opened");
         let mut child = Command::new(BINARY)
             .arg("node")
             .arg("--settings")
             .arg(&file)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(log.expect("the log file is opened"))
+            .stderr(log.try_clone().expect("the log file is opened twice"))
             .spawn()
             .expect("the node starts");
         let mut stdout = BufReader::new(child.stdout.take().expect("standard output is piped"));
@@ -79,7 +79,10 @@
             let log = fs::read_to_string(log_file(dir, instance)).unwrap_or_default();
             panic!("{instance} printed {line:?} in place of a ready line; its log:\n{log}");
         };
-        Self { child, _stdout: stdout, ready, dir: dir.to_owned() }
+        // What follows the ready line is the log; it is read so that the node never
+        // finds the pipe full.
+        thread::spawn(move || io::copy(&mut stdout, &mut log));
+        Self { child, ready, dir: dir.to_owned() }
     }
 
     /// Returns the addresses that the node listens on.
