--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Checks of the settings file.
 
-use std::path::Path;
+use std::{path::Path, time::Duration};
 
 use savorykeel_node::settings::{self, Settings, SettingsError, StoreChoice};
 use serde_json::{Value, json};
@@ -126,3 +126,44 @@
     let message = settings::read(Path::new("no/such/file.json")).unwrap_err().to_string();
     assert!(message.starts_with("no/such/file.json: can't be read"), "{message}");
 }
+
+/// Fills in the placeholders of the deployment's settings with plain values.
+fn deployed() -> String {
+    let template = include_str!("../../../deploy/settings.json");
+    let values = [
+        ("{{node|json}}", "\"sidecar-a-1\""),
+        ("{{zone|json}}", "\"zone-a\""),
+        ("{{region|json}}", "\"region\""),
+        ("{{listen.outbound|json}}", "\"10.1.0.8:8304\""),
+        ("{{listen.control|json}}", "\"10.1.0.8:8306\""),
+        ("{{listen.readiness|json}}", "\"10.1.0.8:8302\""),
+        ("{{ip}}", "10.1.0.8"),
+        ("{{port_range.0}}", "7620"),
+        ("{{port_range.1}}", "7635"),
+        ("{{platform.address|json}}", "\"10.200.1.7:8309\""),
+        ("{{service|json}}", "\"gate\""),
+        ("{{app|json}}", "\"10.1.0.8:8301\""),
+    ];
+    values.iter().fold(template.to_owned(), |text, (name, value)| text.replace(name, value))
+}
+
+#[test]
+fn the_deployments_settings_pass_the_checks() {
+    let settings = settings::parse(Path::new("deploy/settings.json"), &deployed()).unwrap();
+    assert!(matches!(settings.store, StoreChoice::Platform(_)));
+    // The platform kills a process that still runs six seconds after it was asked to end.
+    let ending = settings.limits.linger + settings.limits.drain;
+    assert!(ending < Duration::from_secs(6), "{ending:?}");
+    // Work has to have reached a backend server two seconds after it said that it leaves.
+    assert!(settings.limits.leave_grace < Duration::from_secs(2));
+}
+
+/// The users allow a fifth of the calls to be repeats, over all nodes. Calls of a
+/// run that was itself a repeat count too, through two services above in their
+/// deployments, so each node's own share has to be a third of that.
+#[test]
+fn the_deployments_retries_leave_room_for_calls_of_repeated_runs() {
+    let settings = settings::parse(Path::new("deploy/settings.json"), &deployed()).unwrap();
+    let StoreChoice::Platform(store) = settings.store else { panic!("no platform") };
+    assert!(3.0 * store.defaults.retry_share <= 0.2, "{}", store.defaults.retry_share);
+}
