Send small deltas of routes, and fetch a version in the own zone first

A second trial looked at answers of backend servers: their bodies are random bytes, so compression of bodies was ruled out.

Change: a delta lists stretches of the earlier routes and the new ones between them. A node that hears of a version from another zone gives its own zone 100 ms, and then asks a reader of its zone before the teller.

Tests: the size of a delta of changes far apart, which is the size of the whole with the earlier delta, and a delta that keeps unknown routes.

--- a/crates/node/src/control/duty.rs
+++ b/crates/node/src/control/duty.rs
@@ -2,7 +2,8 @@
 
 use savorykeel_policy::{
     distribution::duty::{PRESENT_PER_ZONE, READERS_PER_ZONE, rank},
-    membership::members::Members,
+    ids::ZoneName,
+    membership::{entry::NodeRecord, members::Members},
 };
 
 use super::{context::ControlContext, state::Identity};
@@ -12,6 +13,11 @@
     own_rank(members, identity).is_some_and(|rank| rank < READERS_PER_ZONE)
 }
 
+/// Tells whether another node reads the log for its availability zone.
+pub(super) fn reads(members: &Members, zone: &ZoneName, record: &NodeRecord) -> bool {
+    rank(members, zone, &record.instance).is_some_and(|rank| rank < READERS_PER_ZONE)
+}
+
 /// Tells whether the node keeps its availability zone known in the log.
 pub(super) fn is_present(members: &Members, identity: &Identity) -> bool {
     own_rank(members, identity).is_some_and(|rank| rank < PRESENT_PER_ZONE)
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -20,6 +20,8 @@
         holder: Contact,
         /// Its position.
         position: Position,
+        /// Whether it is in the availability zone of this node.
+        is_near: bool,
     },
     /// Another node's membership table differs.
     Differs(Contact),
--- a/crates/node/src/control/gossip.rs
+++ b/crates/node/src/control/gossip.rs
@@ -16,6 +16,7 @@
     },
     ids::InstanceName,
     membership::{
+        entry::NodeRecord,
         members::Comparison,
         rings::{Contact, Neighbours},
     },
@@ -26,6 +27,7 @@
 
 use super::{
     context::{ControlContext, ControlMode},
+    duty,
     event::Event,
     exchange::ExchangeError,
     reader::to_millis,
@@ -40,6 +42,11 @@
 /// Longest time for which a new version waits until most neighbours know of it.
 const WITNESS_WAIT: Duration = Duration::from_millis(250);
 
+/// Time for which a version is awaited from the own availability zone before it is
+/// fetched from another one: a few times what a message to the log and back takes,
+/// and a small part of the seconds in which a version has to be in force.
+const NEAR_HEAD_START: Duration = Duration::from_millis(100);
+
 /// Longest time that a node may take to hand over its configuration.
 const PULL_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -58,6 +65,8 @@
     is_pulling: Cell<bool>,
     /// The node that is furthest ahead.
     ahead: RefCell<Option<(Position, Contact)>>,
+    /// Newest position that this availability zone is given a head start for.
+    awaited: RefCell<Option<Position>>,
     /// When a difference to a node was first noted.
     differences: RefCell<BTreeMap<InstanceName, Tick>>,
 }
@@ -70,7 +79,12 @@
         match event {
             Event::Changed { members, source } => note_changes(&cx, &pending, members, source),
             Event::Advanced => announce_and_apply(&cx),
-            Event::Behind { holder, position } => pull_from(&cx, &pending, holder, position),
+            Event::Behind { holder, position, is_near: true } => {
+                pull_from(&cx, &pending, holder, position);
+            }
+            Event::Behind { holder, position, is_near: false } => {
+                pull_later(&cx, &pending, holder, position);
+            }
             Event::Differs(contact) => note_difference(&cx, &pending, contact),
         }
     }
@@ -179,6 +193,36 @@
     .detach();
 }
 
+/// Fetches from another availability zone what doesn't arrive in this one in time.
+///
+/// Two nodes of each zone read the log, so that a version crosses between zones only
+/// when both of them lag, or when the zone has no other node.
+fn pull_later<L: 'static, P: PeerLinks + 'static>(
+    cx: &Rc<ControlContext<L, P>>,
+    pending: &Rc<Pending>,
+    holder: Contact,
+    position: Position,
+) {
+    let mut awaited = pending.awaited.borrow_mut();
+    if position <= cx.state.held_position() || awaited.is_some_and(|known| position <= known) {
+        return;
+    }
+    *awaited = Some(position);
+    let (cx, pending) = (cx.clone(), pending.clone());
+    ntex::rt::spawn(async move {
+        sleep(to_millis(NEAR_HEAD_START)).await;
+        *pending.awaited.borrow_mut() = None;
+        if position <= cx.state.held_position() {
+            return;
+        }
+        if let Some(near) = cx.near_reader() {
+            pull(&cx, &near, position).await;
+        }
+        pull_from(&cx, &pending, holder, position);
+    })
+    .detach();
+}
+
 /// Fetches a newer configuration; one fetch runs at a time.
 fn pull_from<L: 'static, P: PeerLinks + 'static>(
     cx: &Rc<ControlContext<L, P>>,
@@ -283,6 +327,17 @@
         self.state.with_members(|members| Neighbours::of(own, members))
     }
 
+    /// Returns another node that reads the log for this availability zone.
+    fn near_reader(&self) -> Option<Contact> {
+        let own = &self.state.identity;
+        self.state.with_members(|members| {
+            let mut others = members.alive_in(&own.zone).filter(|r| r.instance != own.instance);
+            let is_reader = |record: &&NodeRecord| duty::reads(members, &own.zone, record);
+            let record = others.find(is_reader)?;
+            Some(Contact { instance: record.instance.clone(), addr: record.peer_addr })
+        })
+    }
+
     /// Makes both membership tables equal; returns whether the other node answered.
     pub(super) async fn compare_with(&self, contact: &Contact) -> bool {
         match self.try_compare(contact).await {
--- a/crates/node/src/control/handle.rs
+++ b/crates/node/src/control/handle.rs
@@ -73,7 +73,9 @@
         self.with_floors(|floors| floors.note(&from.instance, from.position));
         let contact = Contact { instance: from.instance.clone(), addr: from.addr };
         if from.position > self.held_position() {
-            self.emit(Event::Behind { holder: contact.clone(), position: from.position });
+            let is_near = from.zone == self.identity.zone;
+            let (holder, position) = (contact.clone(), from.position);
+            self.emit(Event::Behind { holder, position, is_near });
         }
         if from.members != self.with_members(|members| members.digest()) {
             self.emit(Event::Differs(contact));
--- a/crates/policy/src/config/delta.rs
+++ b/crates/policy/src/config/delta.rs
@@ -1,8 +1,13 @@
 //! The difference between two configurations, as one node sends it to another.
 
+use std::collections::HashMap;
+
 use serde::{Deserialize, Serialize};
 
-use super::raw::{RawConfiguration, RawLimits, RawRoute, RawService};
+use super::{
+    model::MAX_ROUTES,
+    raw::{RawConfiguration, RawLimits, RawRoute, RawService},
+};
 
 /// A service that is new or changed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -13,17 +18,21 @@
     pub service: RawService,
 }
 
-/// The routes between an unchanged front and an unchanged back.
+/// A stretch of the routes as they are now, in their order.
 ///
-/// The order of routes matters, and an operator mostly edits one place.
+/// An operator's change seldom touches more than a few routes, but those may stand
+/// anywhere, and routes that come or go shift all that follow.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct RouteSplice {
-    /// Number of routes at the front that stay.
-    pub front: u32,
-    /// Number of routes at the back that stay.
-    pub back: u32,
-    /// Routes that stand between them now.
-    pub middle: Vec<RawRoute>,
+pub enum RouteRun {
+    /// Routes that stay as they were.
+    Kept {
+        /// Index of the first one before the change.
+        first: u32,
+        /// Number of them.
+        count: u32,
+    },
+    /// Routes that are new or changed.
+    New(Vec<RawRoute>),
 }
 
 /// Turns one configuration into another.
@@ -33,15 +42,15 @@
     pub changed: Vec<ServiceChange>,
     /// Names of services that are no more.
     pub removed: Vec<String>,
-    /// Routes, when they differ.
-    pub routes: Option<RouteSplice>,
+    /// All routes, when they differ.
+    pub routes: Option<Vec<RouteRun>>,
     /// Limits, when they differ.
     pub limits: Option<RawLimits>,
 }
 
 /// A delta that doesn't fit the configuration to which it is applied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("the delta keeps more routes than the configuration has")]
+#[error("the delta keeps routes that the configuration doesn't have, or gives too many")]
 pub struct DeltaMismatch;
 
 impl ConfigDelta {
@@ -57,7 +66,7 @@
         Self {
             changed,
             removed: from.services.keys().filter(is_removed).cloned().collect(),
-            routes: splice(&from.routes, &to.routes),
+            routes: (from.routes != to.routes).then(|| runs(&from.routes, &to.routes)),
             limits: (from.limits != to.limits).then(|| to.limits.clone()),
         }
     }
@@ -71,8 +80,8 @@
         for change in self.changed {
             to.services.insert(change.name, change.service);
         }
-        if let Some(splice) = self.routes {
-            to.routes = splice.apply(&from.routes)?;
+        if let Some(runs) = self.routes {
+            to.routes = join(runs, &from.routes)?;
         }
         if let Some(limits) = self.limits {
             to.limits = limits;
@@ -81,27 +90,47 @@
     }
 }
 
-fn splice(from: &[RawRoute], to: &[RawRoute]) -> Option<RouteSplice> {
-    if from == to {
-        return None;
+/// Describes routes by those that there were before.
+///
+/// A route is looked for right after the last one that stayed, so that long
+/// stretches become one run, and then by its name.
+fn runs(from: &[RawRoute], to: &[RawRoute]) -> Vec<RouteRun> {
+    let by_name: HashMap<&str, usize> =
+        from.iter().enumerate().map(|(i, route)| (route.name.as_str(), i)).collect();
+    let mut runs = Vec::new();
+    for route in to {
+        let next = match runs.last() {
+            Some(RouteRun::Kept { first, count }) => Some((first + count) as usize),
+            _ => None,
+        };
+        let is_same = |i: &usize| from.get(*i) == Some(route);
+        let named = || by_name.get(route.name.as_str()).copied().filter(is_same);
+        let kept = next.filter(is_same).or_else(named);
+        match (runs.last_mut(), kept) {
+            (Some(RouteRun::Kept { count, .. }), Some(i)) if Some(i) == next => *count += 1,
+            (_, Some(i)) => runs.push(RouteRun::Kept { first: i as u32, count: 1 }),
+            (Some(RouteRun::New(routes)), None) => routes.push(route.clone()),
+            (_, None) => runs.push(RouteRun::New(vec![route.clone()])),
+        }
     }
-    let shorter = from.len().min(to.len());
-    let front = from.iter().zip(to).take_while(|(a, b)| a == b).count();
-    let same_back = from.iter().rev().zip(to.iter().rev()).take_while(|(a, b)| a == b).count();
-    let back = same_back.min(shorter - front);
-    let middle = to[front..to.len() - back].to_vec();
-    Some(RouteSplice { front: front as u32, back: back as u32, middle })
+    runs
 }
 
-impl RouteSplice {
-    fn apply(self, from: &[RawRoute]) -> Result<Vec<RawRoute>, DeltaMismatch> {
-        let (front, back) = (self.front as usize, self.back as usize);
-        if front.saturating_add(back) > from.len() {
+/// Puts the routes together again.
+fn join(runs: Vec<RouteRun>, from: &[RawRoute]) -> Result<Vec<RawRoute>, DeltaMismatch> {
+    let mut routes = Vec::new();
+    for run in runs {
+        match run {
+            RouteRun::Kept { first, count } => {
+                let end = first.checked_add(count).ok_or(DeltaMismatch)?;
+                let kept = from.get(first as usize..end as usize).ok_or(DeltaMismatch)?;
+                routes.extend_from_slice(kept);
+            }
+            RouteRun::New(new) => routes.extend(new),
+        }
+        if routes.len() > MAX_ROUTES {
             return Err(DeltaMismatch);
         }
-        let mut routes = from[..front].to_vec();
-        routes.extend(self.middle);
-        routes.extend_from_slice(&from[from.len() - back..]);
-        Ok(routes)
     }
+    Ok(routes)
 }
--- a/crates/policy/tests/config_fold.rs
+++ b/crates/policy/tests/config_fold.rs
@@ -6,7 +6,7 @@
 use savorykeel_policy::{
     config::{
         checkpoint::{Checkpoint, ImageError},
-        delta::ConfigDelta,
+        delta::{ConfigDelta, RouteRun},
         fold::{Fold, PUBLISHES_KEPT, PublishOutcome, Step},
         raw::RawConfiguration,
         record::{MAX_RECORD_BYTES, MAX_REFUSALS, PublishRecord, RawPublish, RecordError},
@@ -255,6 +255,40 @@
     }
 }
 
+/// Returns routes named by numbers.
+fn routes(numbers: impl Iterator<Item = u32>) -> RawConfiguration {
+    let route = |n: u32| serde_json::json!({ "name": format!("r{n}"), "match": { "path": format!("/{n}/") }, "service": "gate", "idempotent": true, "timeout_ms": 1_000 });
+    let mut value = configuration(&[("gate", "v1")]);
+    value["routes"] = numbers.map(route).collect();
+    serde_json::from_value(value).unwrap()
+}
+
+#[test]
+fn delta_of_changes_far_apart_is_small() {
+    let from = routes(0..300);
+    // One route goes near the front, one comes near the back, and one moves.
+    let to = routes((0..300).filter(|n| *n != 3 && *n != 100).chain([900, 100]));
+    let delta = ConfigDelta::between(&from, &to);
+    let (whole, change) = (encode(&to).len(), encode(&delta).len());
+    assert!(change * 50 < whole, "{change} bytes for a change of {whole}");
+    assert_eq!(delta.apply(&from), Ok(to));
+}
+
+#[test]
+fn delta_that_keeps_unknown_routes_is_refused() {
+    let from = routes(0..3);
+    let keep = |first, count| ConfigDelta {
+        changed: Vec::new(),
+        removed: Vec::new(),
+        routes: Some(vec![RouteRun::Kept { first, count }]),
+        limits: None,
+    };
+    assert_eq!(keep(1, 2).apply(&from).map(|to| to.routes.len()), Ok(2));
+    for (first, count) in [(2, 2), (4, 0), (u32::MAX, 1), (0, u32::MAX)] {
+        assert!(keep(first, count).apply(&from).is_err(), "{first} {count}");
+    }
+}
+
 #[test]
 fn hostile_messages_are_refused() {
     assert!(decode::<FoldUpdate>(&vec![0; MAX_MESSAGE_BYTES + 1]).is_err());
