Let requests wait for a slot only while they can be fast

Ruled out: too few tries elsewhere (loads of all servers of the service were alike); inner calls told apart from callers' (they carry no mark).

Change: latest start by route; those that can be fast first, those that can't only into a nearly empty queue; callers don't take turns by the name of a service. See docs/design/0015-admission.md.

--- a/crates/node/src/calls/serve.rs
+++ b/crates/node/src/calls/serve.rs
@@ -136,7 +136,8 @@
     let _trial = trial(state, fingerprint, call.time_left, cancel).await?;
     let waited = started.elapsed();
     let applicant = Applicant {
-        caller: call.caller.as_str().into(),
+        caller: fairness_name(state, &call),
+        route: call.route.clone(),
         priority: call.priority,
         deadline: state.now() + call.time_left.saturating_sub(waited),
         wanted: state.now() + call.wanted_left.saturating_sub(waited),
@@ -161,6 +162,17 @@
     }
 }
 
+/// Returns the name by which callers take turns.
+///
+/// Where the settings name the service on each instance, a caller's name is that of
+/// a service and tells nothing about who is greedy.
+fn fairness_name(state: &NodeState, call: &PeerCall) -> Arc<str> {
+    match state.expected_server() {
+        Some(_) => "".into(),
+        None => call.caller.as_str().into(),
+    }
+}
+
 /// Returns the backend server if it takes the call.
 fn backend_for(state: &NodeState, call: &PeerCall) -> Result<Backend, Code> {
     if state.is_leaving() {
--- a/crates/node/src/calls/slots.rs
+++ b/crates/node/src/calls/slots.rs
@@ -10,6 +10,7 @@
 use savorykeel_policy::{
     calls::admission::{AdmissionQueue, Applicant, Release, Ticket, Verdict},
     code::Code,
+    ids::RouteName,
     time::Tick,
 };
 use tokio::sync::oneshot;
@@ -82,7 +83,7 @@
         match ntex::time::timeout(to_millis(patience), &mut wait.rx).await {
             Ok(Ok(Ok(()))) => {
                 wait.is_decided = true;
-                Ok(Slot::new(self.clone()))
+                Ok(Slot::new(self.clone(), wait.route.clone()))
             }
             Ok(Ok(Err(code))) => {
                 wait.is_decided = true;
@@ -103,20 +104,21 @@
         let verdict = inner.queue.offer(applicant, now, &mut release);
         inner.announce(release);
         match verdict {
-            Verdict::Start => Ok(Offer::Slot(Slot::new(self.clone()))),
+            Verdict::Start => Ok(Offer::Slot(Slot::new(self.clone(), applicant.route.clone()))),
             Verdict::Shed(code) => Err(code),
             Verdict::Wait(ticket) => {
                 let (tx, rx) = oneshot::channel();
                 inner.waiters.insert(ticket, tx);
-                Ok(Offer::Wait(Wait { slots: self.clone(), ticket, rx, is_decided: false }))
+                let (slots, route) = (self.clone(), applicant.route.clone());
+                Ok(Offer::Wait(Wait { slots, route, ticket, rx, is_decided: false }))
             }
         }
     }
 
-    fn release(&self, run_time: Duration) {
+    fn release(&self, route: &RouteName, run_time: Duration) {
         let now = (self.now)();
         let mut inner = self.inner.lock();
-        let release = inner.queue.release(run_time, now);
+        let release = inner.queue.release(route, run_time, now);
         inner.announce(release);
     }
 }
@@ -129,6 +131,7 @@
 /// A queued request; it leaves the queue when dropped.
 struct Wait {
     slots: Slots,
+    route: RouteName,
     ticket: Ticket,
     rx: oneshot::Receiver<Decision>,
     is_decided: bool,
@@ -146,7 +149,7 @@
         };
         // The slot may have been given between the timeout and now.
         if !was_queued && matches!(self.rx.try_recv(), Ok(Ok(()))) {
-            self.slots.release(Duration::ZERO);
+            self.slots.release(&self.route, Duration::ZERO);
         }
     }
 }
@@ -154,17 +157,18 @@
 /// A slot of the backend server; it is free again when dropped.
 pub(crate) struct Slot {
     slots: Slots,
+    route: RouteName,
     since: Instant,
 }
 
 impl Slot {
-    fn new(slots: Slots) -> Self {
-        Self { slots, since: Instant::now() }
+    fn new(slots: Slots, route: RouteName) -> Self {
+        Self { slots, route, since: Instant::now() }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.slots.release(self.since.elapsed());
+        self.slots.release(&self.route, self.since.elapsed());
     }
 }
--- a/crates/policy/src/calls/admission.rs
+++ b/crates/policy/src/calls/admission.rs
@@ -1,10 +1,11 @@
 //! Admission at the node beside the backend server.
 //!
 //! At most as many requests run as the backend server has slots. A short queue
-//! takes the rest; what can't be served before its deadline is shed at once,
-//! while the caller can still go elsewhere. Urgent requests go first, and callers
-//! take turns, so that one of them can't starve the others. See
-//! `docs/design/0006-load.md`.
+//! takes the rest; what can't be fast any more is shed at once, while the caller can
+//! still go elsewhere, unless the queue is nearly empty. Urgent requests go first, and
+//! callers take turns, so that one of them can't starve the others. Within one rank
+//! the request goes first that has to start soonest to be fast, and one that can't be
+//! fast goes after all that can. See `docs/design/0015-admission.md`.
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -12,7 +13,7 @@
     time::Duration,
 };
 
-use crate::{code::Code, time::Tick};
+use crate::{code::Code, config::model::MAX_ROUTES, ids::RouteName, time::Tick};
 
 /// Starts in a row that requests of the first waiting rank may take while others
 /// wait; the next start goes to the next rank, so that none starves.
@@ -24,9 +25,13 @@
 /// Least length of the queue.
 const MIN_QUEUE: usize = 8;
 
-/// Part of the time until its deadline within which a request that isn't fast any
-/// more has to end to be queued.
-const LATE_PART: f64 = 0.5;
+/// Runs that a request which can't be fast may have to wait for: with more than half
+/// of the slots' number in the queue, requests that can be fast take every slot.
+const LATE_ROUNDS: f64 = 0.5;
+
+/// Shortest time for which a queued request that can't be fast is kept; queues move
+/// every few milliseconds.
+const MIN_LATE_WAIT: Duration = Duration::from_millis(50);
 
 /// Weight of the newest run in the average run time.
 const RUN_TIME_WEIGHT: f64 = 0.1;
@@ -40,6 +45,8 @@
 pub struct Applicant {
     /// Name of the caller, for fairness.
     pub caller: Arc<str>,
+    /// Route that took the request; its usual time of a run counts.
+    pub route: RouteName,
     /// Rank among the requests that wait, 0 first.
     pub priority: u32,
     /// Moment until which an answer counts as fast.
@@ -71,12 +78,28 @@
 #[derive(Debug)]
 struct Waiter {
     ticket: Ticket,
+    /// Moment at which it has to start to be fast.
+    start_by: Tick,
+    /// Moment after which it is shed, because it would be very late.
+    until: Tick,
     deadline: Tick,
 }
 
+impl Waiter {
+    /// Returns why the request doesn't run any more, if it doesn't.
+    fn expired(&self, now: Tick) -> Option<Code> {
+        match (self.deadline <= now, self.until < now) {
+            (true, _) => Some(Code::DeadlineBeforeStart),
+            (false, true) => Some(Code::Overloaded),
+            (false, false) => None,
+        }
+    }
+}
+
 /// Queue of one class in which callers take turns.
 #[derive(Debug, Default)]
 struct FairQueue {
+    /// Requests of each caller, the one that has to start soonest first.
     by_caller: HashMap<Arc<str>, VecDeque<Waiter>>,
     /// Callers with queued requests, the next to be served first.
     turns: VecDeque<Arc<str>>,
@@ -89,23 +112,39 @@
         if queue.is_empty() {
             self.turns.push_back(caller.clone());
         }
-        queue.push_back(waiter);
+        let place = queue.partition_point(|other| other.start_by <= waiter.start_by);
+        queue.insert(place, waiter);
         self.len += 1;
     }
 
-    fn pop(&mut self) -> Option<Waiter> {
-        let caller = self.turns.pop_front()?;
-        let queue = self.by_caller.get_mut(&caller)?;
-        let waiter = queue.pop_front()?;
-        self.len -= 1;
-        if queue.is_empty() {
-            self.by_caller.remove(&caller);
-        } else {
+    /// Takes the next request out: of the callers in turn, the first one that can
+    /// still be fast, else the first one.
+    fn pop(&mut self, now: Tick) -> Option<Waiter> {
+        let fast = self.turns.iter().enumerate().find_map(|(turn, caller)| {
+            let queue = &self.by_caller[caller];
+            let i = queue.partition_point(|waiter| waiter.start_by < now);
+            (i < queue.len()).then_some((turn, i))
+        });
+        let (turn, i) = fast.unwrap_or((0, 0));
+        let caller = self.turns.get(turn)?.clone();
+        let waiter = self.remove_at(&caller, i)?;
+        if self.by_caller.contains_key(&caller) {
+            self.turns.remove(turn);
             self.turns.push_back(caller);
         }
         Some(waiter)
     }
 
+    /// Returns the number of requests that go before one that has to start by
+    /// `start_by`.
+    fn ahead_of(&self, start_by: Tick, now: Tick) -> usize {
+        if start_by < now {
+            return self.len;
+        }
+        let goes_before = |waiter: &&Waiter| waiter.start_by <= start_by && waiter.start_by >= now;
+        self.by_caller.values().flatten().filter(goes_before).count()
+    }
+
     fn remove(&mut self, ticket: Ticket) -> bool {
         let found = self.by_caller.iter().find_map(|(caller, queue)| {
             let i = queue.iter().position(|waiter| waiter.ticket == ticket)?;
@@ -138,14 +177,12 @@
         self.by_caller.get(caller).map_or(0, VecDeque::len)
     }
 
-    fn drain_expired(&mut self, now: Tick, out: &mut Vec<Ticket>) {
+    fn drain_expired(&mut self, now: Tick, out: &mut Vec<(Ticket, Code)>) {
         for queue in self.by_caller.values_mut() {
             queue.retain(|waiter| {
-                let expired = waiter.deadline <= now;
-                if expired {
-                    out.push(waiter.ticket);
-                }
-                !expired
+                let expired = waiter.expired(now);
+                out.extend(expired.map(|code| (waiter.ticket, code)));
+                expired.is_none()
             });
         }
         self.by_caller.retain(|_, queue| !queue.is_empty());
@@ -165,6 +202,8 @@
     starts_in_a_row: u32,
     /// Average time that a request holds a slot, in milliseconds.
     run_time_ms: f64,
+    /// The same by route.
+    route_ms: HashMap<RouteName, f64>,
 }
 
 impl AdmissionQueue {
@@ -177,6 +216,7 @@
             next_ticket: 0,
             starts_in_a_row: 0,
             run_time_ms: 0.0,
+            route_ms: HashMap::new(),
         }
     }
 
@@ -217,20 +257,25 @@
             self.running += 1;
             return Verdict::Start;
         }
-        if !self.can_start_in_time(applicant, now) {
+        if !self.is_worth_its_wait(applicant, now) {
             return Verdict::Shed(Code::Overloaded);
         }
         if self.queued() >= self.queue_limit() && !self.make_room(applicant, release) {
             return Verdict::Shed(Code::Overloaded);
         }
-        Verdict::Wait(self.enqueue(applicant))
+        Verdict::Wait(self.enqueue(applicant, now))
     }
 
     /// Gives a slot back after a run of `run_time` and starts queued requests.
-    pub fn release(&mut self, run_time: Duration, now: Tick) -> Release {
+    pub fn release(&mut self, route: &RouteName, run_time: Duration, now: Tick) -> Release {
         self.running = self.running.saturating_sub(1);
         let run_time_ms = run_time.as_secs_f64() * 1_000.0;
         self.run_time_ms += RUN_TIME_WEIGHT * (run_time_ms - self.run_time_ms);
+        if self.route_ms.len() >= MAX_ROUTES && !self.route_ms.contains_key(route) {
+            self.route_ms.clear();
+        }
+        let usual_ms = self.route_ms.entry(route.clone()).or_insert(run_time_ms);
+        *usual_ms += RUN_TIME_WEIGHT * (run_time_ms - *usual_ms);
         self.start_queued(now)
     }
 
@@ -241,14 +286,13 @@
         was_queued
     }
 
-    /// Sheds queued requests that are past their deadline.
+    /// Sheds queued requests that are past their deadline or very late.
     pub fn expire(&mut self, now: Tick) -> Release {
-        let mut expired = Vec::new();
+        let mut shed = Vec::new();
         for queue in self.ranks.values_mut() {
-            queue.drain_expired(now, &mut expired);
+            queue.drain_expired(now, &mut shed);
         }
         self.drop_empty();
-        let shed = expired.into_iter().map(|ticket| (ticket, Code::DeadlineBeforeStart)).collect();
         Release { started: Vec::new(), shed }
     }
 
@@ -256,30 +300,42 @@
         (self.slots as usize * QUEUE_PER_SLOT).max(MIN_QUEUE)
     }
 
-    /// Tells whether a request is likely to end before its deadline, and soon enough
-    /// to be worth its wait.
+    /// Returns the usual time of a run of a route, in milliseconds.
+    fn usual_ms(&self, route: &RouteName) -> f64 {
+        self.route_ms.get(route).copied().unwrap_or(self.run_time_ms)
+    }
+
+    /// Returns the moment at which a request has to start to be fast; the past for
+    /// one that can't be.
+    fn start_by(&self, applicant: &Applicant) -> Tick {
+        let run_ms = self.usual_ms(&applicant.route).ceil() as u64;
+        Tick(applicant.wanted.0.saturating_sub(run_ms))
+    }
+
+    /// Tells whether a request is likely to be fast, or meets a queue so short that it
+    /// keeps no other one from being fast.
     ///
     /// While more requests come than run, a queue that is longer than what is fast
-    /// makes every answer slow and lets no more of them through. A request that
-    /// can't be fast any more, or that a run alone makes slow, waits no longer than
-    /// half of the time that its caller has, or one run.
-    fn can_start_in_time(&self, applicant: &Applicant, now: Tick) -> bool {
-        let before = self.ranks.range(..=applicant.priority);
-        let ahead: usize = before.map(|(_, queue)| queue.len).sum();
+    /// makes every answer slow and lets no more of them through.
+    fn is_worth_its_wait(&self, applicant: &Applicant, now: Tick) -> bool {
+        let start_by = self.start_by(applicant);
+        let above = self.ranks.range(..applicant.priority).map(|(_, queue)| queue.len);
+        let beside = self.ranks.get(&applicant.priority);
+        let ahead: usize =
+            above.sum::<usize>() + beside.map_or(0, |queue| queue.ahead_of(start_by, now));
         let rounds = (ahead + 1) as f64 / f64::from(self.slots.max(1));
         let wait_ms = rounds * self.run_time_ms;
-        let needed_ms = wait_ms + self.run_time_ms;
         let left_ms = |until: Tick| until.since(now).as_secs_f64() * 1_000.0;
-        let is_fast = left_ms(applicant.wanted) > needed_ms;
-        let is_short =
-            wait_ms <= self.run_time_ms || needed_ms <= left_ms(applicant.deadline) * LATE_PART;
-        left_ms(applicant.deadline) > needed_ms && (is_fast || is_short)
+        let is_fast = start_by >= now && left_ms(start_by) >= wait_ms;
+        let needed_ms = wait_ms + self.usual_ms(&applicant.route);
+        let whole_queue = self.queued() as f64 / f64::from(self.slots.max(1));
+        left_ms(applicant.deadline) > needed_ms && (is_fast || whole_queue < LATE_ROUNDS)
     }
 
     /// Sheds a queued request in favour of a new one; tells whether it did.
     ///
-    /// The request comes from the last rank, from the caller that has most there,
-    /// and is its newest. A request of a lower rank always makes room. Within one
+    /// The request comes from the last rank, from the caller that has most there, and
+    /// is the one that has most time to start. A request of a lower rank always makes room. Within one
     /// rank a caller can't push out another one's request unless that one has more
     /// requests queued.
     fn make_room(&mut self, applicant: &Applicant, release: &mut Release) -> bool {
@@ -297,10 +353,13 @@
         true
     }
 
-    fn enqueue(&mut self, applicant: &Applicant) -> Ticket {
+    fn enqueue(&mut self, applicant: &Applicant, now: Tick) -> Ticket {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        let waiter = Waiter { ticket, deadline: applicant.deadline };
+        let start_by = self.start_by(applicant);
+        let run_time = Duration::from_secs_f64(self.usual_ms(&applicant.route) / 1_000.0);
+        let until = start_by.max(now) + run_time.max(MIN_LATE_WAIT);
+        let waiter = Waiter { ticket, start_by, until, deadline: applicant.deadline };
         self.ranks.entry(applicant.priority).or_default().push(&applicant.caller, waiter);
         ticket
     }
@@ -308,14 +367,14 @@
     fn start_queued(&mut self, now: Tick) -> Release {
         let mut release = self.expire(now);
         while self.running < self.slots {
-            let Some(waiter) = self.next_waiter() else { break };
+            let Some(waiter) = self.next_waiter(now) else { break };
             self.running += 1;
             release.started.push(waiter.ticket);
         }
         release
     }
 
-    fn next_waiter(&mut self) -> Option<Waiter> {
+    fn next_waiter(&mut self, now: Tick) -> Option<Waiter> {
         let first = *self.ranks.keys().next()?;
         let second = self.ranks.keys().nth(1).copied();
         let rank = match second {
@@ -329,7 +388,7 @@
             }
             None => first,
         };
-        let waiter = self.ranks.get_mut(&rank)?.pop();
+        let waiter = self.ranks.get_mut(&rank)?.pop(now);
         self.drop_empty();
         waiter
     }
--- a/crates/policy/tests/calls_load.rs
+++ b/crates/policy/tests/calls_load.rs
@@ -1,6 +1,10 @@
 //! Admission, choice of the backend server, retries and deadlines.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use savorykeel_policy::{
@@ -16,9 +20,14 @@
 };
 use yare::parameterized;
 
+fn route(name: &str) -> RouteName {
+    RouteName::try_from(name).unwrap()
+}
+
 fn applicant(caller: &str, urgent: bool, deadline: u64) -> Applicant {
     Applicant {
         caller: Arc::from(caller),
+        route: route("unlock"),
         priority: u32::from(!urgent),
         wanted: Tick(deadline),
         deadline: Tick(deadline),
@@ -40,7 +49,7 @@
     for step in 0..20_000u64 {
         let now = Tick(step);
         if running > 0 && rng.random_bool(0.4) {
-            let release = queue.release(Duration::from_millis(10), now);
+            let release = queue.release(&route("unlock"), Duration::from_millis(10), now);
             running = running - 1 + release.started.len();
         } else {
             let caller = format!("caller-{}", rng.random_range(0..4));
@@ -65,8 +74,9 @@
     let normal = wait(&mut queue, &applicant("a", false, 10_000), &mut release);
     let urgent: Vec<Ticket> =
         (0..20).map(|_| wait(&mut queue, &applicant("b", true, 10_000), &mut release)).collect();
-    let started: Vec<Ticket> =
-        (0..12).flat_map(|_| queue.release(Duration::from_millis(1), Tick(1)).started).collect();
+    let started: Vec<Ticket> = (0..12)
+        .flat_map(|_| queue.release(&route("unlock"), Duration::from_millis(1), Tick(1)).started)
+        .collect();
     assert_eq!(started[0], urgent[0]);
     let place = started.iter().position(|ticket| *ticket == normal);
     assert_eq!(place, Some(8), "one normal request runs after eight urgent ones");
@@ -81,8 +91,8 @@
     }
     let modest = wait(&mut queue, &applicant("modest", false, 10_000), &mut release);
     assert_eq!(release.shed.len(), 1, "the full queue sheds the greedy caller's newest");
-    queue.release(Duration::from_millis(1), Tick(1));
-    let second = queue.release(Duration::from_millis(1), Tick(1));
+    queue.release(&route("unlock"), Duration::from_millis(1), Tick(1));
+    let second = queue.release(&route("unlock"), Duration::from_millis(1), Tick(1));
     assert_eq!(second.started, [modest], "callers take turns");
 }
 
@@ -92,7 +102,7 @@
     let mut release = Release::default();
     queue.offer(&applicant("a", false, 10_000), Tick(0), &mut release);
     for _ in 0..100 {
-        queue.release(Duration::from_millis(100), Tick(0));
+        queue.release(&route("unlock"), Duration::from_millis(100), Tick(0));
         queue.offer(&applicant("a", false, 10_000), Tick(0), &mut release);
     }
     let verdict = queue.offer(&applicant("a", false, 150), Tick(0), &mut release);
@@ -110,14 +120,87 @@
     let cancelled = wait(&mut queue, &applicant("b", false, 10_000), &mut release);
     assert!(queue.cancel(cancelled));
     assert!(!queue.cancel(cancelled));
-    let release = queue.release(Duration::from_millis(1), Tick(60));
+    let release = queue.release(&route("unlock"), Duration::from_millis(1), Tick(60));
     assert_eq!(release.shed, [(expired, Code::DeadlineBeforeStart)]);
     assert!(release.started.is_empty());
 }
 
+/// Requests of one route that come evenly.
+struct Stream {
+    route: &'static str,
+    /// Time between two of them, in milliseconds.
+    every_ms: u64,
+    run_ms: u64,
+    wanted_ms: u64,
+}
+
+/// What became of the requests of a stream.
+#[derive(Debug, Default, Clone, Copy)]
+struct Served {
+    asked: u32,
+    fast: u32,
+    late: u32,
+}
+
+/// Plays streams for twenty seconds on ten slots.
+fn play(streams: &[Stream]) -> Vec<Served> {
+    let mut queue = AdmissionQueue::new(10);
+    let mut served = vec![Served::default(); streams.len()];
+    let mut waiting: HashMap<Ticket, (usize, u64)> = HashMap::new();
+    let mut running: BTreeMap<u64, Vec<(usize, u64)>> = BTreeMap::new();
+    for now in 0..20_000 {
+        let mut releases = Vec::new();
+        for (i, came) in running.remove(&now).unwrap_or_default() {
+            let stream = &streams[i];
+            let run_time = Duration::from_millis(stream.run_ms);
+            releases.push(queue.release(&route(stream.route), run_time, Tick(now)));
+            let is_fast = now <= came + stream.wanted_ms;
+            served[i].fast += u32::from(is_fast);
+            served[i].late += u32::from(!is_fast);
+        }
+        for (i, stream) in streams.iter().enumerate().filter(|(_, s)| now % s.every_ms == 0) {
+            let wanted = Tick(now + stream.wanted_ms);
+            let (route, deadline) = (route(stream.route), Tick(now + 2_500));
+            let caller = Arc::from("caller");
+            let applicant = Applicant { caller, route, priority: 1, wanted, deadline };
+            let mut release = Release::default();
+            served[i].asked += 1;
+            match queue.offer(&applicant, Tick(now), &mut release) {
+                Verdict::Start => running.entry(now + stream.run_ms).or_default().push((i, now)),
+                Verdict::Wait(ticket) => drop(waiting.insert(ticket, (i, now))),
+                Verdict::Shed(_) => {}
+            }
+            releases.push(release);
+        }
+        for ticket in releases.into_iter().flat_map(|release| release.started) {
+            let (i, came) = waiting[&ticket];
+            running.entry(now + streams[i].run_ms).or_default().push((i, came));
+        }
+    }
+    served
+}
+
+#[test]
+fn overload_leaves_what_is_served_fast() {
+    // 100 come in a second and 66 can run.
+    let checks = Stream { route: "check", every_ms: 10, run_ms: 150, wanted_ms: 400 };
+    let served = play(&[checks])[0];
+    assert!(served.fast + served.late > 1_280, "the slots stay busy: {served:?}");
+    assert!(served.late * 20 < served.fast, "few answers are late: {served:?}");
+}
+
+#[test]
+fn short_runs_are_not_refused_because_others_are_long() {
+    let enrolments = Stream { route: "enrol", every_ms: 40, run_ms: 430, wanted_ms: 800 };
+    let lookups = Stream { route: "lookup", every_ms: 100, run_ms: 55, wanted_ms: 200 };
+    // Enrolments alone need eleven slots.
+    let served = play(&[enrolments, lookups]);
+    assert!(served[0].fast * 10 > served[0].asked * 8, "{served:?}");
+    assert!(served[1].fast * 10 > served[1].asked * 6, "{served:?}");
+}
+
 fn wanted() -> Wanted {
-    let route = RouteName::try_from("unlock").unwrap();
-    Wanted { route, within: Duration::from_millis(500) }
+    Wanted { route: route("unlock"), within: Duration::from_millis(500) }
 }
 
 fn candidates(n: usize, local: impl Fn(usize) -> bool) -> Vec<Candidate> {
