Compress links between nodes, and serve metrics on an address

(2) The users ask for counters and latency histograms on the metrics address of the settings; the node only sent statsd lines.

Ruled out: compressing bodies (random bytes), deflate (300 KB for each end of a link); see docs/design/0011-peer-protocol.md.

Change: what is written up to a flush is one LZ4 frame against the beginnings of the frames before it. listen.metrics serves the metrics that cadence sends, kept as sums and library histograms, at most 4,096 series; serve_ms is new.

Tests: the stream under random messages, cuts and hostile bytes; the page.

--- a/crates/adapters/src/metrics.rs
+++ b/crates/adapters/src/metrics/mod.rs
@@ -1,7 +1,9 @@
-//! Metrics as statsd lines over UDP.
+//! Metrics: statsd lines over UDP, and sums that the node's own address serves.
 //!
 //! Every name is a variant here, so that `docs/METRICS.md` can be checked
-//! against the code. Without a statsd address nothing is formatted or sent.
+//! against the code. What the settings don't ask for is neither formatted nor kept.
+
+mod registry;
 
 use std::{
     fmt,
@@ -13,6 +15,7 @@
 use cadence::{
     BufferedUdpMetricSink, Counted, Gauged, MetricBuilder, QueuingMetricSink, StatsdClient, Timed,
 };
+use registry::Registry;
 
 /// Lines that may wait to be sent; further ones are dropped.
 const QUEUE_LINES: usize = 16_384;
@@ -61,6 +64,9 @@
 pub enum Timer {
     /// A call from the request's head to its end, in milliseconds.
     CallMs,
+    /// A call beside the backend server, its wait for a slot included, in
+    /// milliseconds.
+    ServeMs,
 }
 
 /// A tag of a metric.
@@ -72,15 +78,22 @@
     pub value: &'a str,
 }
 
-/// Sends metrics, or does nothing when no statsd address is set.
+/// Prefix of the names that the metrics address serves.
+const SERVED_PREFIX: &str = "savorykeel";
+
+/// Sends and keeps metrics, each where the settings ask for it.
 #[derive(Clone, Default)]
 pub struct Metrics {
     client: Option<Arc<StatsdClient>>,
+    registry: Option<Arc<Registry>>,
 }
 
 impl fmt::Debug for Metrics {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Metrics").field("enabled", &self.client.is_some()).finish()
+        f.debug_struct("Metrics")
+            .field("is_sent", &self.client.is_some())
+            .field("is_kept", &self.registry.is_some())
+            .finish()
     }
 }
 
@@ -96,11 +109,21 @@
 }
 
 impl Metrics {
-    /// Returns metrics that are never sent.
+    /// Returns metrics that are neither sent nor kept.
     pub fn disabled() -> Self {
         Self::default()
     }
 
+    /// Returns the same metrics, kept for [`Metrics::page`] besides.
+    pub fn kept(self) -> Self {
+        Self { registry: Some(Arc::default()), ..self }
+    }
+
+    /// Returns what the metrics address serves; nothing unless metrics are kept.
+    pub fn page(&self, instance: &str) -> String {
+        self.registry.as_ref().map_or_else(String::new, |r| r.page(SERVED_PREFIX, instance))
+    }
+
     /// Returns metrics that are sent to `statsd` with `instance` as a tag.
     pub fn to_statsd(
         statsd: SocketAddr,
@@ -120,7 +143,7 @@
             // A metric that can't be sent is no reason to fail or to log for each line.
             .with_error_handler(|_| {})
             .build();
-        Ok(Self { client: Some(Arc::new(client)) })
+        Ok(Self { client: Some(Arc::new(client)), registry: None })
     }
 
     /// Adds `n` to a counter.
@@ -128,6 +151,9 @@
         if let Some(client) = &self.client {
             tagged(client.count_with_tags(counter.into(), n), tags).send();
         }
+        if let Some(registry) = &self.registry {
+            registry.count(counter, n, tags);
+        }
     }
 
     /// Sets a gauge.
@@ -135,6 +161,9 @@
         if let Some(client) = &self.client {
             tagged(client.gauge_with_tags(gauge.into(), value), tags).send();
         }
+        if let Some(registry) = &self.registry {
+            registry.gauge(gauge, value, tags);
+        }
     }
 
     /// Records a span of time.
@@ -142,6 +171,9 @@
         if let Some(client) = &self.client {
             tagged(client.time_with_tags(timer.into(), span.as_millis() as u64), tags).send();
         }
+        if let Some(registry) = &self.registry {
+            registry.time(timer, span, tags);
+        }
     }
 
     /// Sends what waits in the buffer.
--- /dev/null
+++ b/crates/adapters/src/metrics/registry.rs
@@ -0,0 +1,158 @@
+//! What the node's own metrics address serves: sums since the start, as text.
+//!
+//! Names, tags and units are those of `docs/METRICS.md`. Latencies are kept in
+//! histograms of a library and served as cumulative buckets.
+
+use std::{collections::BTreeMap, fmt::Write, time::Duration};
+
+use hdrhistogram::Histogram;
+use parking_lot::Mutex;
+
+use super::{Counter, Gauge, Tag, Timer};
+
+/// Series that are kept; a mesh of 290 services on one node has fewer. Further ones
+/// are counted as left out.
+const MAX_SERIES: usize = 4_096;
+
+/// Longest latency that is told apart from longer ones, in milliseconds: a minute is
+/// beyond any route's time for an answer.
+const MAX_LATENCY_MS: u64 = 60_000;
+
+/// Decimal digits that a histogram tells latencies apart by.
+const LATENCY_DIGITS: u8 = 1;
+
+/// Upper bounds of the served buckets, in milliseconds.
+const BUCKETS_MS: [u64; 11] = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000];
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct SeriesKey {
+    name: &'static str,
+    /// Tags as they are served, without braces.
+    tags: String,
+}
+
+enum Series {
+    Counter(u64),
+    Gauge(u64),
+    Latency { histogram: Histogram<u32>, sum_ms: u64 },
+}
+
+#[derive(Default)]
+struct Inner {
+    series: BTreeMap<SeriesKey, Series>,
+    left_out: u64,
+}
+
+/// Metrics since the start of the node; its lock is held for one value or one page.
+#[derive(Default)]
+pub(super) struct Registry {
+    inner: Mutex<Inner>,
+}
+
+impl Registry {
+    pub(super) fn count(&self, counter: Counter, n: u64, tags: &[Tag<'_>]) {
+        self.change(
+            counter.into(),
+            tags,
+            || Some(Series::Counter(0)),
+            |series| {
+                if let Series::Counter(sum) = series {
+                    *sum += n;
+                }
+            },
+        );
+    }
+
+    pub(super) fn gauge(&self, gauge: Gauge, value: u64, tags: &[Tag<'_>]) {
+        self.change(
+            gauge.into(),
+            tags,
+            || Some(Series::Gauge(0)),
+            |series| {
+                if let Series::Gauge(held) = series {
+                    *held = value;
+                }
+            },
+        );
+    }
+
+    pub(super) fn time(&self, timer: Timer, span: Duration, tags: &[Tag<'_>]) {
+        let ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        self.change(timer.into(), tags, new_latency, |series| {
+            if let Series::Latency { histogram, sum_ms } = series {
+                histogram.saturating_record(ms.clamp(1, MAX_LATENCY_MS));
+                *sum_ms += ms;
+            }
+        });
+    }
+
+    fn change(
+        &self,
+        name: &'static str,
+        tags: &[Tag<'_>],
+        new: impl FnOnce() -> Option<Series>,
+        change: impl FnOnce(&mut Series),
+    ) {
+        let key = SeriesKey { name, tags: tag_text(tags) };
+        let mut inner = self.inner.lock();
+        if !inner.series.contains_key(&key) {
+            let is_full = inner.series.len() >= MAX_SERIES;
+            let Some(series) = new().filter(|_| !is_full) else {
+                inner.left_out += 1;
+                return;
+            };
+            inner.series.insert(key.clone(), series);
+        }
+        if let Some(series) = inner.series.get_mut(&key) {
+            change(series);
+        }
+    }
+
+    /// Returns the page that the metrics address serves.
+    pub(super) fn page(&self, prefix: &str, instance: &str) -> String {
+        let inner = self.inner.lock();
+        let own = tag_text(&[Tag { key: "instance", value: instance }]);
+        let mut page = String::new();
+        for (key, series) in &inner.series {
+            let tags = match key.tags.is_empty() {
+                true => own.clone(),
+                false => format!("{own},{}", key.tags),
+            };
+            write_series(&mut page, &format!("{prefix}_{}", key.name), &tags, series);
+        }
+        let _ = writeln!(page, "{prefix}_series_left_out{{{own}}} {}", inner.left_out);
+        page
+    }
+}
+
+fn new_latency() -> Option<Series> {
+    let histogram = Histogram::new_with_bounds(1, MAX_LATENCY_MS, LATENCY_DIGITS).ok()?;
+    Some(Series::Latency { histogram, sum_ms: 0 })
+}
+
+/// Writes one series; writing into a string can't fail.
+fn write_series(page: &mut String, name: &str, tags: &str, series: &Series) {
+    match series {
+        Series::Counter(value) | Series::Gauge(value) => {
+            let _ = writeln!(page, "{name}{{{tags}}} {value}");
+        }
+        Series::Latency { histogram, sum_ms } => {
+            for bound in BUCKETS_MS {
+                let count = histogram.count_between(1, bound);
+                let _ = writeln!(page, "{name}_bucket{{{tags},le=\"{bound}\"}} {count}");
+            }
+            let count = histogram.len();
+            let _ = writeln!(page, "{name}_bucket{{{tags},le=\"+Inf\"}} {count}");
+            let _ = writeln!(page, "{name}_sum{{{tags}}} {sum_ms}");
+            let _ = writeln!(page, "{name}_count{{{tags}}} {count}");
+        }
+    }
+}
+
+fn tag_text(tags: &[Tag<'_>]) -> String {
+    let quoted = |tag: &Tag<'_>| {
+        let value = tag.value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n");
+        format!("{}=\"{value}\"", tag.key)
+    };
+    tags.iter().map(quoted).collect::<Vec<_>>().join(",")
+}
--- a/crates/adapters/src/peer/link.rs
+++ b/crates/adapters/src/peer/link.rs
@@ -11,7 +11,7 @@
 
 use crate::peer_capnp::peer;
 
-use super::{LinkSettings, reader_options};
+use super::{CompressedReader, CompressedWriter, LinkSettings, reader_options};
 
 /// An open connection to another node.
 pub(super) struct Link {
@@ -37,6 +37,7 @@
             .await
             .map_err(|()| io::Error::from(io::ErrorKind::TimedOut))??;
         let (reader, writer) = stream.compat().split();
+        let (reader, writer) = (CompressedReader::new(reader), CompressedWriter::new(writer));
         let network = VatNetwork::new(reader, writer, Side::Client, reader_options());
         let mut rpc = RpcSystem::new(Box::new(network), None);
         let client: peer::Client = rpc.bootstrap(Side::Server);
--- a/crates/adapters/src/peer/mod.rs
+++ b/crates/adapters/src/peer/mod.rs
@@ -4,12 +4,14 @@
 //! counts as silent is in `docs/design/0011-peer-protocol.md`.
 
 mod client;
+mod compressed;
 mod decode;
 mod encode;
 mod link;
 mod server;
 
 pub use client::{LinkSettings, RpcLinks};
+pub use compressed::{CompressedReader, CompressedWriter};
 pub use server::{PeerHandler, serve_connection};
 
 /// Largest RPC message, in 8-byte words: a whole answer and its headers.
--- a/crates/adapters/src/peer/server.rs
+++ b/crates/adapters/src/peer/server.rs
@@ -12,6 +12,7 @@
 use crate::peer_capnp::peer;
 
 use super::{
+    CompressedReader, CompressedWriter,
     decode::{read_call, request_id},
     encode::{write_reply, write_settlement},
     reader_options,
@@ -123,6 +124,7 @@
     let stream = TcpStream::from_std(stream)?;
     stream.set_nodelay(true)?;
     let (reader, writer) = stream.compat().split();
+    let (reader, writer) = (CompressedReader::new(reader), CompressedWriter::new(writer));
     let network = VatNetwork::new(reader, writer, Side::Server, reader_options());
     let client: peer::Client = capnp_rpc::new_client(PeerServer { handler });
     let rpc = RpcSystem::new(Box::new(network), Some(client.client));
--- /dev/null
+++ b/crates/adapters/tests/compressed.rs
@@ -0,0 +1,79 @@
+//! The compressed stream between nodes.
+
+use futures_util::{AsyncReadExt, AsyncWriteExt, io::Cursor};
+use proptest::prelude::*;
+use savorykeel_adapters::peer::{CompressedReader, CompressedWriter};
+
+fn block_on<F: Future>(future: F) -> F::Output {
+    tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(future)
+}
+
+fn written(messages: &[Vec<u8>]) -> Vec<u8> {
+    let mut writer = CompressedWriter::new(Cursor::new(Vec::new()));
+    block_on(async {
+        for message in messages {
+            writer.write_all(message).await.unwrap();
+            writer.flush().await.unwrap();
+        }
+    });
+    let mut bytes = Vec::new();
+    let mut inner = writer.into_inner();
+    inner.set_position(0);
+    block_on(inner.read_to_end(&mut bytes)).unwrap();
+    bytes
+}
+
+fn read(bytes: Vec<u8>) -> std::io::Result<Vec<u8>> {
+    let mut content = Vec::new();
+    let mut reader = CompressedReader::new(Cursor::new(bytes));
+    block_on(reader.read_to_end(&mut content)).map(|_| content)
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_is_read(
+        messages in prop::collection::vec(prop::collection::vec(0u8..4, 0..3_000), 0..20)
+    ) {
+        prop_assert_eq!(read(written(&messages)).unwrap(), messages.concat());
+    }
+
+    #[test]
+    fn hostile_bytes_end_in_an_error_or_in_order(
+        bytes in prop::collection::vec(any::<u8>(), 0..2_000)
+    ) {
+        let _ = read(bytes);
+    }
+
+    #[test]
+    fn a_stream_that_is_cut_gives_no_part_of_a_frame(cut in 0usize..400) {
+        let messages = vec![vec![1; 300], (0..=255).collect(), vec![2; 50]];
+        let bytes = written(&messages);
+        let cut = cut % bytes.len();
+        let starts = [0, 300, 556, 606];
+        match read(bytes[..cut].to_vec()) {
+            Ok(content) => prop_assert!(starts.contains(&content.len())),
+            Err(e) => prop_assert_eq!(e.kind(), std::io::ErrorKind::UnexpectedEof),
+        }
+    }
+}
+
+#[test]
+fn a_large_message_passes_whole() {
+    let message: Vec<u8> =
+        (0..400_000u32).map(|i| (i.wrapping_mul(2_654_435_761) >> 24) as u8).collect();
+    assert_eq!(read(written(std::slice::from_ref(&message))).unwrap(), message);
+}
+
+#[test]
+fn repeated_messages_shrink() {
+    let message = |i: u32| {
+        format!(
+            "GET /orders/{i} host: shop.example accept: */* user-agent: client/1.0 deadline: {}",
+            900 + i
+        )
+        .into_bytes()
+    };
+    let messages: Vec<Vec<u8>> = (0..50).map(message).collect();
+    let (plain, sent) = (messages.concat().len(), written(&messages).len());
+    assert!(sent * 2 < plain, "{sent} bytes for {plain}");
+}
--- /dev/null
+++ b/crates/adapters/tests/metrics.rs
@@ -0,0 +1,48 @@
+//! The page that the metrics address serves.
+
+use std::time::Duration;
+
+use savorykeel_adapters::metrics::{Counter, Gauge, Metrics, Tag, Timer};
+
+#[test]
+fn page_sums_counters_and_buckets_latencies() {
+    let metrics = Metrics::disabled().kept();
+    let tags = [Tag { key: "service", value: "gate" }];
+    for ms in [3, 40, 40, 700] {
+        metrics.count(Counter::Calls, 1, &tags);
+        metrics.time(Timer::CallMs, Duration::from_millis(ms), &tags);
+    }
+    metrics.gauge(Gauge::Entered, 7, &[]);
+    metrics.gauge(Gauge::Entered, 2, &[]);
+    let page = metrics.page("one");
+    for line in [
+        "savorykeel_calls{instance=\"one\",service=\"gate\"} 4",
+        "savorykeel_entered{instance=\"one\"} 2",
+        "savorykeel_call_ms_bucket{instance=\"one\",service=\"gate\",le=\"5\"} 1",
+        "savorykeel_call_ms_bucket{instance=\"one\",service=\"gate\",le=\"50\"} 3",
+        "savorykeel_call_ms_bucket{instance=\"one\",service=\"gate\",le=\"+Inf\"} 4",
+        "savorykeel_call_ms_sum{instance=\"one\",service=\"gate\"} 783",
+        "savorykeel_series_left_out{instance=\"one\"} 0",
+    ] {
+        assert!(page.lines().any(|l| l == line), "{line} isn't in\n{page}");
+    }
+}
+
+#[test]
+fn series_are_bounded_and_values_quoted() {
+    let metrics = Metrics::disabled().kept();
+    for i in 0..5_000 {
+        let value = format!("a\"{i}\n");
+        metrics.count(Counter::Calls, 1, &[Tag { key: "route", value: &value }]);
+    }
+    let page = metrics.page("one");
+    assert!(page.contains("savorykeel_series_left_out{instance=\"one\"} 904"));
+    assert!(page.contains("route=\"a\\\"7\\n\""));
+}
+
+#[test]
+fn nothing_is_kept_unless_asked_for() {
+    let metrics = Metrics::disabled();
+    metrics.count(Counter::Calls, 1, &[]);
+    assert_eq!(metrics.page("one"), "");
+}
--- a/crates/bench/src/fleet/site.rs
+++ b/crates/bench/src/fleet/site.rs
@@ -239,6 +239,7 @@
             peers: any_port(),
             operators: any_port(),
             readiness: None,
+            metrics: None,
         },
         advertise: RawAdvertise { peers: Some(advertised.to_string()) },
         log_service: log_service.to_owned(),
--- a/crates/bench/src/mesh.rs
+++ b/crates/bench/src/mesh.rs
@@ -294,6 +294,7 @@
                 peers: any_port(),
                 operators: any_port(),
                 readiness: None,
+                metrics: None,
             },
             advertise: RawAdvertise { peers: proxy.map(|proxy| proxy.addr().to_string()) },
             log_service: self.log.url(),
--- a/crates/node/src/calls/serve.rs
+++ b/crates/node/src/calls/serve.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use savorykeel_adapters::metrics::{Tag, Timer};
 use savorykeel_policy::{
     calls::{
         admission::Applicant,
@@ -84,6 +85,8 @@
     let began = Instant::now();
     let reply = run(&worker, call, &cancel).await;
     log_run(&worker.state, &request, &route, &reply, began.elapsed());
+    let tags = [Tag { key: "route", value: route.as_str() }];
+    worker.state.metrics.time(Timer::ServeMs, began.elapsed(), &tags);
     let calls = &worker.state.calls;
     calls.cancels.lock().remove(&id);
     let kept = Arc::new(reply.clone());
--- a/crates/node/src/front/acceptor.rs
+++ b/crates/node/src/front/acceptor.rs
@@ -31,6 +31,8 @@
     Backend,
     /// Whoever asks whether the node takes new work.
     Readiness,
+    /// Whoever reads the node's metrics.
+    Metrics,
     /// Another node.
     Peer,
 }
--- a/crates/node/src/front/service.rs
+++ b/crates/node/src/front/service.rs
@@ -17,11 +17,15 @@
     calls::{announce, entry, heartbeat, journey::Caller},
     http::HttpResult,
     settings::Limits,
+    telemetry,
     worker::Worker,
 };
 
 use super::{Accepted, Origin, connection, protocol};
 
+/// Path at which metrics are served.
+const METRICS_PATH: &str = "/metrics";
+
 /// Time after which an idle connection of a caller is closed.
 const CALLER_KEEP_ALIVE: Seconds = Seconds(75);
 
@@ -38,12 +42,18 @@
     let backend = http_service(&limits, move |req| handle_backend(for_backend.clone(), req)).await;
     let readiness = move |req| handle_readiness(for_readiness.clone(), req);
     let readiness = http_service(&limits, readiness).await;
-    let (Some(backend), Some(readiness)) = (backend, readiness) else { return };
+    let for_metrics = worker.clone();
+    let metrics = move |req| handle_metrics(for_metrics.clone(), req);
+    let metrics = http_service(&limits, metrics).await;
+    let (Some(backend), Some(readiness), Some(metrics)) = (backend, readiness, metrics) else {
+        return;
+    };
     while let Ok(accepted) = accepted.recv().await {
         match accepted.origin {
             Origin::Caller => serve_caller(for_callers.clone(), accepted),
             Origin::Backend => serve_http(backend.clone(), accepted),
             Origin::Readiness => serve_http(readiness.clone(), accepted),
+            Origin::Metrics => serve_http(metrics.clone(), accepted),
             Origin::Peer => serve_peer(&worker, handler.clone(), accepted, cancel.clone()),
         }
     }
@@ -150,6 +160,17 @@
     Ok(response.finish())
 }
 
+/// Serves the node's metrics as text.
+async fn handle_metrics(worker: Rc<Worker>, req: Request) -> HttpResult {
+    if req.path() != METRICS_PATH {
+        return Ok(Response::NotFound().finish());
+    }
+    let state = &worker.state;
+    telemetry::report(state);
+    let page = state.metrics.page(state.settings.instance.as_str());
+    Ok(Response::Ok().content_type("text/plain; charset=utf-8").body(page))
+}
+
 async fn handle_backend(worker: Rc<Worker>, req: Request) -> HttpResult {
     if req.path() == announce::ANNOUNCEMENT_PATH {
         return announce::handle(&worker.state, req).await;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -54,7 +54,7 @@
 /// Most connections of other nodes.
 const MAX_PEERS: usize = 65_536;
 
-/// Most connections that ask whether the node takes new work.
+/// Most connections that ask whether the node takes new work, or read its metrics.
 const MAX_QUESTIONERS: usize = 64;
 
 /// Longest time that operators' requests in flight hold up a node that stops.
@@ -111,6 +111,7 @@
     peers: TcpListener,
     operators: TcpListener,
     readiness: Option<TcpListener>,
+    metrics: Option<TcpListener>,
 }
 
 impl Listeners {
@@ -122,6 +123,7 @@
             peers: bind("peers", listen.peers)?,
             operators: bind("operators", listen.operators)?,
             readiness: listen.readiness.map(|addr| bind("readiness", addr)).transpose()?,
+            metrics: listen.metrics.map(|addr| bind("metrics", addr)).transpose()?,
         })
     }
 
@@ -199,6 +201,12 @@
             Acceptor::start(listener, Origin::Readiness, MAX_QUESTIONERS, accepted_tx.clone())
         })
         .transpose()?;
+    let _metrics = listeners
+        .metrics
+        .map(|listener| {
+            Acceptor::start(listener, Origin::Metrics, MAX_QUESTIONERS, accepted_tx.clone())
+        })
+        .transpose()?;
     let mut peers = Acceptor::start(listeners.peers, Origin::Peer, MAX_PEERS, accepted_tx)?;
     // Before anything is logged, so that it is the first line.
     on_ready(&addresses);
@@ -266,8 +274,11 @@
 }
 
 fn start_metrics(settings: &Settings) -> Result<Metrics, MetricsError> {
-    let Some(metrics) = &settings.metrics else { return Ok(Metrics::disabled()) };
-    Metrics::to_statsd(metrics.statsd, &metrics.prefix, settings.instance.as_str())
+    let sent = match &settings.metrics {
+        Some(m) => Metrics::to_statsd(m.statsd, &m.prefix, settings.instance.as_str())?,
+        None => Metrics::disabled(),
+    };
+    Ok(if settings.listen.metrics.is_some() { sent.kept() } else { sent })
 }
 
 /// Starts the worker threads with the operators' API on them.
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -126,6 +126,8 @@
     let operators = addr(checker, "listen.operators", &raw.operators);
     let readiness = raw.readiness.as_ref();
     let readiness = readiness.and_then(|raw| addr(checker, "listen.readiness", raw));
+    let metrics = raw.metrics.as_ref();
+    let metrics = metrics.and_then(|raw| addr(checker, "listen.metrics", raw));
     let mut named = vec![
         ("listen.callers", callers?),
         ("listen.backend", backend?),
@@ -133,6 +135,7 @@
         ("listen.operators", operators?),
     ];
     named.extend(readiness.map(|addr| ("listen.readiness", addr)));
+    named.extend(metrics.map(|addr| ("listen.metrics", addr)));
     for (i, (path, addr)) in named.iter().enumerate() {
         let taken = named[..i].iter().find(|(_, other)| other == addr && addr.port() != 0);
         if let Some((other, _)) = taken {
@@ -145,6 +148,7 @@
         peers: peers?,
         operators: operators?,
         readiness,
+        metrics,
     })
 }
 
--- a/crates/node/src/settings/checked.rs
+++ b/crates/node/src/settings/checked.rs
@@ -93,6 +93,8 @@
     pub operators: SocketAddr,
     /// For questions whether the node takes new work.
     pub readiness: Option<SocketAddr>,
+    /// For whoever reads the node's metrics.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// Where metrics go.
--- a/crates/node/src/settings/raw.rs
+++ b/crates/node/src/settings/raw.rs
@@ -146,6 +146,9 @@
     /// For questions whether the node takes new work; none when absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub readiness: Option<String>,
+    /// For whoever reads the node's metrics; none when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub metrics: Option<String>,
 }
 
 /// Addresses that the node gives to others.
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -19,9 +19,7 @@
 /// Sends a report now and then until `cancel` is cancelled.
 pub(crate) async fn run(state: Arc<NodeState>, cancel: CancellationToken) {
     loop {
-        let (entered, serving) = (&state.entered, &state.serving);
-        state.metrics.gauge(Gauge::Entered, u64::from(entered.load(Ordering::Relaxed)), &[]);
-        state.metrics.gauge(Gauge::Serving, u64::from(serving.load(Ordering::Relaxed)), &[]);
+        report(&state);
         state.metrics.flush();
         tokio::select! {
             () = tokio::time::sleep(PERIOD) => {}
@@ -30,6 +28,13 @@
     }
 }
 
+/// Reports the calls in flight.
+pub(crate) fn report(state: &NodeState) {
+    let (entered, serving) = (&state.entered, &state.serving);
+    state.metrics.gauge(Gauge::Entered, u64::from(entered.load(Ordering::Relaxed)), &[]);
+    state.metrics.gauge(Gauge::Serving, u64::from(serving.load(Ordering::Relaxed)), &[]);
+}
+
 /// Lines about requests that a node writes in a second; beyond it they are counted.
 /// A node answers some hundred requests a second at its share of a processor.
 const LINES_PER_SECOND: u32 = 400;
--- a/tests/feature/check_docs.rs
+++ b/tests/feature/check_docs.rs
@@ -56,7 +56,7 @@
 fn settings_page_names_the_fields_of_the_settings() {
     let raw: RawSettings = serde_json::from_value(json!({
         "instance": "a", "zone": "b", "region": "c",
-        "listen": {"callers": "d", "backend": "e", "peers": "f", "operators": "g", "readiness": "m"},
+        "listen": {"callers": "d", "backend": "e", "peers": "f", "operators": "g", "readiness": "m", "metrics": "p"},
         "advertise": {"peers": "h"},
         "log_service": "i",
         "metrics": {"statsd": "j"},
--- a/tests/harness/settings.rs
+++ b/tests/harness/settings.rs
@@ -63,6 +63,7 @@
             peers: any_port(),
             operators: any_port(),
             readiness: None,
+            metrics: None,
         },
         advertise: RawAdvertise { peers: advertised.map(|addr| addr.to_string()) },
         log_service: log_service.to_owned(),
