Check that frames between nodes follow each other

Change: each frame carries 32 bits of a hash over its content and all before it. One that doesn't follow closes the link, and its requests are settled.

--- a/crates/adapters/src/peer/compressed.rs
+++ b/crates/adapters/src/peer/compressed.rs
@@ -8,8 +8,10 @@
 //! `docs/design/0011-peer-protocol.md`.
 //!
 //! A frame is the length of its content and the length of its compressed form, both as
-//! 16-bit big-endian numbers, and the compressed form; a second length of zero means
-//! that the content itself follows, because compression would have lengthened it.
+//! 16-bit big-endian numbers, a 32-bit checksum and the compressed form; a second length
+//! of zero means that the content itself follows, because compression would have
+//! lengthened it. The checksum covers the content and all frames before it: against
+//! another history a frame would open to wrong content, which might reach a caller.
 
 use std::{
     io,
@@ -19,9 +21,10 @@
 
 use futures_util::{AsyncRead, AsyncWrite};
 use lz4_flex::block::{compress_with_dict, decompress_with_dict};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Bytes before the content of a frame.
-const HEADER_BYTES: usize = 4;
+const HEADER_BYTES: usize = 8;
 
 /// Largest content of a frame: what its length field can say.
 const MAX_CONTENT_BYTES: usize = u16::MAX as usize;
@@ -33,15 +36,23 @@
 /// there, before a body that tells nothing about the next one.
 const REMEMBERED_BYTES: usize = 1_024;
 
-/// Beginnings of the last frames; both ends of a stream hold the same.
+/// What both ends of a stream hold alike of the frames so far.
 #[derive(Default)]
-struct History(Vec<u8>);
+struct History {
+    /// Beginnings of the last frames.
+    beginnings: Vec<u8>,
+    /// Hash of all contents.
+    hash: u64,
+}
 
 impl History {
-    fn remember(&mut self, content: &[u8]) {
-        self.0.extend_from_slice(&content[..content.len().min(REMEMBERED_BYTES)]);
-        let surplus = self.0.len().saturating_sub(HISTORY_BYTES);
-        self.0.drain(..surplus);
+    /// Takes in a frame's content and returns its checksum.
+    fn remember(&mut self, content: &[u8]) -> u32 {
+        self.hash = xxh3_64_with_seed(content, self.hash);
+        self.beginnings.extend_from_slice(&content[..content.len().min(REMEMBERED_BYTES)]);
+        let surplus = self.beginnings.len().saturating_sub(HISTORY_BYTES);
+        self.beginnings.drain(..surplus);
+        self.hash as u32
     }
 }
 
@@ -73,15 +84,16 @@
         if self.content.is_empty() {
             return;
         }
-        let packed = compress_with_dict(&self.content, &self.history.0);
+        let packed = compress_with_dict(&self.content, &self.history.beginnings);
         let is_shorter = packed.len() < self.content.len();
         // Neither length is more than a frame's largest content.
         let content_len = self.content.len() as u16;
         let packed_len = if is_shorter { packed.len() as u16 } else { 0 };
         self.frames.extend_from_slice(&content_len.to_be_bytes());
         self.frames.extend_from_slice(&packed_len.to_be_bytes());
+        let checksum = self.history.remember(&self.content);
+        self.frames.extend_from_slice(&checksum.to_be_bytes());
         self.frames.extend_from_slice(if is_shorter { &packed } else { &self.content });
-        self.history.remember(&self.content);
         self.content.clear();
     }
 }
@@ -155,34 +167,48 @@
         let Some(header) = self.frame.first_chunk::<HEADER_BYTES>() else {
             return HEADER_BYTES - self.frame.len();
         };
-        let (content_len, packed_len) = lengths(header);
+        let Header { content_len, packed_len, .. } = Header::from(*header);
         let body = if packed_len == 0 { content_len } else { packed_len };
         HEADER_BYTES + body - self.frame.len()
     }
 
     fn open_frame(&mut self) -> io::Result<()> {
-        let (header, body) = self.frame.split_at(HEADER_BYTES);
-        let (content_len, packed_len) = lengths(&[header[0], header[1], header[2], header[3]]);
-        self.content = match packed_len {
+        let invalid = |problem: String| io::Error::new(io::ErrorKind::InvalidData, problem);
+        let Some((header, body)) = self.frame.split_first_chunk::<HEADER_BYTES>() else {
+            return Err(invalid("a frame without a header".into()));
+        };
+        let Header { content_len, packed_len, checksum } = Header::from(*header);
+        let content = match packed_len {
             0 => body.to_vec(),
-            _ => decompress_with_dict(body, content_len, &self.history.0)
-                .map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.to_string()))?,
+            _ => decompress_with_dict(body, content_len, &self.history.beginnings)
+                .map_err(|e| invalid(e.to_string()))?,
         };
-        if self.content.len() != content_len {
-            let problem = format!("a frame of {content_len} bytes holds {}", self.content.len());
-            return Err(io::Error::new(io::ErrorKind::InvalidData, problem));
+        if content.len() != content_len || self.history.remember(&content) != checksum {
+            return Err(invalid("a frame that doesn't follow the last one, or is damaged".into()));
         }
-        self.history.remember(&self.content);
+        self.content = content;
         self.frame.clear();
         self.taken = 0;
         Ok(())
     }
 }
 
-/// Returns the lengths of a frame's content and of its compressed form.
-fn lengths(header: &[u8; HEADER_BYTES]) -> (usize, usize) {
-    let [a, b, c, d] = *header;
-    (u16::from_be_bytes([a, b]).into(), u16::from_be_bytes([c, d]).into())
+/// What stands before the compressed form in a frame.
+struct Header {
+    content_len: usize,
+    /// Zero when the content itself follows.
+    packed_len: usize,
+    checksum: u32,
+}
+
+impl From<[u8; HEADER_BYTES]> for Header {
+    fn from([a, b, c, d, checksum @ ..]: [u8; HEADER_BYTES]) -> Self {
+        Self {
+            content_len: u16::from_be_bytes([a, b]).into(),
+            packed_len: u16::from_be_bytes([c, d]).into(),
+            checksum: u32::from_be_bytes(checksum),
+        }
+    }
 }
 
 impl<R: AsyncRead + Unpin> AsyncRead for CompressedReader<R> {
--- a/crates/adapters/tests/compressed.rs
+++ b/crates/adapters/tests/compressed.rs
@@ -57,6 +57,24 @@
     }
 }
 
+/// Returns how a stream ends that lost the bytes of some messages.
+fn read_without(lost: std::ops::Range<usize>) -> std::io::Result<Vec<u8>> {
+    let message = |i: usize| format!("{{\"order\":{i},\"who\":\"caller-{}\"}}", i % 7).into_bytes();
+    let messages: Vec<Vec<u8>> = (0..20).map(message).collect();
+    let end = |n: usize| written(&messages[..n]).len();
+    let mut bytes = written(&messages);
+    bytes.drain(end(lost.start)..end(lost.end));
+    read(bytes)
+}
+
+#[test]
+fn a_stream_that_lost_whole_messages_gives_no_wrong_content() {
+    for lost in [0..1, 3..4, 5..12, 18..19] {
+        let error = read_without(lost.clone()).unwrap_err();
+        assert_eq!(error.kind(), std::io::ErrorKind::InvalidData, "{lost:?}");
+    }
+}
+
 #[test]
 fn a_large_message_passes_whole() {
     let message: Vec<u8> =
--- a/tests/feature/cli_node.rs
+++ b/tests/feature/cli_node.rs
@@ -74,6 +74,32 @@
     assert!(failed.is_empty(), "of {} calls: {failed:?}", observations.len());
 }
 
+#[test]
+fn a_leaving_node_serves_until_it_drains() {
+    // Far longer than the calls below take; the second signal ends it early.
+    let adjust_node = Box::new(|settings: &mut RawSettings| {
+        settings.limits.linger = Duration::from_secs(60);
+    });
+    let mut fleet = start(2, Options { adjust_node, ..Options::default() });
+    let entry = fleet.members[1].callers();
+    let runs = |fleet: &Fleet| fleet.members[1].runs().len();
+    eventually("its own backend server is called", || {
+        let before = runs(&fleet);
+        fleet.client.call(entry, Request::get("/gate")).unwrap();
+        runs(&fleet) > before
+    });
+    fleet.members[1].node().term();
+    eventually("the shutdown began", || fleet.members[1].node().log().contains("node is leaving"));
+    let before = runs(&fleet);
+    for _ in 0..5 {
+        assert_eq!(fleet.client.call(entry, Request::get("/gate")).unwrap().status, 200);
+    }
+    assert_eq!(runs(&fleet), before + 5, "its own backend server still takes calls");
+    let node = fleet.members[1].node_mut();
+    node.signal(Signal::SIGINT);
+    assert_eq!(node.wait_exit().code(), FORCED);
+}
+
 #[test]
 fn a_second_signal_ends_a_node_at_once() {
     let (mut fleet, pending) = start_with_long_call(Options::default());
