Remember a leaving that is heard before its backend server

The new process answered the leaving of a server that it didn't know, forgot it, and took the heartbeat for a start.

Ruled out: a server that took its word back (same start, higher number).

Change: the book keeps the last id that left unknown with the time of day; an announcement of a life that started before counts as leaving since then.

Test: that order of messages; it fails on the code before.

--- a/crates/node/src/calls/beside.rs
+++ b/crates/node/src/calls/beside.rs
@@ -72,7 +72,7 @@
 
 fn leaving(state: &NodeState, id: &str) -> Noted {
     let mut book = state.backend.lock();
-    if !book.leaving(id, state.now()) {
+    if !book.leaving(id, state.now(), (state.clock.wall)().0) {
         return Noted::Stale;
     }
     info!(state.log, "backend server leaves"; "server" => id);
--- a/crates/policy/src/server/book.rs
+++ b/crates/policy/src/server/book.rs
@@ -59,6 +59,18 @@
     known: Option<Known>,
     /// The newest life that was withdrawn, with the number of its last announcement.
     ended: Option<(ServerLife, u64)>,
+    /// The last id that left before this node heard anything else of it.
+    left: Option<Left>,
+}
+
+/// A backend server that said that it leaves to a node that had just started.
+#[derive(Debug)]
+struct Left {
+    id: String,
+    /// When it said so.
+    since: Tick,
+    /// The same by the time of day, which lives are told apart by.
+    at_ms: u64,
 }
 
 impl ServerBook {
@@ -90,6 +102,7 @@
             Some(known) if !announcement.life.id.is_empty() => known.leaving_since,
             _ => None,
         };
+        let leaving_since = leaving_since.or_else(|| self.left_before(&announcement.life));
         let leaving_since = leaving_since.or(announcement.draining.then_some(now));
         let noted = match &same {
             None => Noted::Started,
@@ -102,8 +115,13 @@
     }
 
     /// Notes that a life is about to leave; tells whether that is news.
-    pub fn leaving(&mut self, id: &str, now: Tick) -> bool {
+    ///
+    /// A node that has just started may hear of the leaving first and of the backend
+    /// server by a late announcement afterwards. `wall_ms` is the time of day, in
+    /// milliseconds: a life that starts later under the same id is another one.
+    pub fn leaving(&mut self, id: &str, now: Tick, wall_ms: u64) -> bool {
         let Some(known) = self.known.as_mut().filter(|k| k.announcement.life.id == id) else {
+            self.left = Some(Left { id: id.to_owned(), since: now, at_ms: wall_ms });
             return false;
         };
         known.announcement.draining = true;
@@ -112,6 +130,12 @@
         is_news
     }
 
+    /// Returns when a life left before it was announced here.
+    fn left_before(&self, life: &ServerLife) -> Option<Tick> {
+        let left = self.left.as_ref()?;
+        (left.id == life.id && life.started_ms <= left.at_ms).then_some(left.since)
+    }
+
     /// Withdraws the life that counts; the next announcement may bring it back.
     pub fn withdraw(&mut self) -> Option<Known> {
         let known = self.known.take()?;
--- a/crates/policy/tests/server_book.rs
+++ b/crates/policy/tests/server_book.rs
@@ -59,9 +59,9 @@
 fn leaving_is_not_taken_back_within_a_life() {
     let mut book = ServerBook::default();
     book.announced(said("a", 100, 1), None, Tick(0));
-    assert!(book.leaving("a", Tick(10)));
-    assert!(!book.leaving("a", Tick(11)), "it is no news");
-    assert!(!book.leaving("other", Tick(11)));
+    assert!(book.leaving("a", Tick(10), 500));
+    assert!(!book.leaving("a", Tick(11), 500), "it is no news");
+    assert!(!book.leaving("other", Tick(11), 500));
     book.announced(said("a", 100, 2), None, Tick(12));
     let known = book.known().unwrap();
     assert!(known.takes_work(Tick(509), Duration::from_millis(500)));
@@ -95,3 +95,17 @@
     assert_eq!(known_id(&book), None);
     assert_eq!(book.announced(said("a", 100, 1), Some(&expected), Tick(0)), Noted::Started);
 }
+
+#[test]
+fn a_leaving_that_is_heard_before_the_backend_server_holds() {
+    let mut book = ServerBook::default();
+    assert!(!book.leaving("a", Tick(10), 500), "nothing is known of it yet");
+    // An announcement that was on its way for some seconds.
+    book.announced(said("a", 100, 42), None, Tick(2_000));
+    let known = book.known().unwrap();
+    assert_eq!(known.leaving_since, Some(Tick(10)));
+    assert!(!known.takes_work(Tick(2_000), Duration::from_secs(1)));
+    // It starts again under the id that it had.
+    book.announced(said("a", 600, 1), None, Tick(5_000));
+    assert!(book.known().unwrap().takes_work(Tick(5_000), Duration::ZERO));
+}
