Log when a configuration is fetched and when its wait for neighbours ends

For a node that doesn't read the store, the logs could not tell a version that didn't reach it from one that it held and didn't apply. Two lines a version and node; no logic changes.

--- a/crates/node/src/control/gossip.rs
+++ b/crates/node/src/control/gossip.rs
@@ -25,7 +25,7 @@
     time::Tick,
 };
 use savorykeel_ports::peer::PeerLinks;
-use slog::debug;
+use slog::{debug, info};
 
 use super::{
     context::{ControlContext, ControlMode},
@@ -187,12 +187,17 @@
 /// that don't answer delay the node for [`WITNESS_ACK_TIMEOUT`] at most.
 fn announce_and_apply<L: 'static, P: PeerLinks + 'static>(cx: &Rc<ControlContext<L, P>>) {
     let position = cx.state.held_position();
+    let held_since = cx.state.now();
     let cx = cx.clone();
     ntex::rt::spawn(async move {
         if cx.mode == ControlMode::Gossip {
             let notification = notify_witnesses(&cx, position);
             // After the time-out, serving the accepted version takes precedence.
-            let _ = ntex::time::timeout(to_millis(WITNESS_ACK_TIMEOUT), notification).await;
+            let result = ntex::time::timeout(to_millis(WITNESS_ACK_TIMEOUT), notification).await;
+            let held = cx.state.held_position();
+            info!(cx.state.logger, "configuration may be applied"; "position" => position.0,
+                "held" => held.0, "acknowledged" => result.is_ok(),
+                "waited_ms" => cx.state.now().since(held_since).as_millis() as u64);
         }
         cx.state.allow_applying(position);
         cx.state.rebuild();
--- a/crates/node/src/control/pull.rs
+++ b/crates/node/src/control/pull.rs
@@ -13,7 +13,7 @@
     membership::{entry::NodeRecord, rings::Contact},
 };
 use savorykeel_ports::peer::PeerLinks;
-use slog::{debug, warn};
+use slog::{debug, info, warn};
 
 use super::{
     context::{ControlContext, ControlMode},
@@ -125,6 +125,8 @@
         }
         match pull_once(cx, holder, held).await {
             Ok(true) => {
+                info!(cx.state.logger, "configuration fetched"; "from" => holder.instance.as_str(),
+                    "held" => cx.state.held_position().0, "announced" => position.0);
                 cx.state.emit(Event::FoldAdvanced);
                 return;
             }
