Bound the wait for neighbours by the oldest configuration not yet applied

Callers were answered by an old configuration (404 for a new route) seconds after a newer one had been confirmed.

Cause: a node waits up to 250 ms until enough neighbours have recorded a version, and applies it only if nothing newer is held by then. Each newer version restarted the wait. While neighbours are silent and versions come as fast as that, nothing is applied until failure detection has removed the neighbours, 3 to 4 s later.

Now the time counts from the oldest version not yet applied, and when it is over, the newest one held is applied, so the lag is at most 250 ms whatever the interval. The position is still announced before.

--- a/crates/node/src/control/gossip.rs
+++ b/crates/node/src/control/gossip.rs
@@ -12,6 +12,7 @@
     config::fold::Position,
     distribution::{
         floor::Witnesses,
+        hold::ApplyHold,
         message::{MAX_ENTRIES, MessageBody, ReplyBody},
         pull::Source,
         spread::SpreadChange,
@@ -41,10 +42,6 @@
 /// Time within which a neighbour has to acknowledge an update.
 const UPDATE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Longest time for which a new version waits until enough neighbours have
-/// acknowledged its position.
-const WITNESS_ACK_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Time within which a node has to send its members.
 const COMPARE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -66,6 +63,8 @@
     is_batching: Cell<bool>,
     /// Fetches of newer configurations.
     pulls: Rc<PendingPulls>,
+    /// Wait of the newer configurations that are held and not applied.
+    hold: RefCell<ApplyHold>,
     /// Time at which a difference from a node was first recorded.
     differing_since: RefCell<BTreeMap<InstanceName, Tick>>,
     /// Relays of other availability zones with which this node has compared tables, or is
@@ -86,7 +85,7 @@
             Event::MembersChanged { members, source } => {
                 queue_changes(&cx, &pending, members, source)
             }
-            Event::FoldAdvanced => announce_and_apply(&cx),
+            Event::FoldAdvanced => announce_and_apply(&cx, &pending),
             Event::NewerConfiguration { holder, position, in_own_zone } => {
                 let source = Source { holder, position };
                 match in_own_zone {
@@ -184,23 +183,32 @@
 /// enough of them have recorded it to report the position after a crash of this node.
 ///
 /// A neighbour that already reported the position itself isn't notified. Neighbours
-/// that don't answer delay the node for [`WITNESS_ACK_TIMEOUT`] at most.
-fn announce_and_apply<L: 'static, P: PeerLinks + 'static>(cx: &Rc<ControlContext<L, P>>) {
+/// that don't answer delay the node only as long as [`ApplyHold`] allows.
+fn announce_and_apply<L: 'static, P: PeerLinks + 'static>(
+    cx: &Rc<ControlContext<L, P>>,
+    pending: &Rc<Pending>,
+) {
     let position = cx.state.held_position();
     let held_since = cx.state.now();
-    let cx = cx.clone();
+    let max_wait = pending.hold.borrow_mut().start(held_since);
+    let (cx, pending) = (cx.clone(), pending.clone());
     ntex::rt::spawn(async move {
+        let mut allowed = position;
         if cx.mode == ControlMode::Gossip {
             let notification = notify_witnesses(&cx, position);
-            // After the time-out, serving the accepted version takes precedence.
-            let result = ntex::time::timeout(to_millis(WITNESS_ACK_TIMEOUT), notification).await;
+            let result = ntex::time::timeout(to_millis(max_wait), notification).await;
             let held = cx.state.held_position();
             info!(cx.state.logger, "configuration may be applied"; "position" => position.0,
                 "held" => held.0, "acknowledged" => result.is_ok(),
                 "waited_ms" => cx.state.now().since(held_since).as_millis() as u64);
+            if result.is_err() {
+                // Serving the newest accepted version takes precedence over waiting.
+                allowed = held;
+            }
         }
-        cx.state.allow_applying(position);
+        cx.state.allow_applying(allowed);
         cx.state.rebuild();
+        pending.hold.borrow_mut().record_applied(allowed, cx.state.held_position());
     })
     .detach();
 }
--- a/crates/policy/src/distribution/mod.rs
+++ b/crates/policy/src/distribution/mod.rs
@@ -5,6 +5,7 @@
 //! `docs/design/0002-configuration.md` gives the reasons for the design.
 
 pub mod floor;
+pub mod hold;
 pub mod message;
 pub mod presence;
 pub mod pull;
