--- a/crates/standins/src/backend/behaviour.rs
+++ b/crates/standins/src/backend/behaviour.rs
@@ -62,6 +62,9 @@
     pub health: HintMode,
     /// What `/load` reports.
     pub load: HintMode,
+    /// Requests a second that each answer states as the most that the server takes;
+    /// the server doesn't enforce it.
+    pub stated_rate: Option<f64>,
 }
 
 impl Behaviour {
--- a/crates/standins/src/backend/server.rs
+++ b/crates/standins/src/backend/server.rs
@@ -10,7 +10,10 @@
     time::{Duration, Instant},
 };
 
-use ntex::http::{Method, Response, StatusCode};
+use ntex::http::{
+    Method, Response, StatusCode,
+    header::{HeaderName, HeaderValue},
+};
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use serde::Serialize;
@@ -27,6 +30,9 @@
 /// Exit code of the process after a crash with [`CrashMode::Exit`].
 const CRASH_EXIT_CODE: i32 = 70;
 
+/// Header of answers that states the requests a second that the server takes.
+const STATED_RATE_HEADER: &str = "savorykeel-server-rate";
+
 /// Pause between attempts to bind the port again after a crash.
 const BIND_PAUSE: Duration = Duration::from_millis(20);
 
@@ -126,7 +132,18 @@
         (&Method::POST, "/standin/leave") => apply_change(|| shared.leave()),
         (&Method::POST, "/standin/announce") => apply_change(|| shared.resume_announcing()),
         (_, path) if path.starts_with("/standin/") => empty(StatusCode::NOT_FOUND),
-        _ => run::run(shared, call).await,
+        _ => {
+            let mut response = run::run(shared.clone(), call).await;
+            state_rate(&shared, &mut response);
+            response
+        }
+    }
+}
+
+fn state_rate(shared: &Shared, response: &mut Response) {
+    let rate = shared.behaviour.lock().stated_rate.map(|rate| rate.to_string());
+    if let Some(Ok(value)) = rate.map(HeaderValue::try_from) {
+        response.headers_mut().insert(HeaderName::from_static(STATED_RATE_HEADER), value);
     }
 }
 
--- a/tests/feature/calls_limits.rs
+++ b/tests/feature/calls_limits.rs
@@ -1,12 +1,12 @@
 //! Tests that slots, deadlines, call depth and cancellation take effect at the
 //! backend server.
 
-use std::time::Duration;
+use std::{thread::sleep, time::Duration};
 
 use savorykeel_policy::code::Code;
 use savorykeel_standins::{
     backend::{Behaviour, Run},
-    caller::Request,
+    caller::{Load, Plan, Request, Tally, Template},
 };
 
 use crate::harness::{
@@ -121,3 +121,44 @@
         fleet.members[0].runs().len() == before
     });
 }
+
+/// Requests a second that the backend server in need states.
+const STATED_RATE: f64 = 10.0;
+
+/// Length of the windows in which its requests are counted, and the most that it may get in one:
+/// one and a half times what the rate allows, and five requests.
+const RATE_WINDOW: Duration = Duration::from_secs(4);
+const MAX_REQUESTS_IN_WINDOW: usize = 65;
+
+/// Time from the first answer that states the rate until it has to be kept.
+const RATE_NOTICE: Duration = Duration::from_secs(3);
+
+#[test]
+fn a_backend_server_gets_no_more_requests_than_the_rate_that_it_states() {
+    let fleet = start(20);
+    let in_need = fleet.members[0].backend();
+    let behaviour =
+        Behaviour { stated_rate: Some(STATED_RATE), latency_ms: 20, ..Default::default() };
+    let stated_at_ms = in_need.since_start().as_millis() as u64;
+    in_need.set_behaviour(behaviour);
+    let mix = vec![Template::new("GET", "/gate")];
+    let load = Load::start(Plan::new("rate", fleet.entries(), mix)).expect("the load starts");
+    sleep(RATE_NOTICE + 2 * RATE_WINDOW);
+    let observations = load.finish();
+    let kept_from_ms = stated_at_ms + RATE_NOTICE.as_millis() as u64;
+    let starts: Vec<u64> = fleet.members[0]
+        .runs()
+        .iter()
+        .map(|run| run.started_ms)
+        .filter(|ms| *ms > kept_from_ms)
+        .collect();
+    let in_window = |first: &u64| {
+        let window = *first..*first + RATE_WINDOW.as_millis() as u64;
+        starts.iter().filter(|ms| window.contains(ms)).count()
+    };
+    let most = starts.iter().map(in_window).max().unwrap_or(0);
+    assert!(most <= MAX_REQUESTS_IN_WINDOW, "{most} requests in {RATE_WINDOW:?}");
+    assert!(most as f64 >= STATED_RATE * RATE_WINDOW.as_secs_f64() / 2.0, "only {most} requests");
+    let tally = Tally::compare(&observations, &fleet.runs());
+    assert!(2 * tally.answered > tally.calls, "the other one takes most of the rest: {tally:?}");
+}
