Keep to the rate that a backend server states in its answers

A backend server in need that stated a rate got one and a half to two times as many requests, and its answers with the statement were passed on to callers.

Cause: the header was forwarded and nobody read it.

Its own node, the only way to it, now takes a token for each start while a rate is stated; what finds none waits and is shed in the order of the queue. Replies between nodes carry the wait for a token, so that entry nodes relieve the server.

--- a/crates/adapters/schema/peer.capnp
+++ b/crates/adapters/schema/peer.capnp
@@ -44,6 +44,7 @@
     failed @3 :UInt16;
   }
   runMs @4 :UInt32;
+  rateWaitMs @5 :UInt32;
 }
 
 struct Settlement {
--- a/crates/adapters/src/backend.rs
+++ b/crates/adapters/src/backend.rs
@@ -13,15 +13,17 @@
 };
 
 use ntex::http::header::{HeaderMap, HeaderName, HeaderValue};
+use savorykeel_policy::server::rate::RequestRate;
 use savorykeel_ports::{
-    backend::{BackendError, BackendServer},
+    backend::{BackendError, BackendReply, BackendServer, RateNotice, ServerNotice},
     edge::HeaderNames,
     peer::{Header, HttpAnswer, HttpRequest},
 };
 
 use crate::body_memory::BodyMemory;
 use crate::http1::{
-    ConnectOptions, Connection, Exchange, ExchangeError, OutgoingRequest, ResponseHead,
+    ConnectOptions, Connection, Exchange, ExchangeError, IncomingResponse, OutgoingRequest,
+    ResponseHead,
 };
 
 /// Headers that apply to one connection only and are never forwarded.
@@ -137,7 +139,7 @@
         Connection::open(self.addr, &options).await
     }
 
-    async fn exchange(&self, req: &HttpRequest) -> Result<HttpAnswer, BackendError> {
+    async fn exchange(&self, req: &HttpRequest) -> Result<IncomingResponse, BackendError> {
         let mut lease = self.acquire_connection().await?;
         let Some(mut connection) = lease.connection.take() else {
             return Err(BackendError::NotSent("no connection".into()));
@@ -159,6 +161,15 @@
             let idle_timeout = stated.map_or(DEFAULT_IDLE_TIMEOUT, |t| t.mul_f64(IDLE_FRACTION));
             self.pool.put_idle(connection, idle_timeout);
         }
+        Ok(response)
+    }
+
+    /// Returns the answer to the request, or that the backend server did not run it.
+    fn answer(
+        &self,
+        response: IncomingResponse,
+        req: &HttpRequest,
+    ) -> Result<HttpAnswer, BackendError> {
         let status = response.head.status;
         let has_header = |name| response.head.header(name).is_some();
         if self.names.not_run.is_some_and(has_header) {
@@ -169,6 +180,20 @@
         }
         Ok(to_answer(response.head, response.body, req))
     }
+
+    /// Returns what an answer tells about the backend server.
+    fn notice(&self, head: &ResponseHead) -> ServerNotice {
+        let rate = match self.names.stated_rate.and_then(|name| head.header(name)) {
+            None => RateNotice::Unlimited,
+            Some(value) => parse_rate(value).map_or(RateNotice::Unreadable, RateNotice::Limited),
+        };
+        ServerNotice { rate }
+    }
+}
+
+fn parse_rate(value: &[u8]) -> Option<RequestRate> {
+    let per_second: f64 = std::str::from_utf8(value).ok()?.trim().parse().ok()?;
+    RequestRate::try_from(per_second).ok()
 }
 
 impl Pool {
@@ -193,10 +218,14 @@
 }
 
 impl BackendServer for HttpBackend {
-    async fn run(&self, req: &HttpRequest, timeout: Duration) -> Result<HttpAnswer, BackendError> {
-        match tokio::time::timeout(timeout, self.exchange(req)).await {
-            Ok(result) => result,
-            Err(_) => Err(BackendError::TimedOut),
+    async fn run(&self, req: &HttpRequest, timeout: Duration) -> BackendReply {
+        let response = tokio::time::timeout(timeout, self.exchange(req)).await;
+        match response.unwrap_or(Err(BackendError::TimedOut)) {
+            Ok(response) => {
+                let notice = Some(self.notice(&response.head));
+                BackendReply { result: self.answer(response, req), notice }
+            }
+            Err(e) => BackendReply { result: Err(e), notice: None },
         }
     }
 
--- a/crates/adapters/src/peer/decode.rs
+++ b/crates/adapters/src/peer/decode.rs
@@ -70,6 +70,7 @@
         in_flight: from.get_in_flight(),
         own_time: Duration::from_millis(from.get_own_ms().into()),
         run_time: Duration::from_millis(from.get_run_ms().into()),
+        rate_wait: Duration::from_millis(from.get_rate_wait_ms().into()),
     };
     let reply = match from.which()? {
         reply::Answer(answer) => PeerReply::Answered(read_answer(answer?)?),
--- a/crates/adapters/src/peer/encode.rs
+++ b/crates/adapters/src/peer/encode.rs
@@ -62,6 +62,7 @@
     to.set_in_flight(load.in_flight);
     to.set_own_ms(to_millis(load.own_time));
     to.set_run_ms(to_millis(load.run_time));
+    to.set_rate_wait_ms(to_millis(load.rate_wait));
     match from {
         PeerReply::Answered(answer) => write_answer(answer, to.init_answer()),
         PeerReply::Failed(code) => to.set_failed(Code::number(*code)),
--- a/crates/adapters/tests/http1.rs
+++ b/crates/adapters/tests/http1.rs
@@ -101,7 +101,7 @@
         headers: vec![header("host", "a.example"), header("request-id", id)],
         body,
     };
-    backend.run(&req, TIMEOUT).await
+    backend.run(&req, TIMEOUT).await.result
 }
 
 async fn send_once(script: ConnectionScript) -> Result<HttpAnswer, BackendError> {
--- a/crates/bench/src/fullsize.rs
+++ b/crates/bench/src/fullsize.rs
@@ -186,7 +186,7 @@
     balancer.choose(&candidates, &[], &requirements, Tick(0), &mut rng);
     balancer.record_route_latency(&route, Duration::from_millis(300));
     for candidate in &candidates {
-        let load = Load { in_flight: 4, run_time: Duration::from_millis(300) };
+        let load = Load { in_flight: 4, run_time: Duration::from_millis(300), ..Load::default() };
         balancer.record_load(&candidate.instance, load, Tick(1));
         balancer.record_transport(&candidate.instance, Duration::from_millis(3), Tick(1));
     }
--- a/crates/node/src/calls/local_backend.rs
+++ b/crates/node/src/calls/local_backend.rs
@@ -8,9 +8,12 @@
     membership::entry::BackendRecord,
     server::{
         announcement::{Announcement, ServerIncarnation, ServerMessage},
-        tracker::{AnnouncementOutcome, CurrentServer},
+        rate::RequestRate,
+        tracker::{AnnouncementOutcome, CurrentServer, RateStatement},
     },
+    time::Tick,
 };
+use savorykeel_ports::backend::{RateNotice, ServerNotice};
 use slog::{info, warn};
 
 use crate::state::NodeState;
@@ -30,6 +33,8 @@
     pub(crate) addr: SocketAddr,
     /// Largest number of connections that the node opens to it.
     pub(crate) connections: u32,
+    /// Requests a second that it takes, if its answers state a rate.
+    pub(crate) rate: Option<RequestRate>,
 }
 
 /// Handles a message of the backend server about itself.
@@ -138,9 +143,40 @@
             .connections
             .or_else(configured_connections)
             .unwrap_or(DEFAULT_CONNECTIONS),
+        rate: current.stated_rate.map(|stated| stated.rate),
     })
 }
 
+/// Records what the answer to a request that was sent at `sent_at` tells about the backend
+/// server.
+pub(crate) fn record_notice(
+    state: &NodeState,
+    incarnation: &ServerIncarnation,
+    notice: ServerNotice,
+    sent_at: Tick,
+) {
+    let rate = match notice.rate {
+        RateNotice::Unlimited => None,
+        RateNotice::Limited(rate) => Some(rate),
+        RateNotice::Unreadable => return log_unreadable_rate(state, incarnation),
+    };
+    let (now, statement) = (state.now(), RateStatement { rate, sent_at });
+    if !state.backend.lock().record_rate(incarnation, statement, now) {
+        return;
+    }
+    if state.request_log_limit.allow(now, &state.log) {
+        info!(state.log, "backend server changed its stated rate"; "server" => &incarnation.id,
+            "per_second" => rate.map(RequestRate::per_second));
+    }
+}
+
+fn log_unreadable_rate(state: &NodeState, incarnation: &ServerIncarnation) {
+    if state.request_log_limit.allow(state.now(), &state.log) {
+        warn!(state.log, "stated rate of the backend server ignored: it isn't a number";
+            "server" => &incarnation.id);
+    }
+}
+
 /// Returns whether the local backend server belongs to `service` and is leaving.
 pub(crate) fn is_leaving(state: &NodeState, service: &ServiceName) -> bool {
     let tracker = state.backend.lock();
--- a/crates/node/src/calls/serve.rs
+++ b/crates/node/src/calls/serve.rs
@@ -22,7 +22,7 @@
     ids::{BackendVersion, RequestId, RouteName},
 };
 use savorykeel_ports::{
-    backend::{BackendError, BackendServer},
+    backend::{BackendError, BackendReply, BackendServer},
     edge::HeaderNames,
     peer::{Attempt, Header, HttpAnswer, HttpRequest, LoadHint, PeerCall, PeerReply, Settlement},
 };
@@ -39,6 +39,7 @@
 use super::{
     crashes,
     local_backend::{self, LocalBackend},
+    slots::ServerLimits,
     state::reply_bytes,
     state::to_millis,
 };
@@ -70,8 +71,13 @@
 }
 
 fn load_hint(state: &NodeState, own_time: Duration) -> LoadHint {
-    let (in_flight, run_time) = (state.calls.slots.load(), state.calls.slots.run_time());
-    LoadHint { in_flight, own_time, run_time }
+    let slots = &state.calls.slots;
+    LoadHint {
+        in_flight: slots.load(),
+        own_time,
+        run_time: slots.run_time(),
+        rate_wait: slots.rate_wait(),
+    }
 }
 
 /// Runs an admitted call and stores its reply for the settle protocol.
@@ -156,8 +162,9 @@
         true => u32::MAX,
         false => backend.record.slots,
     };
+    let limits = ServerLimits { slots, rate: backend.rate };
     let _slot = tokio::select! {
-        slot = state.calls.slots.acquire(admission_request, slots, max_wait) => slot?,
+        slot = state.calls.slots.acquire(admission_request, limits, max_wait) => slot?,
         () = cancel.cancelled() => return Err(Code::Cancelled),
     };
     let left = call.time_left.saturating_sub(started.elapsed());
@@ -252,7 +259,11 @@
     let forwarded = crashes::ForwardedRequest::start(&worker.state, fingerprint);
     let is_suspect = quarantine_status(&worker.state, fingerprint) != Ok(QuarantineStatus::Clear);
     let started = Instant::now();
-    let result = client.run(&request, left).await;
+    let sent_at = worker.state.now();
+    let BackendReply { result, notice } = client.run(&request, left).await;
+    if let Some(notice) = notice {
+        local_backend::record_notice(&worker.state, &backend.incarnation, notice, sent_at);
+    }
     if !is_suspect {
         let version = &backend.record.version;
         record_observation(
--- a/crates/node/src/calls/slots.rs
+++ b/crates/node/src/calls/slots.rs
@@ -14,6 +14,7 @@
     calls::admission::{AdmissionDecision, AdmissionQueue, AdmissionRequest, Release, Ticket},
     code::Code,
     ids::RouteName,
+    server::rate::RequestRate,
     time::Tick,
 };
 use tokio::sync::oneshot;
@@ -25,6 +26,17 @@
 struct Inner {
     queue: AdmissionQueue,
     waiters: HashMap<Ticket, oneshot::Sender<Decision>>,
+    /// Whether a task starts queued requests as the stated rate allows.
+    has_starter: bool,
+}
+
+/// Limits of the local backend server as a request finds them.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ServerLimits {
+    /// Number of requests that it runs at once.
+    pub(crate) slots: u32,
+    /// Requests a second that it takes, if it states a rate.
+    pub(crate) rate: Option<RequestRate>,
 }
 
 impl Inner {
@@ -56,7 +68,8 @@
 impl Slots {
     /// Creates an empty queue without slots; each request sets the current number of slots.
     pub(crate) fn new() -> Self {
-        let inner = Inner { queue: AdmissionQueue::new(0), waiters: HashMap::new() };
+        let queue = AdmissionQueue::new(0);
+        let inner = Inner { queue, waiters: HashMap::new(), has_starter: false };
         let now = savorykeel_ports::clock::Clock::default().tick;
         Self { inner: Arc::new(Mutex::new(inner)), now }
     }
@@ -67,22 +80,29 @@
         inner.queue.running() + inner.queue.queued() as u32
     }
 
+    /// Returns the time that one more request would wait because of the stated rate.
+    pub(crate) fn rate_wait(&self) -> Duration {
+        let now = (self.now)();
+        self.inner.lock().queue.rate_wait(now)
+    }
+
     /// Returns the average run time of requests.
     pub(crate) fn run_time(&self) -> Duration {
         self.inner.lock().queue.run_time()
     }
 
-    /// Waits at most `max_wait` for one of `slots` slots.
+    /// Waits at most `max_wait` for a slot within the limits.
     pub(crate) async fn acquire(
         &self,
         request: AdmissionRequest,
-        slots: u32,
+        limits: ServerLimits,
         max_wait: Duration,
     ) -> Result<Slot, Code> {
-        let mut queued = match self.offer(&request, slots)? {
+        let mut queued = match self.offer(&request, limits)? {
             Offer::Slot(slot) => return Ok(slot),
             Offer::Queued(queued) => queued,
         };
+        self.start_queued_at_rate();
         match ntex::time::timeout(to_millis(max_wait), &mut queued.rx).await {
             Ok(Ok(Ok(()))) => {
                 queued.is_decided = true;
@@ -96,13 +116,51 @@
         }
     }
 
-    fn offer(&self, request: &AdmissionRequest, slots: u32) -> Result<Offer, Code> {
+    /// Starts queued requests while the backend server states a rate, unless a task does so
+    /// already. Without a rate, requests wait only for slots, and ends of runs start them.
+    fn start_queued_at_rate(&self) {
+        {
+            let mut inner = self.inner.lock();
+            if inner.has_starter || inner.queue.time_to_next_token((self.now)()).is_none() {
+                return;
+            }
+            inner.has_starter = true;
+        }
+        let slots = self.clone();
+        ntex::rt::spawn(async move {
+            while let Some(wait) = slots.time_to_next_token() {
+                ntex::time::sleep(to_millis(wait)).await;
+                slots.start_queued();
+            }
+        })
+        .detach();
+    }
+
+    /// Returns the time to the next token; `None` ends the task that asks for it.
+    fn time_to_next_token(&self) -> Option<Duration> {
         let now = (self.now)();
         let mut inner = self.inner.lock();
-        if inner.queue.slots() != slots {
-            let release = inner.queue.set_slots(slots, now);
+        let wait = inner.queue.time_to_next_token(now);
+        inner.has_starter = wait.is_some();
+        wait
+    }
+
+    fn start_queued(&self) {
+        let now = (self.now)();
+        let mut inner = self.inner.lock();
+        let release = inner.queue.start_queued(now);
+        inner.notify_waiters(release);
+    }
+
+    fn offer(&self, request: &AdmissionRequest, limits: ServerLimits) -> Result<Offer, Code> {
+        let now = (self.now)();
+        let mut inner = self.inner.lock();
+        if inner.queue.slots() != limits.slots {
+            let release = inner.queue.set_slots(limits.slots, now);
             inner.notify_waiters(release);
         }
+        let release = inner.queue.set_rate(limits.rate, now);
+        inner.notify_waiters(release);
         let mut release = Release::default();
         let decision = inner.queue.offer(request, now, &mut release);
         inner.notify_waiters(release);
--- a/crates/policy/src/calls/admission.rs
+++ b/crates/policy/src/calls/admission.rs
@@ -6,7 +6,10 @@
 //! high priority and short requests start first, and callers are served round-robin, so
 //! that no caller can starve the others. Among a caller's requests of the same class, the
 //! one that has to start earliest to meet its objective goes first. Within a class,
-//! requests that can't meet it go after all that can. See
+//! requests that can't meet it go after all that can.
+//!
+//! A backend server in need may state how many requests a second it takes. Then each start
+//! takes a token as well, so that a surplus waits and is shed in the same order. See
 //! `docs/design/0015-admission.md`.
 
 use std::{
@@ -15,7 +18,13 @@
     time::Duration,
 };
 
-use crate::{code::Code, config::model::MAX_ROUTES, ids::RouteName, time::Tick};
+use crate::{
+    code::Code,
+    config::model::MAX_ROUTES,
+    ids::RouteName,
+    server::rate::{RequestRate, TokenBucket},
+    time::Tick,
+};
 
 /// Consecutive starts that the first class may take while another class waits. The next
 /// start goes to the second class, so that it isn't starved.
@@ -36,6 +45,9 @@
 /// advance every few milliseconds.
 const MIN_LATE_WAIT: Duration = Duration::from_millis(50);
 
+/// Shortest time after which queued requests are checked for tokens again.
+const MIN_TOKEN_WAIT: Duration = Duration::from_millis(2);
+
 /// Weight of the newest run in the moving average of the run time.
 const RUN_TIME_WEIGHT: f64 = 0.1;
 
@@ -230,6 +242,8 @@
     run_time_ms: f64,
     /// Moving average of the same time for each route, in milliseconds.
     run_time_ms_by_route: HashMap<RouteName, f64>,
+    /// Tokens for starts while the backend server states a rate.
+    tokens: Option<TokenBucket>,
 }
 
 impl AdmissionQueue {
@@ -243,6 +257,7 @@
             consecutive_starts: 0,
             run_time_ms: 0.0,
             run_time_ms_by_route: HashMap::new(),
+            tokens: None,
         }
     }
 
@@ -272,6 +287,31 @@
         self.start_queued(now)
     }
 
+    /// Changes the rate that the backend server states; `None` if it states none.
+    pub fn set_rate(&mut self, rate: Option<RequestRate>, now: Tick) -> Release {
+        match (rate, &mut self.tokens) {
+            (Some(rate), Some(tokens)) if tokens.rate() == rate => return Release::default(),
+            (Some(rate), Some(tokens)) => tokens.set_rate(rate, now),
+            (Some(rate), None) => self.tokens = Some(TokenBucket::new(rate, now)),
+            (None, None) => return Release::default(),
+            (None, Some(_)) => self.tokens = None,
+        }
+        self.start_queued(now)
+    }
+
+    /// Returns the time after which [`AdmissionQueue::start_queued`] may start a request
+    /// although no run ends, or `None` if requests wait only for slots.
+    pub fn time_to_next_token(&self, now: Tick) -> Option<Duration> {
+        let tokens = self.tokens.as_ref().filter(|_| self.queued() > 0)?;
+        Some(tokens.time_until(1, now).max(MIN_TOKEN_WAIT))
+    }
+
+    /// Returns the time that one more request would wait because of the stated rate; zero
+    /// without one.
+    pub fn rate_wait(&self, now: Tick) -> Duration {
+        self.token_wait(self.queued() + 1, now)
+    }
+
     /// Starts, queues or sheds a request.
     ///
     /// Queued requests that are shed to make room for it are added to `release`.
@@ -284,7 +324,7 @@
         if request.deadline <= now {
             return AdmissionDecision::Shed(Code::DeadlineBeforeStart);
         }
-        if self.running < self.slots && self.queued() == 0 {
+        if self.running < self.slots && self.queued() == 0 && self.try_take_token(now) {
             self.running += 1;
             return AdmissionDecision::Start;
         }
@@ -370,7 +410,8 @@
         let ahead: usize = higher_classes.sum::<usize>()
             + same_class.map_or(0, |queue| queue.ahead_of(start_by, now));
         let rounds = (ahead + 1) as f64 / f64::from(self.slots.max(1));
-        let wait_ms = rounds * self.run_time_ms;
+        let token_wait_ms = self.token_wait(ahead + 1, now).as_secs_f64() * 1_000.0;
+        let wait_ms = (rounds * self.run_time_ms).max(token_wait_ms);
         let left_ms = |until: Tick| until.since(now).as_secs_f64() * 1_000.0;
         let is_fast = start_by >= now && left_ms(start_by) >= wait_ms;
         let needed_ms = wait_ms + self.expected_run_ms(&request.route);
@@ -419,9 +460,11 @@
         ticket
     }
 
-    fn start_queued(&mut self, now: Tick) -> Release {
+    /// Starts queued requests as far as slots and tokens allow, and sheds those that are past
+    /// their deadline or very late.
+    pub fn start_queued(&mut self, now: Tick) -> Release {
         let mut release = self.expire(now);
-        while self.running < self.slots {
+        while self.running < self.slots && self.queued() > 0 && self.try_take_token(now) {
             let Some(waiter) = self.next_waiter(now) else { break };
             self.running += 1;
             release.started.push(waiter.ticket);
@@ -429,6 +472,16 @@
         release
     }
 
+    /// Takes a token for a start; returns whether there was one or none is needed.
+    fn try_take_token(&mut self, now: Tick) -> bool {
+        self.tokens.as_mut().is_none_or(|tokens| tokens.try_take(now))
+    }
+
+    /// Returns the time until the `n`th next start has a token.
+    fn token_wait(&self, n: usize, now: Tick) -> Duration {
+        self.tokens.as_ref().map_or(Duration::ZERO, |tokens| tokens.time_until(n, now))
+    }
+
     fn next_waiter(&mut self, now: Tick) -> Option<Waiter> {
         let first = *self.classes.keys().next()?;
         let second = self.classes.keys().nth(1).copied();
--- a/crates/policy/src/calls/balance/mod.rs
+++ b/crates/policy/src/calls/balance/mod.rs
@@ -53,6 +53,10 @@
 /// region, messages take a few milliseconds between availability zones.
 const CONGESTED_TRANSPORT_MS: f64 = 50.0;
 
+/// Time that requests may wait because of a stated rate before they go to other availability
+/// zones, in milliseconds. Transport between zones takes about as long.
+const MAX_RATE_WAIT_MS: f64 = 5.0;
+
 /// Length of a request's body, in bytes, above which a request stays in its availability zone
 /// although calls within it are delayed, as long as it is expected to meet its objective.
 const MAX_MOVED_BODY_BYTES: usize = 16 << 10;
@@ -109,6 +113,9 @@
     pub in_flight: u32,
     /// Average run time; zero when no run has ended yet.
     pub run_time: Duration,
+    /// Time that one more request would wait because of the rate that the backend server
+    /// states.
+    pub rate_wait: Duration,
 }
 
 /// State of the backend servers that one node calls.
@@ -232,6 +239,7 @@
         tracked.has_fresh_report(now)
             && !tracked.is_ejected(now)
             && tracked.load(now) < candidate.slots
+            && tracked.rate_wait_ms(now) <= MAX_RATE_WAIT_MS
     }
 
     /// Returns the number of this node's requests in flight to an instance.
@@ -332,11 +340,16 @@
     }
 
     /// Returns whether a request should leave its availability zone because calls to a
-    /// candidate are delayed on the way.
+    /// candidate are delayed on the way, or the candidate states a rate that is used up.
     ///
-    /// Small requests leave, also those that have time. Large ones, which cause most of the
-    /// delay, would cost most elsewhere.
+    /// A candidate in need has to be relieved, whatever its zone. Small requests leave a
+    /// congested link, also those that have time. Large ones, which cause most of the delay,
+    /// would cost most elsewhere.
     fn leaves_zone(&self, cx: &Choice<'_>, i: usize) -> bool {
+        let rate_wait_ms = self.tracked_at(cx, i).map_or(0.0, |t| t.rate_wait_ms(cx.now));
+        if rate_wait_ms > MAX_RATE_WAIT_MS {
+            return true;
+        }
         let transport_ms = |t: &TrackedBackend| t.expected_transport_ms(cx.now);
         let expected_ms = self.tracked_at(cx, i).map_or(0.0, transport_ms);
         !cx.is_large && expected_ms > CONGESTED_TRANSPORT_MS
@@ -374,7 +387,8 @@
             _ => queued_ms,
         };
         let transport_ms = tracked.expected_transport_ms(cx.now);
-        let expected = run_ms * (1.0 + busy) + queued_ms * waiting + transport_ms;
+        let wait_ms = (queued_ms * waiting).max(tracked.rate_wait_ms(cx.now));
+        let expected = run_ms * (1.0 + busy) + wait_ms + transport_ms;
         // Failures common to all candidates don't favour any of them.
         let excess = (tracked.failure_rate(cx.now) - cx.min_failure_rate).max(0.0);
         let penalized_rate = if excess < FAILURE_RATE_TOLERANCE { 0.0 } else { excess };
--- a/crates/policy/src/calls/balance/tracked.rs
+++ b/crates/policy/src/calls/balance/tracked.rs
@@ -131,6 +131,13 @@
         self.load_report = Some(LoadReport { load, at: now });
     }
 
+    /// Returns the time in milliseconds that a request would wait because of the stated rate:
+    /// what was reported, less the time since.
+    pub(super) fn rate_wait_ms(&self, now: Tick) -> f64 {
+        let left = |report: LoadReport| report.load.rate_wait.saturating_sub(now.since(report.at));
+        millis(self.load_report.map_or(Duration::ZERO, left))
+    }
+
     /// Returns the average run time in milliseconds as reported by the node next to the
     /// backend server.
     pub(super) fn reported_ms(&self) -> Option<f64> {
--- a/crates/policy/src/server/mod.rs
+++ b/crates/policy/src/server/mod.rs
@@ -1,4 +1,5 @@
 //! The node's own backend server, as described by its announcements.
 
 pub mod announcement;
+pub mod rate;
 pub mod tracker;
--- a/crates/policy/src/server/tracker.rs
+++ b/crates/policy/src/server/tracker.rs
@@ -10,7 +10,10 @@
 
 use crate::{ids::ServiceName, time::Tick};
 
-use super::announcement::{Announcement, ServerIncarnation};
+use super::{
+    announcement::{Announcement, ServerIncarnation},
+    rate::RequestRate,
+};
 
 /// Number of lease durations without an announcement after which a backend server counts
 /// as gone.
@@ -45,7 +48,7 @@
 }
 
 /// The current incarnation of the backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct CurrentServer {
     /// Its newest announcement.
     pub announcement: Announcement,
@@ -53,6 +56,26 @@
     pub leaving_since: Option<Tick>,
     /// Time at which it counts as gone unless its lease is renewed.
     pub expires_at: Tick,
+    /// Rate that it states in its answers; `None` while it states none.
+    pub stated_rate: Option<StatedRate>,
+}
+
+/// A rate of requests that a backend server states in its answers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StatedRate {
+    /// Requests a second that it takes from all nodes together.
+    pub rate: RequestRate,
+    /// Arrival of the newest answer that states a rate.
+    stated_at: Tick,
+}
+
+/// An answer of a backend server, as far as it tells about the rate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateStatement {
+    /// Stated rate; `None` if the answer states none.
+    pub rate: Option<RequestRate>,
+    /// Time at which the request that it answers was sent.
+    pub sent_at: Tick,
 }
 
 /// State of the node's own backend server.
@@ -119,10 +142,37 @@
             Some(_) => AnnouncementOutcome::Renewed,
         };
         let expires_at = now + announcement.lease * LEASES_BEFORE_GONE;
-        self.current = Some(CurrentServer { announcement, leaving_since, expires_at });
+        let stated_rate = same.and_then(|current| current.stated_rate);
+        self.current = Some(CurrentServer { announcement, leaving_since, expires_at, stated_rate });
         outcome
     }
 
+    /// Records what an answer of an incarnation tells about its rate. Returns whether the rate
+    /// changed.
+    ///
+    /// Answers may overtake each other. One without a rate therefore ends a stated rate only if
+    /// its request was sent after the newest answer with one had arrived.
+    pub fn record_rate(
+        &mut self,
+        incarnation: &ServerIncarnation,
+        statement: RateStatement,
+        now: Tick,
+    ) -> bool {
+        let current = self.current.as_mut();
+        let Some(current) = current.filter(|c| c.announcement.incarnation == *incarnation) else {
+            return false;
+        };
+        let before = current.stated_rate.map(|stated| stated.rate);
+        match (statement.rate, current.stated_rate) {
+            (Some(rate), _) => current.stated_rate = Some(StatedRate { rate, stated_at: now }),
+            (None, Some(stated)) if statement.sent_at > stated.stated_at => {
+                current.stated_rate = None;
+            }
+            (None, _) => {}
+        }
+        before != current.stated_rate.map(|stated| stated.rate)
+    }
+
     /// Records that an incarnation is about to leave. Returns whether it is the current one
     /// and hadn't reported this before.
     ///
--- a/crates/policy/tests/calls_load.rs
+++ b/crates/policy/tests/calls_load.rs
@@ -396,7 +396,22 @@
 }
 
 fn load(in_flight: u32, run_ms: u64) -> Load {
-    Load { in_flight, run_time: Duration::from_millis(run_ms) }
+    Load { in_flight, run_time: Duration::from_millis(run_ms), ..Load::default() }
+}
+
+fn rate_used_up(wait_ms: u64) -> Load {
+    Load { rate_wait: Duration::from_millis(wait_ms), ..load(2, 100) }
+}
+
+/// The own zone would meet the objective, but its backend server states a rate that is used up.
+#[parameterized(
+    used_up = { rate_used_up(50), load(2, 100), 1 },
+    a_token_is_near = { rate_used_up(2), load(2, 100), 0 },
+    used_up_in_both = { rate_used_up(50), rate_used_up(80), 0 },
+    other_is_busy = { rate_used_up(20), load(25, 100), 0 },
+)]
+fn a_backend_server_in_need_is_relieved_by_other_zones(own: Load, other: Load, expected: usize) {
+    assert_eq!(chosen_with(own, other), expected);
 }
 
 #[parameterized(
--- a/crates/policy/tests/server_tracker.rs
+++ b/crates/policy/tests/server_tracker.rs
@@ -6,7 +6,8 @@
     ids::{BackendVersion, ServiceName},
     server::{
         announcement::{Announcement, ServerIncarnation},
-        tracker::{AnnouncementOutcome, ExpectedServer, ServerTracker},
+        rate::RequestRate,
+        tracker::{AnnouncementOutcome, ExpectedServer, RateStatement, ServerTracker},
     },
     time::Tick,
 };
@@ -154,3 +155,38 @@
     tracker.record_announcement(announcement("a", 600, 1), None, Tick(5_000));
     assert!(tracker.current().unwrap().accepts_work(Tick(5_000), Duration::ZERO));
 }
+
+fn stated(per_second: Option<f64>, sent_at: u64) -> RateStatement {
+    let rate = per_second.map(|n| RequestRate::try_from(n).unwrap());
+    RateStatement { rate, sent_at: Tick(sent_at) }
+}
+
+fn current_rate(tracker: &ServerTracker) -> Option<f64> {
+    Some(tracker.current()?.stated_rate?.rate.per_second())
+}
+
+#[test]
+fn an_answer_that_was_overtaken_does_not_end_a_stated_rate() {
+    let mut tracker = ServerTracker::default();
+    tracker.record_announcement(announcement("a", 100, 1), None, Tick(0));
+    let incarnation = announcement("a", 100, 1).incarnation;
+    assert!(tracker.record_rate(&incarnation, stated(Some(40.0), 10), Tick(20)));
+    assert!(!tracker.record_rate(&incarnation, stated(None, 5), Tick(21)));
+    assert_eq!(current_rate(&tracker), Some(40.0));
+    tracker.record_announcement(announcement("a", 100, 2), None, Tick(22));
+    assert_eq!(current_rate(&tracker), Some(40.0), "announcements don't end it");
+    assert!(tracker.record_rate(&incarnation, stated(None, 25), Tick(30)));
+    assert_eq!(current_rate(&tracker), None);
+}
+
+#[test]
+fn a_stated_rate_ends_with_its_incarnation() {
+    let mut tracker = ServerTracker::default();
+    tracker.record_announcement(announcement("a", 100, 1), None, Tick(0));
+    let earlier = announcement("a", 100, 1).incarnation;
+    tracker.record_rate(&earlier, stated(Some(40.0), 10), Tick(20));
+    tracker.record_announcement(announcement("a", 200, 1), None, Tick(30));
+    assert_eq!(current_rate(&tracker), None);
+    assert!(!tracker.record_rate(&earlier, stated(Some(40.0), 25), Tick(31)));
+    assert_eq!(current_rate(&tracker), None, "an answer of the earlier incarnation came late");
+}
--- a/crates/ports/src/backend.rs
+++ b/crates/ports/src/backend.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use savorykeel_policy::server::rate::RequestRate;
+
 use crate::peer::{HttpAnswer, HttpRequest};
 
 /// Reason why a backend server gave no usable answer.
@@ -24,11 +26,38 @@
     BadAnswer(String),
 }
 
+/// What a backend server tells about itself in an answer, whether or not it ran the request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServerNotice {
+    /// Requests a second that it takes from all nodes together.
+    pub rate: RateNotice,
+}
+
+/// What an answer tells about the rate of requests that the backend server takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum RateNotice {
+    /// It states no rate.
+    Unlimited,
+    /// It states this rate.
+    Limited(RequestRate),
+    /// The stated rate can't be read, which tells neither.
+    Unreadable,
+}
+
+/// Reply of the backend server to a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BackendReply {
+    /// The answer to the request.
+    pub result: Result<HttpAnswer, BackendError>,
+    /// What the answer tells about the backend server; `None` without an answer.
+    pub notice: Option<ServerNotice>,
+}
+
 /// The local backend server of a node.
 #[allow(async_fn_in_trait)]
 pub trait BackendServer {
     /// Runs a request and returns the complete answer; gives up after `timeout`.
-    async fn run(&self, req: &HttpRequest, timeout: Duration) -> Result<HttpAnswer, BackendError>;
+    async fn run(&self, req: &HttpRequest, timeout: Duration) -> BackendReply;
 
     /// Returns whether the backend server accepts connections and keeps them open, which one
     /// that has just crashed doesn't.
--- a/crates/ports/src/edge.rs
+++ b/crates/ports/src/edge.rs
@@ -23,6 +23,8 @@
     pub expected_server: Option<&'static str>,
     /// Present in an answer if the backend server did not run the request.
     pub not_run: Option<&'static str>,
+    /// Requests a second that the backend server takes, in its answers while it is in need.
+    pub stated_rate: Option<&'static str>,
     /// Prefix of headers that only nodes write; they are removed from forwarded requests and
     /// answers.
     pub own_prefix: Option<&'static str>,
@@ -37,6 +39,7 @@
     calling_service: None,
     expected_server: None,
     not_run: None,
+    stated_rate: Some("savorykeel-server-rate"),
     own_prefix: Some("savorykeel-"),
 };
 
--- a/crates/ports/src/peer.rs
+++ b/crates/ports/src/peer.rs
@@ -109,6 +109,9 @@
     pub own_time: Duration,
     /// Average run time; zero if no run has ended yet.
     pub run_time: Duration,
+    /// Time that one more request would wait because of the rate that the backend server
+    /// states; zero if it states none.
+    pub rate_wait: Duration,
 }
 
 /// Reason why another node gave no valid reply.
