Stop new work for a backend server whose answers say that it leaves

A backend server that says in its answers that it is leaving went on getting requests until an announcement said the same.

Cause: as with the stated rate, the header was forwarded and not read.

The node beside it, the only way to it, now takes such an answer for the report of its leaving, if the answer is of the running incarnation, and tells the other nodes. The test failed before: 40 further requests reached it.

--- a/crates/adapters/src/backend.rs
+++ b/crates/adapters/src/backend.rs
@@ -69,6 +69,9 @@
 /// Status of an answer from a backend server that isn't the expected one.
 const MISDIRECTED_REQUEST: u16 = 421;
 
+/// Value of the header by which a backend server says that it is leaving.
+const LEAVING: &[u8] = b"1";
+
 /// HTTP client of the local backend server.
 #[derive(Clone)]
 pub struct HttpBackend {
@@ -187,7 +190,9 @@
             None => RateNotice::Unlimited,
             Some(value) => parse_rate(value).map_or(RateNotice::Unreadable, RateNotice::Limited),
         };
-        ServerNotice { rate }
+        let leaving = self.names.leaving.and_then(|name| head.header(name));
+        let is_leaving = leaving.is_some_and(|value| value.trim_ascii() == LEAVING);
+        ServerNotice { rate, is_leaving }
     }
 }
 
--- a/crates/node/src/calls/local_backend.rs
+++ b/crates/node/src/calls/local_backend.rs
@@ -82,7 +82,7 @@
     if !tracker.record_leaving(id, state.now(), (state.clock.wall)().0) {
         return AnnouncementOutcome::Stale;
     }
-    info!(state.log, "backend server leaves"; "server" => id);
+    info!(state.log, "backend server leaves"; "server" => id, "said_in" => "announcement");
     publish(state, tracker.current());
     AnnouncementOutcome::Changed
 }
@@ -155,7 +155,32 @@
     notice: ServerNotice,
     sent_at: Tick,
 ) {
-    let rate = match notice.rate {
+    if notice.is_leaving {
+        record_leaving_answer(state, incarnation);
+    }
+    record_rate(state, incarnation, notice.rate, sent_at);
+}
+
+/// Records that the backend server said in an answer that it is leaving. Its announcements may
+/// arrive later or not at all.
+fn record_leaving_answer(state: &NodeState, incarnation: &ServerIncarnation) {
+    let mut tracker = state.backend.lock();
+    if tracker.current().is_none_or(|c| c.announcement.incarnation != *incarnation) {
+        return;
+    }
+    if tracker.record_leaving(&incarnation.id, state.now(), (state.clock.wall)().0) {
+        info!(state.log, "backend server leaves"; "server" => &incarnation.id, "said_in" => "answer");
+        publish(state, tracker.current());
+    }
+}
+
+fn record_rate(
+    state: &NodeState,
+    incarnation: &ServerIncarnation,
+    notice: RateNotice,
+    sent_at: Tick,
+) {
+    let rate = match notice {
         RateNotice::Unlimited => None,
         RateNotice::Limited(rate) => Some(rate),
         RateNotice::Unreadable => return log_unreadable_rate(state, incarnation),
--- a/crates/ports/src/backend.rs
+++ b/crates/ports/src/backend.rs
@@ -31,6 +31,8 @@
 pub struct ServerNotice {
     /// Requests a second that it takes from all nodes together.
     pub rate: RateNotice,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
 }
 
 /// What an answer tells about the rate of requests that the backend server takes.
--- a/crates/ports/src/edge.rs
+++ b/crates/ports/src/edge.rs
@@ -25,6 +25,8 @@
     pub not_run: Option<&'static str>,
     /// Requests a second that the backend server takes, in its answers while it is in need.
     pub stated_rate: Option<&'static str>,
+    /// Has the value `1` in the answers of a backend server that is leaving.
+    pub leaving: Option<&'static str>,
     /// Prefix of headers that only nodes write; they are removed from forwarded requests and
     /// answers.
     pub own_prefix: Option<&'static str>,
@@ -40,6 +42,7 @@
     expected_server: None,
     not_run: None,
     stated_rate: Some("savorykeel-server-rate"),
+    leaving: Some("savorykeel-server-leaving"),
     own_prefix: Some("savorykeel-"),
 };
 
--- a/crates/standins/src/backend/behaviour.rs
+++ b/crates/standins/src/backend/behaviour.rs
@@ -65,6 +65,8 @@
     /// Requests a second that each answer states as the most that the server takes;
     /// the server doesn't enforce it.
     pub stated_rate: Option<f64>,
+    /// Whether each answer says that the server is leaving.
+    pub states_leaving: bool,
 }
 
 impl Behaviour {
--- a/crates/standins/src/backend/server.rs
+++ b/crates/standins/src/backend/server.rs
@@ -33,6 +33,9 @@
 /// Header of answers that states the requests a second that the server takes.
 const STATED_RATE_HEADER: &str = "savorykeel-server-rate";
 
+/// Header of answers that says whether the server is leaving.
+const LEAVING_HEADER: &str = "savorykeel-server-leaving";
+
 /// Pause between attempts to bind the port again after a crash.
 const BIND_PAUSE: Duration = Duration::from_millis(20);
 
@@ -134,16 +137,22 @@
         (_, path) if path.starts_with("/standin/") => empty(StatusCode::NOT_FOUND),
         _ => {
             let mut response = run::run(shared.clone(), call).await;
-            state_rate(&shared, &mut response);
+            add_statements(&shared, &mut response);
             response
         }
     }
 }
 
-fn state_rate(shared: &Shared, response: &mut Response) {
-    let rate = shared.behaviour.lock().stated_rate.map(|rate| rate.to_string());
+/// Adds what the server says about itself to an answer.
+fn add_statements(shared: &Shared, response: &mut Response) {
+    let behaviour = shared.behaviour.lock();
+    let headers = response.headers_mut();
+    let rate = behaviour.stated_rate.map(|rate| rate.to_string());
     if let Some(Ok(value)) = rate.map(HeaderValue::try_from) {
-        response.headers_mut().insert(HeaderName::from_static(STATED_RATE_HEADER), value);
+        headers.insert(HeaderName::from_static(STATED_RATE_HEADER), value);
+    }
+    if behaviour.states_leaving {
+        headers.insert(HeaderName::from_static(LEAVING_HEADER), HeaderValue::from_static("1"));
     }
 }
 
--- a/tests/feature/calls_limits.rs
+++ b/tests/feature/calls_limits.rs
@@ -122,6 +122,35 @@
     });
 }
 
+/// Guards against work for a backend server whose announcements say nothing of its leaving.
+#[test]
+fn a_backend_server_that_leaves_according_to_its_answers_gets_no_new_work() {
+    let adjust_backend = Box::new(|settings: &mut savorykeel_standins::backend::Settings| {
+        // No announcement is renewed during the test.
+        settings.lease_ms = 600_000;
+    });
+    let services = vec![ServiceSpec::new("gate", 2, true), ServiceSpec::new("history", 1, false)];
+    let deployment = Deployment { zones: 2, services, slots: SLOTS };
+    let fleet = Fleet::start(&deployment, Options { adjust_backend, ..Options::default() });
+    fleet.publish_first(&deployment, "/gate");
+    fleet.wait_members();
+    let leaving = Behaviour { states_leaving: true, ..Behaviour::default() };
+    fleet.members[0].backend().set_behaviour(leaving);
+    let entry = fleet.members[2].callers();
+    let mut i = 0;
+    let mut call_often = || {
+        for _ in 0..40 {
+            i += 1;
+            let req = Request::get("/gate").tag(&format!("leaving-{i}"));
+            assert_eq!(fleet.client.call(entry, req).unwrap().status, 200);
+        }
+        fleet.members[0].runs().len()
+    };
+    call_often();
+    let before = call_often();
+    assert_eq!(call_often(), before, "the other backend server receives all requests");
+}
+
 /// Requests a second that the backend server in need states.
 const STATED_RATE: f64 = 10.0;
 
