Don't take an earlier refusal that is sent again for one of the next request

A response with another id was skipped, but one without an id was accepted, a refusal too. Where backend servers repeat the id in all answers, a refusal without one on a connection that was used before is skipped now and the answer awaited; on a new connection no earlier refusal can exist, so it still counts.

--- a/crates/adapters/src/backend.rs
+++ b/crates/adapters/src/backend.rs
@@ -69,6 +69,9 @@
 /// Status of an answer from a backend server that isn't the expected one.
 const MISDIRECTED_REQUEST: u16 = 421;
 
+/// Statuses by which callers are told that their request didn't run.
+const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED_REQUEST, 429, 503];
+
 /// Value of the header by which a backend server says that it is leaving.
 const LEAVING: &[u8] = b"1";
 
@@ -97,6 +100,8 @@
 /// Counts a connection as open until dropped.
 struct ConnectionLease {
     connection: Option<Connection>,
+    /// Whether the connection was open before this exchange.
+    is_reused: bool,
     pool: Rc<Pool>,
 }
 
@@ -124,9 +129,10 @@
             return Err(BackendError::NotSent("all connections are in use".into()));
         }
         self.pool.open.set(self.pool.open.get() + 1);
-        let mut lease = ConnectionLease { connection: None, pool: self.pool.clone() };
-        lease.connection = self.pool.take_idle();
-        if lease.connection.is_none() {
+        let connection = self.pool.take_idle();
+        let is_reused = connection.is_some();
+        let mut lease = ConnectionLease { connection, is_reused, pool: self.pool.clone() };
+        if !is_reused {
             let opened = self.open_connection().await;
             lease.connection = Some(opened.map_err(|e| BackendError::NotSent(e.to_string()))?);
         }
@@ -155,7 +161,8 @@
             limit: MAX_ANSWER_BYTES,
         };
         let id = req.headers.iter().find(|header| header.name == self.names.request_id);
-        let is_expected = |head: &ResponseHead| matches_request_id(head, id);
+        let is_reused = lease.is_reused;
+        let is_expected = |head: &ResponseHead| self.is_expected(head, id, is_reused);
         let mut reservation = self.memory.reservation(UNRESERVED_ANSWER_BYTES);
         let exchange = connection.exchange(outgoing, &mut reservation, is_expected).await;
         let Exchange { response, is_reusable } = exchange.map_err(to_backend_error)?;
@@ -167,6 +174,24 @@
         Ok(response)
     }
 
+    /// Returns whether a response belongs to the request: it repeats the request id or has none.
+    ///
+    /// A response that remained from an earlier exchange on the connection carries the id of
+    /// that exchange. A refusal without an id may remain from one too, where answers have one;
+    /// taken for a refusal of this request, it would deny that the request runs.
+    fn is_expected(&self, head: &ResponseHead, id: Option<&Header>, is_reused: bool) -> bool {
+        let Some(id) = id else { return true };
+        match head.header(&id.name) {
+            Some(echo) => echo == id.value,
+            None => !(self.names.answers_repeat_id && is_reused && self.is_refusal(head)),
+        }
+    }
+
+    fn is_refusal(&self, head: &ResponseHead) -> bool {
+        let is_marked = self.names.not_run.is_some_and(|name| head.header(name).is_some());
+        is_marked || NOT_RUN_STATUSES.contains(&head.status)
+    }
+
     /// Returns the answer to the request, or that the backend server did not run it.
     fn answer(
         &self,
@@ -246,15 +271,6 @@
     }
 }
 
-/// Returns whether a response belongs to the request: it repeats the request id or has none.
-///
-/// A response that remained from an earlier exchange on the connection carries the id of that
-/// exchange.
-fn matches_request_id(head: &ResponseHead, id: Option<&Header>) -> bool {
-    let Some(id) = id else { return true };
-    head.header(&id.name).is_none_or(|echo| echo == id.value)
-}
-
 fn to_backend_error(e: ExchangeError) -> BackendError {
     match e {
         ExchangeError::Lost(problem) => BackendError::Lost(problem),
--- a/crates/adapters/tests/http1.rs
+++ b/crates/adapters/tests/http1.rs
@@ -23,6 +23,7 @@
 
 const HEADER_NAMES: HeaderNames = HeaderNames {
     request_id: "request-id",
+    answers_repeat_id: true,
     not_run: Some("not-run"),
     expected_server: Some("expected"),
     ..PRODUCT_HEADERS
@@ -141,6 +142,50 @@
     assert_eq!(send_request(&backend, "2").await.unwrap().body, b"two");
 }
 
+const REFUSAL_OF_ONE: &[u8] =
+    b"HTTP/1.1 503 -\r\nrequest-id: 1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// Guards against a refusal of an earlier request that is taken for one of the next request,
+/// whose caller would be told that it didn't run.
+#[parameterized(
+    with_its_id = {
+        b"HTTP/1.1 503 -\r\nrequest-id: 1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n\
+        HTTP/1.1 200 OK\r\nrequest-id: 2\r\nContent-Length: 3\r\n\r\ntwo"
+    },
+    without_id = {
+        b"HTTP/1.1 503 -\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n\
+        HTTP/1.1 200 OK\r\nrequest-id: 2\r\nContent-Length: 3\r\n\r\ntwo"
+    },
+    misdirected = {
+        b"HTTP/1.1 421 -\r\nContent-Length: 0\r\n\r\n\
+        HTTP/1.1 200 OK\r\nrequest-id: 2\r\nContent-Length: 3\r\n\r\ntwo"
+    },
+    without_mark = {
+        b"HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n\
+        HTTP/1.1 200 OK\r\nrequest-id: 2\r\nContent-Length: 3\r\n\r\ntwo"
+    },
+)]
+#[test_macro(tokio::test)]
+async fn a_refusal_that_is_sent_again_is_not_taken_for_one_of_the_next_request(
+    second: &'static [u8],
+) {
+    let script = closing_script(&[REFUSAL_OF_ONE, second]);
+    let backend = HttpBackend::new(serve(vec![script]).await, 8, HEADER_NAMES, memory());
+    assert_eq!(send_request(&backend, "1").await, Err(BackendError::NotRun(503)));
+    assert_eq!(send_request(&backend, "2").await.unwrap().body, b"two");
+}
+
+/// Guards against an answer with an empty or short body that looks whole.
+#[parameterized(closed = { false }, reset = { true })]
+#[test_macro(tokio::test)]
+async fn an_answer_that_ends_within_its_head_is_lost(resets: bool) {
+    let head_length = ONE.len() - b"one".len();
+    for length in 0..head_length {
+        let result = send_once(ConnectionScript { answers: vec![&ONE[..length]], resets }).await;
+        assert!(matches!(result, Err(BackendError::Lost(_))), "{length} bytes: {result:?}");
+    }
+}
+
 #[tokio::test]
 async fn response_without_length_needs_an_orderly_close() {
     let unframed: &[u8] = b"HTTP/1.1 200 OK\r\nrequest-id: 1\r\n\r\nall of it";
--- a/crates/ports/src/edge.rs
+++ b/crates/ports/src/edge.rs
@@ -15,6 +15,8 @@
     pub request_id: &'static str,
     /// Whether callers choose the request id, in which case it is forwarded unchanged.
     pub callers_choose_id: bool,
+    /// Whether all backend servers repeat the request id in their answers.
+    pub answers_repeat_id: bool,
     /// Number of calls that led to this one.
     pub depth: Option<&'static str>,
     /// Service on whose instance the request entered the mesh.
@@ -37,6 +39,7 @@
     deadline: "savorykeel-deadline-ms",
     request_id: "savorykeel-request-id",
     callers_choose_id: false,
+    answers_repeat_id: false,
     depth: Some("savorykeel-depth"),
     calling_service: None,
     expected_server: None,
