Ignore an announcement whose number is too far ahead to be genuine

One form could stop a node: an announcement of its own backend server with a sequence number far ahead was taken for the newest, so that all genuine ones after it were stale, and the backend server was lost when its lease ended.

an_announcement_far_ahead_does_not_make_the_next_ones_stale failed before.

--- a/crates/policy/src/server/tracker.rs
+++ b/crates/policy/src/server/tracker.rs
@@ -22,6 +22,15 @@
 /// around it earlier, based on their own evidence.
 const LEASES_BEFORE_GONE: u32 = 2;
 
+/// Largest number of announcements that may be missing between two of one incarnation. A
+/// number further ahead comes from another writer; taken for the newest, it would make all
+/// announcements after it stale.
+const MAX_MISSING: u64 = 1_000_000;
+
+/// Largest sequence number of the first announcement that a node receives of an incarnation.
+/// One a second reaches it after 36,000 years.
+const MAX_FIRST_SEQUENCE: u64 = 1 << 40;
+
 /// The backend server that a node's settings expect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ExpectedServer {
@@ -117,7 +126,7 @@
         let is_expected = |expected: &ExpectedServer| {
             expected.service == announcement.service && expected.addr == announcement.addr
         };
-        if !expected.is_none_or(is_expected) {
+        if !expected.is_none_or(is_expected) || self.is_far_ahead(&announcement) {
             return AnnouncementOutcome::Foreign;
         }
         if self.is_stale(&announcement) {
@@ -218,6 +227,14 @@
         self.current.as_ref().is_some_and(|current| current.expires_at < now)
     }
 
+    /// Returns whether the sequence number can't have been reached by the incarnation.
+    fn is_far_ahead(&self, announcement: &Announcement) -> bool {
+        let current = self.current.as_ref().map(|current| &current.announcement);
+        let same = current.filter(|current| current.incarnation == announcement.incarnation);
+        let most = |current: &Announcement| current.sequence.saturating_add(MAX_MISSING);
+        announcement.sequence > same.map_or(MAX_FIRST_SEQUENCE, most)
+    }
+
     fn is_stale(&self, announcement: &Announcement) -> bool {
         let incarnation = &announcement.incarnation;
         if incarnation.id.is_empty() {
--- a/crates/policy/tests/server_tracker.rs
+++ b/crates/policy/tests/server_tracker.rs
@@ -190,3 +190,22 @@
     assert!(!tracker.record_rate(&earlier, stated(Some(40.0), 25), Tick(31)));
     assert_eq!(current_rate(&tracker), None, "an answer of the earlier incarnation came late");
 }
+
+/// Guards against a backend server that is lost because of a number too large in one entry.
+#[test]
+fn an_announcement_far_ahead_does_not_make_the_next_ones_stale() {
+    let mut tracker = ServerTracker::default();
+    let mut record =
+        |sequence| tracker.record_announcement(announcement("a", 100, sequence), None, Tick(0));
+    assert_eq!(record(u64::MAX), AnnouncementOutcome::Foreign);
+    assert_eq!(record(1), AnnouncementOutcome::Started);
+    assert_eq!(record(u64::MAX), AnnouncementOutcome::Foreign);
+    assert_eq!(record(2), AnnouncementOutcome::Renewed);
+}
+
+#[test]
+fn a_restarted_node_takes_a_backend_server_that_has_run_for_years() {
+    let mut tracker = ServerTracker::default();
+    let outcome = tracker.record_announcement(announcement("a", 100, 1 << 30), None, Tick(0));
+    assert_eq!(outcome, AnnouncementOutcome::Started);
+}
