--- a/review/common/mesh.py
+++ b/review/common/mesh.py
@@ -13,7 +13,6 @@
 import re
 import secrets
 import shutil
-import signal
 import socket
 import struct
 import sys
@@ -57,10 +56,6 @@
 
 # --- HTTP -------------------------------------------------------------------------------
 
-class HttpError(Exception):
-    pass
-
-
 async def read_head(reader):
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
@@ -134,17 +129,10 @@
         self.topics = {}
         self.changed = asyncio.Condition()
         self.server = None
-        self.connections = set()
-        self.silent = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
 
-    def silence_open_connections(self):
-        """Lets every open connection go silent for good; new ones work."""
-        self.silent |= self.connections
-        return len(self.silent)
-
     async def append(self, topic, records):
         records_of_topic = self.topics.setdefault(topic, [])
         offset = len(records_of_topic)
@@ -170,22 +158,16 @@
         return newest
 
     async def serve(self, reader, writer):
-        self.connections.add(writer)
         try:
             while True:
                 line, headers = await read_head(reader)
                 body = await read_body(reader, headers)
                 method, target, _ = line.split(" ")
-                if writer in self.silent:
-                    continue
-                answer = await self.answer(method, target, body)
-                if writer not in self.silent:
-                    writer.write(answer)
-                    await writer.drain()
+                writer.write(await self.answer(method, target, body))
+                await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
-            self.connections.discard(writer)
             writer.close()
 
     async def answer(self, method, target, body):
@@ -365,7 +347,7 @@
 class Server:
     """A backend server that behaves as the pages say, beside the node of a machine."""
 
-    def __init__(self, mesh, machine, work_s=0.1, slots=12, version="v1", beats=True):
+    def __init__(self, mesh, machine, work_s=0.1, slots=12, version="v1"):
         self.mesh, self.machine, self.record = mesh, machine, mesh.record
         self.work_s, self.slots, self.version = work_s, slots, version
         self.id = "i-" + secrets.token_hex(4)
@@ -377,14 +359,12 @@
         self.server = None
         self.connections = set()
         self.beat_task = None
-        self.beats = beats
         mesh.servers.append(self)
 
     async def start(self):
         self.server = await asyncio.start_server(
             self.serve, self.machine.ip, self.machine.ports["app"], limit=1 << 20)
-        if self.beats:
-            self.beat_task = asyncio.create_task(self.beat())
+        self.beat_task = asyncio.create_task(self.beat())
 
     async def beat(self):
         while True:
