Decide on which request a connection ends when a node stops

Callers saw requests closed without an answer during a planned stop: of callers that pipeline, those sent later than 3 s after the signal.

Cause: an answer asked to close the connection only while no other request of the connection was in flight. With a steady pace there always was one, so the node read requests until its drain limit and cut what it had passed on. The limit also counted from the end of the linger time as it happened, and 0.7 s of work followed it where the platform leaves 0.5 s.

Ruled out: callers that ignore the close (there was none), new connections (both were from before the signal).

Change: from the signal on, nothing is read behind the requests that have been read, and the newest answer asks for the close; input behind it is discarded until the caller closes. The same where a request's own Connection: close ends the connection. The limit counts from the signal; listeners, farewell and operators' server end side by side.

Conclusion: works for any rhythm, since the node decides and no longer waits for a gap.

--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -32,16 +32,21 @@
 /// are not read.
 const MAX_PIPELINED_REQUESTS: usize = 32;
 
-/// Time without further input after which a connection with a protocol error is closed.
+/// Time without further input after which a connection is closed whose last answer has been
+/// sent.
 const DISCARD_IDLE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Longest time for which input is discarded behind the last answer of a connection.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The settings and the state of the node that a connection depends on.
 pub(super) struct ConnectionSettings {
     /// Time after which an idle connection is closed.
     pub(super) idle_timeout: Duration,
     /// Cancelled when the node leaves and idle connections have to be closed.
     pub(super) closing: CancellationToken,
-    /// Returns whether answers ask the caller to close the connection.
+    /// Returns whether the connection ends with the answers to the requests read so far. Once
+    /// true, it stays so.
     pub(super) should_close: Rc<dyn Fn() -> bool>,
 }
 
@@ -57,6 +62,17 @@
     tx: bstream::Sender<PayloadError>,
 }
 
+/// What becomes of a connection after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sent {
+    /// It stays open.
+    KeptOpen,
+    /// The answer was the last one, and the caller was asked to close the connection.
+    Last,
+    /// The answer couldn't be sent completely.
+    Broken,
+}
+
 /// Next event on a connection.
 enum Event {
     /// The head of a request has been read.
@@ -87,16 +103,20 @@
         initial_codec,
         pending: FuturesOrdered::new(),
         body_feed: None,
+        has_last_request: false,
     };
     loop {
         match connection.next_event().await {
             Event::Request(req, payload) => connection.start_request(*req, payload, &handle).await,
             Event::Body(item) => connection.feed_body(item),
-            Event::Answer(answer) => {
-                if !connection.send(*answer).await {
+            Event::Answer(answer) => match connection.send(*answer).await {
+                Sent::KeptOpen => {}
+                Sent::Last => {
+                    connection.discard_input().await;
                     break;
                 }
-            }
+                Sent::Broken => break,
+            },
             Event::Malformed(response) => {
                 connection.close_with_error(response).await;
                 break;
@@ -119,9 +139,22 @@
     initial_codec: Codec,
     pending: FuturesOrdered<LocalBoxFuture<'static, QueuedAnswer>>,
     body_feed: Option<BodyFeed>,
+    /// Whether the answer to a request in the queue closes the connection, so that no request
+    /// behind it is read.
+    has_last_request: bool,
 }
 
 impl Connection {
+    /// Returns whether the answer to the newest request that has been read closes the connection.
+    ///
+    /// Requests behind it stay unread: the caller sends them again, on another connection. If
+    /// they were read on, there would be no last answer as long as the caller pipelines. See
+    /// `docs/design/0012-graceful-shutdown.md`.
+    fn is_ending(&self) -> bool {
+        let is_answering = !self.pending.is_empty();
+        self.has_last_request || (is_answering && (self.settings.should_close)())
+    }
+
     /// Waits for the next event.
     ///
     /// Finished answers take precedence over input, and input is not read while the limit of
@@ -129,12 +162,14 @@
     async fn next_event(&mut self) -> Event {
         let is_idle = self.pending.is_empty() && self.body_feed.is_none();
         let is_full = self.pending.len() >= MAX_PIPELINED_REQUESTS;
+        let is_ending = self.is_ending();
         let (io, codec, body_feed) = (&self.io, &self.codec, &self.body_feed);
         let disconnected = io.on_disconnect();
         let read = async {
             match body_feed {
-                _ if is_full => std::future::pending().await,
                 Some(feed) => item_or_event(io.recv(&feed.decoder).await).map(Event::Body),
+                None if is_ending => Err(discard_until_disconnect(io).await),
+                None if is_full => std::future::pending().await,
                 None => item_or_event(io.recv(codec).await)
                     .map(|(req, pl)| Event::Request(Box::new(req), pl)),
             }
@@ -156,6 +191,7 @@
         R: Future<Output = Response> + 'static,
     {
         let codec = self.codec.clone();
+        self.has_last_request = !codec.keepalive();
         if codec.upgrade() || req.method() == Method::CONNECT {
             // The node supports neither upgrades nor tunnels, so the request would never
             // complete.
@@ -190,20 +226,24 @@
         }
     }
 
-    /// Sends an answer; returns whether the connection stays open.
-    async fn send(&mut self, answer: QueuedAnswer) -> bool {
+    /// Sends an answer.
+    async fn send(&mut self, answer: QueuedAnswer) -> Sent {
         let QueuedAnswer { mut response, codec } = answer;
-        // Only the last queued answer asks for the close, so that the requests behind
-        // the current one still get their answers.
-        if (self.settings.should_close)() && self.pending.is_empty() {
+        // Requests behind the last one aren't read, so it is known which answer that is.
+        let is_last = self.pending.is_empty() && (self.settings.should_close)();
+        if is_last {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         let (head, body) = response.into_parts();
         let size = body.size();
         if self.io.encode(Message::Item((head, size)), &codec).is_err() {
-            return false;
+            return Sent::Broken;
+        }
+        match send_body(&self.io, &codec, body).await {
+            true if codec.keepalive() => Sent::KeptOpen,
+            true => Sent::Last,
+            false => Sent::Broken,
         }
-        send_body(&self.io, &codec, body).await && codec.keepalive()
     }
 
     /// Sends the answers that are still queued, then the error, and discards further
@@ -220,8 +260,10 @@
             if interrupted.is_some() && self.pending.is_empty() {
                 answer.response = with_connection_close(answer.response);
             }
-            if !self.send(answer).await {
-                return self.discard_input().await;
+            match self.send(answer).await {
+                Sent::KeptOpen => {}
+                Sent::Last => return self.discard_input().await,
+                Sent::Broken => return,
             }
         }
         let answer = QueuedAnswer {
@@ -232,7 +274,8 @@
         self.discard_input().await;
     }
 
-    /// Reads and discards input until none arrives for [`DISCARD_IDLE_TIMEOUT`].
+    /// Reads and discards input behind the last answer until the caller closes the connection,
+    /// sends nothing for [`DISCARD_IDLE_TIMEOUT`], or [`DISCARD_TIMEOUT`] has passed.
     ///
     /// Closing a connection with unread input resets it, and a reset may discard the
     /// answer before the caller has read it.
@@ -240,13 +283,26 @@
         if self.io.flush(true).await.is_err() {
             return;
         }
-        loop {
-            self.io.with_read_buf(|buf| buf.clear());
-            let read_result =
-                tokio::time::timeout(DISCARD_IDLE_TIMEOUT, self.io.read_notify()).await;
-            if !matches!(read_result, Ok(Ok(Some(())))) {
-                return;
+        let discard = async {
+            loop {
+                self.io.with_read_buf(|buf| buf.clear());
+                let read = tokio::time::timeout(DISCARD_IDLE_TIMEOUT, self.io.read_notify()).await;
+                if !matches!(read, Ok(Ok(Some(())))) {
+                    return;
+                }
             }
+        };
+        // A caller that goes on sending may lose answers that it hasn't read by then.
+        let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard).await;
+    }
+}
+
+/// Reads and discards input until the caller disconnects.
+async fn discard_until_disconnect(io: &Io) -> Event {
+    loop {
+        io.with_read_buf(|buf| buf.clear());
+        if !matches!(io.read_notify().await, Ok(Some(()))) {
+            return Event::Closed;
         }
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -15,7 +15,7 @@
     http::{HttpService, Request},
     rt::{DefaultRuntime, JoinHandle, System},
     server::Server,
-    time::{Millis, sleep},
+    time::sleep,
 };
 use savorykeel_adapters::{
     body_memory::BodyMemory,
@@ -29,7 +29,10 @@
 use crate::{
     admin,
     burn::BurnState,
-    calls::{local_backend, state::CallState},
+    calls::{
+        local_backend,
+        state::{CallState, to_millis},
+    },
     control::{
         self,
         state::{ControlState, Identity},
@@ -51,10 +54,6 @@
 /// update takes to reach every node.
 const LEAVE_PROPAGATION_TIME: Duration = Duration::from_millis(300);
 
-/// Longest time for which a leaving node waits for callers to close their idle
-/// connections.
-const IDLE_CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Largest number of open connections from other nodes.
 const MAX_PEER_CONNECTIONS: usize = 65_536;
 
@@ -63,7 +62,9 @@
 const MAX_PROBE_CONNECTIONS: usize = 64;
 
 /// Longest time for which a stopping node waits for operators' requests in flight.
-const OPERATORS_SHUTDOWN_TIMEOUT: Millis = Millis(1_000);
+///
+/// The platform kills the process soon after the drain limit, see [`Settings`].
+const OPERATORS_SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The addresses that a node's listeners are bound to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -219,18 +220,21 @@
     info!(state.log, "node started"; "callers" => %addresses.callers, "peers" => %addresses.peers);
     spawn_reload_handler(state.clone(), lifecycle.reloads);
     lifecycle.stop.cancelled().await;
+    let signalled_at = Instant::now();
     announce_leaving(&state).await;
     callers.stop().await;
     state.closing.cancel();
-    let outcome = drain(&state, &callers).await;
-    backend.stop().await;
-    peers.stop().await;
-    servers.stop(true).await;
+    let outcome = drain(&state, &callers, signalled_at).await;
+    info!(state.log, "node has drained"; "outcome" => ?outcome,
+        "took_ms" => signalled_at.elapsed().as_millis() as u64);
     control_cancel.cancel();
-    let _ = control.await;
+    // The HTTP library's stop of the operators' server takes longer than it is allowed to.
+    let stop_servers = tokio::time::timeout(OPERATORS_SHUTDOWN_TIMEOUT, servers.stop(true));
+    let _ = tokio::join!(backend.stop(), peers.stop(), stop_servers, control);
     cancel.cancel();
     state.metrics.flush();
-    info!(state.log, "node stopped");
+    info!(state.log, "node stopped";
+        "took_ms" => signalled_at.elapsed().as_millis() as u64);
     Ok(outcome)
 }
 
@@ -292,7 +296,7 @@
     let server = ntex::server::build()
         .workers(init.state.settings.workers)
         .disable_signals()
-        .shutdown_timeout(OPERATORS_SHUTDOWN_TIMEOUT)
+        .shutdown_timeout(to_millis(OPERATORS_SHUTDOWN_TIMEOUT))
         .listen("operators", operators, async move |_| {
             let worker = Worker::current(&worker_init);
             HttpService::new(move |req: Request| admin::handle(worker.clone(), req))
@@ -359,19 +363,22 @@
     sleep(propagation).await;
 }
 
-/// Waits until the calls in flight have ended and callers have closed their connections,
-/// which every answer asks them to do by now.
-async fn drain(state: &NodeState, callers: &Acceptor) -> ShutdownOutcome {
-    let started = Instant::now();
-    while started.elapsed() < state.settings.limits.drain {
-        let is_closed = callers.open_connections() == 0 || started.elapsed() >= IDLE_CLOSE_TIMEOUT;
-        if state.is_idle() && is_closed {
+/// Waits until the calls in flight have ended and the connections of callers are closed, which
+/// each last answer asks for by now.
+///
+/// The limit counts from the signal, as the platform's does: the steps before the drain may
+/// take longer than planned.
+async fn drain(state: &NodeState, callers: &Acceptor, signalled_at: Instant) -> ShutdownOutcome {
+    let limits = &state.settings.limits;
+    while signalled_at.elapsed() < limits.linger + limits.drain {
+        if state.is_idle() && callers.open_connections() == 0 {
             return ShutdownOutcome::Graceful;
         }
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     warn!(state.log, "calls still in flight at the drain limit";
         "entered" => state.entered.load(Ordering::Relaxed),
-        "serving" => state.serving.load(Ordering::Relaxed));
+        "serving" => state.serving.load(Ordering::Relaxed),
+        "connections" => callers.open_connections());
     ShutdownOutcome::CallsAborted
 }
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod invariants;
 pub mod journal;
+pub mod pipeline;
 pub mod process;
 pub mod publish;
 pub mod settings;
--- a/tests/regression.rs
+++ b/tests/regression.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use savorykeel_node::settings::RawSettings;
 use savorykeel_policy::{
     distribution::zone_rank::{READERS_PER_ZONE, ranked},
     ids::{ConfigVersion, InstanceName, RegionName, ZoneName},
@@ -20,6 +21,7 @@
 use crate::harness::{
     deployment::{Deployment, ServiceSpec},
     fleet::{Fleet, Options},
+    pipeline::{self, Pipeliner},
     wait::eventually,
 };
 
@@ -130,3 +132,76 @@
     }
     ranked(&members, &zone).into_iter().map(|record| record.instance.clone()).collect()
 }
+
+/// Times of a graceful shutdown in the tests of planned stops: the limit leaves far more time
+/// than the requests in flight take.
+const STOP_LINGER: Duration = Duration::from_millis(700);
+const STOP_DRAIN: Duration = Duration::from_secs(5);
+
+/// Starts two instances whose backend servers take 40 ms for a request.
+fn start_for_planned_stop() -> Fleet {
+    let services = vec![ServiceSpec::new("gate", 2, true)];
+    let deployment = Deployment { zones: 1, services, slots: 20 };
+    let adjust_node = Box::new(|settings: &mut RawSettings| {
+        settings.limits.linger = STOP_LINGER;
+        settings.limits.drain = STOP_DRAIN;
+    });
+    let fleet = Fleet::start(&deployment, Options { adjust_node, ..Options::default() });
+    fleet.publish_first(&deployment, "/gate");
+    fleet.delay_answers(Duration::from_millis(40));
+    fleet
+}
+
+/// Starts callers that send a request every 5 ms and waits until each got answers.
+fn start_pipelining(entry: SocketAddr, respects_close: bool) -> Vec<Pipeliner> {
+    let spacing = Duration::from_millis(5);
+    let start = |i| {
+        let (path, tag) = ("/gate".into(), format!("pipelined-{i}"));
+        Pipeliner::start(entry, pipeline::Plan { path, tag, spacing, respects_close })
+    };
+    let callers: Vec<Pipeliner> = (0..4).map(start).collect();
+    eventually("each caller gets answers", || callers.iter().all(|caller| caller.answers() > 20));
+    callers
+}
+
+/// Asserts that each request that ran got an answer.
+#[track_caller]
+fn assert_none_cut(fleet: &Fleet, connections: &[pipeline::Connection]) {
+    let runs = fleet.runs();
+    let ran = |tag: &&String| runs.iter().any(|run| run.tag.as_ref() == Some(*tag));
+    let unanswered = connections.iter().flat_map(|connection| connection.unanswered());
+    let cut: Vec<_> = unanswered.filter(ran).collect();
+    assert!(cut.is_empty(), "ran and got no answer: {cut:?}");
+}
+
+/// Guards against requests that a stopping node passes on and cuts at its drain limit.
+/// It asked for the close of a connection only while no other request was in flight there. A
+/// caller that pipelined never heard of it, and its requests were read until the limit.
+#[test]
+fn a_stopping_node_answers_the_requests_of_callers_that_pipeline() {
+    let mut fleet = start_for_planned_stop();
+    let callers = start_pipelining(fleet.members[0].callers(), true);
+    fleet.members[0].node().term();
+    let status = fleet.members[0].node_mut().wait_exit();
+    let connections: Vec<_> = callers.into_iter().flat_map(Pipeliner::finish).collect();
+    assert_none_cut(&fleet, &connections);
+    assert_eq!(status.code(), Some(0), "{}", fleet.members[0].node().log());
+}
+
+/// Guards against answers that a reset destroys and a stop that waits for its callers.
+/// These callers go on sending after they were asked to close, so their requests arrive while
+/// the node closes the connection.
+#[test]
+fn a_stopping_node_delivers_its_answers_to_callers_that_go_on_sending() {
+    let mut fleet = start_for_planned_stop();
+    let callers = start_pipelining(fleet.members[0].callers(), false);
+    let signalled_at = Instant::now();
+    fleet.members[0].node().term();
+    let status = fleet.members[0].node_mut().wait_exit();
+    let took = signalled_at.elapsed();
+    let connections: Vec<_> = callers.into_iter().flat_map(Pipeliner::finish).collect();
+    assert_none_cut(&fleet, &connections);
+    assert!(connections.iter().any(|connection| connection.was_asked_to_close));
+    assert_eq!(status.code(), Some(0), "{}", fleet.members[0].node().log());
+    assert!(took < STOP_LINGER + STOP_DRAIN / 2, "the node stopped after {took:?}");
+}
