Share the attempts to open a link, and bound each wait by the deadline

Callers of calm nodes waited past the timeout of their route, some past their own deadline, while the node beside a service's only backend server was frozen.

Cause: whoever needed a link took its lock and tried to open it for up to 1 s, one request after the other; a failed attempt told only the request that had made it. Beside it, queries what became of a lost call were bounded by limits.settle_ms, not by the deadline, and so were claims of idempotency keys by 1 s a round.

Ruled out: the wait for the reply (ends 50 ms after the timeout) and the frozen node's queue.

Change: requests share one attempt; its failure answers all of them, and while attempts go on failing, further requests get code 109 at once, which is true. Preparing, queries and claims end at the deadline. The log counts the preparation of a try, and tells when a link is lost, can't be opened and is open again. Control links keep making an attempt for each message, because the failure detector counts them.

Conclusion: the length of the queue no longer matters, so no limit was moved. Seen once in a run of 66 tests and being traced: a call that wasn't answered with 200 in a_draining_backend_server_gets_no_new_work; its assertion shows the reply now.

--- a/crates/adapters/src/peer/client.rs
+++ b/crates/adapters/src/peer/client.rs
@@ -11,11 +11,22 @@
 };
 
 use capnp::capability::Promise;
-use savorykeel_policy::{calls::settle::NodeStamp, ids::RequestId};
-use savorykeel_ports::peer::{
-    Attempt, LoadHint, PeerCall, PeerError, PeerLinks, PeerReply, Settlement,
+use futures_util::{
+    FutureExt,
+    future::{LocalBoxFuture, Shared},
+};
+use savorykeel_policy::{
+    calls::{
+        link_opening::{LinkAction, LinkAttempts},
+        settle::NodeStamp,
+    },
+    ids::RequestId,
+    time::Tick,
+};
+use savorykeel_ports::{
+    clock::Clock,
+    peer::{Attempt, LoadHint, PeerCall, PeerError, PeerLinks, PeerReply, Settlement},
 };
-use tokio::sync::Mutex;
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -35,23 +46,61 @@
     pub heartbeat_interval: Duration,
     /// Time after which a connection with an unanswered heartbeat counts as lost.
     pub heartbeat_timeout: Duration,
+    /// Time after a failed attempt to open a link for which requests are turned away; zero if
+    /// each request waits for an attempt.
+    pub unreachable_memory: Duration,
+}
+
+/// What happened to a link, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkEvent {
+    /// A link was opened after an attempt had failed.
+    Regained,
+    /// An attempt to open a link failed, and the one before it had not.
+    Unreachable,
+    /// An open link ended or went silent.
+    Lost,
 }
 
+/// Is told what happens to links.
+pub type LinkObserver = Rc<dyn Fn(SocketAddr, LinkEvent)>;
+
 /// Returns the counter to which the bytes of a new link to a node are added. Nodes open a link
 /// for each direction of requests, so a fleet that counts the links it opened counts every byte
 /// once.
 pub type ByteCounterOf = Rc<dyn Fn(SocketAddr) -> Arc<AtomicU64>>;
 
-/// The link to one node, if open. Holders of the lock connect one at a time, so that
-/// concurrent callers share one connection attempt.
-type LinkSlot = Rc<Mutex<Option<Rc<Link>>>>;
+/// An attempt to open a link; all requests that wait for it learn its result at once.
+type Opening = Shared<LocalBoxFuture<'static, Option<Rc<Link>>>>;
+
+/// The link to one node and the attempts to open it.
+struct LinkSlot {
+    link: RefCell<Option<Rc<Link>>>,
+    attempts: RefCell<LinkAttempts>,
+    opening: RefCell<Option<Opening>>,
+}
+
+impl LinkSlot {
+    fn new(unreachable_memory: Duration) -> Self {
+        Self {
+            link: RefCell::default(),
+            attempts: RefCell::new(LinkAttempts::new(unreachable_memory)),
+            opening: RefCell::default(),
+        }
+    }
+
+    fn open_link(&self) -> Option<Rc<Link>> {
+        self.link.borrow().clone().filter(|link| !link.closed.is_cancelled())
+    }
+}
 
 /// The links of one worker thread.
 #[derive(Clone)]
 pub struct RpcLinks {
     settings: LinkSettings,
     byte_counter_of: ByteCounterOf,
-    slots: Rc<RefCell<HashMap<SocketAddr, LinkSlot>>>,
+    observer: LinkObserver,
+    slots: Rc<RefCell<HashMap<SocketAddr, Rc<LinkSlot>>>>,
     cancel: CancellationToken,
 }
 
@@ -62,33 +111,94 @@
         byte_counter_of: ByteCounterOf,
         cancel: CancellationToken,
     ) -> Self {
-        Self { settings, byte_counter_of, slots: Rc::default(), cancel }
+        let observer: LinkObserver = Rc::new(|_, _| ());
+        Self { settings, byte_counter_of, observer, slots: Rc::default(), cancel }
+    }
+
+    /// Reports what happens to the links to `observer`.
+    #[must_use]
+    pub fn with_observer(mut self, observer: LinkObserver) -> Self {
+        self.observer = observer;
+        self
     }
 
-    /// Closes the links to nodes for which `should_retain` returns false.
+    /// Closes the links to nodes for which `should_retain` returns false, apart from links that
+    /// are being opened.
     pub fn retain(&self, should_retain: impl Fn(&SocketAddr) -> bool) {
         self.slots.borrow_mut().retain(|addr, slot| {
-            let is_retained = should_retain(addr);
-            if !is_retained && let Ok(Some(link)) = slot.try_lock().as_deref() {
+            let is_opening = slot.attempts.borrow().is_in_progress();
+            let is_retained = is_opening || should_retain(addr);
+            if !is_retained && let Some(link) = slot.open_link() {
                 link.closed.cancel();
             }
             is_retained
         });
     }
 
+    /// Returns the link to a node, and opens it if it isn't open.
+    ///
+    /// The wait is bounded by one attempt, whatever the number of requests that need the link.
     async fn link(&self, addr: SocketAddr) -> Result<Rc<Link>, PeerError> {
-        let slot = self.slots.borrow_mut().entry(addr).or_default().clone();
-        let mut slot = slot.lock().await;
-        if let Some(link) = slot.as_ref().filter(|link| !link.closed.is_cancelled()) {
-            return Ok(link.clone());
+        let new_slot = || Rc::new(LinkSlot::new(self.settings.unreachable_memory));
+        let slot = self.slots.borrow_mut().entry(addr).or_insert_with(new_slot).clone();
+        if let Some(link) = slot.open_link() {
+            return Ok(link);
+        }
+        let action = slot.attempts.borrow_mut().request(now());
+        if matches!(action, LinkAction::Open | LinkAction::RejectAndReopen) {
+            self.start_opening(addr, &slot);
         }
+        if matches!(action, LinkAction::Reject | LinkAction::RejectAndReopen) {
+            return Err(PeerError::NotSent(addr));
+        }
+        let opening = slot.opening.borrow().clone().ok_or(PeerError::NotSent(addr))?;
+        opening.await.ok_or(PeerError::NotSent(addr))
+    }
+
+    /// Starts an attempt to open a link, which goes on when no request waits for it any more.
+    fn start_opening(&self, addr: SocketAddr, slot: &Rc<LinkSlot>) {
+        let (links, attempt_slot) = (self.clone(), slot.clone());
+        let attempt = async move { links.open(addr, &attempt_slot).await };
+        let opening = attempt.boxed_local().shared();
+        *slot.opening.borrow_mut() = Some(opening.clone());
+        ntex::rt::spawn(opening.map(drop)).detach();
+    }
+
+    async fn open(&self, addr: SocketAddr, slot: &LinkSlot) -> Option<Rc<Link>> {
         let bytes = (self.byte_counter_of)(addr);
-        let link = Link::open(addr, self.settings, bytes, &self.cancel)
-            .await
-            .map_err(|_| PeerError::NotSent(addr))?;
-        *slot = Some(link.clone());
-        Ok(link)
+        let link = Link::open(addr, self.settings, bytes, &self.cancel).await.ok();
+        let had_failed = slot.attempts.borrow().has_failed();
+        slot.attempts.borrow_mut().record_end(link.is_some(), now());
+        *slot.opening.borrow_mut() = None;
+        slot.link.borrow_mut().clone_from(&link);
+        match &link {
+            Some(link) => {
+                self.report_loss(addr, link.closed.clone());
+                if had_failed {
+                    (self.observer)(addr, LinkEvent::Regained);
+                }
+            }
+            None if !had_failed => (self.observer)(addr, LinkEvent::Unreachable),
+            None => {}
+        }
+        link
     }
+
+    /// Reports the end of a link, unless all links are closed.
+    fn report_loss(&self, addr: SocketAddr, closed: CancellationToken) {
+        let (observer, cancel) = (self.observer.clone(), self.cancel.clone());
+        ntex::rt::spawn(async move {
+            closed.cancelled().await;
+            if !cancel.is_cancelled() {
+                observer(addr, LinkEvent::Lost);
+            }
+        })
+        .detach();
+    }
+}
+
+fn now() -> Tick {
+    (Clock::default().tick)()
 }
 
 /// Counts a request as pending on a link until dropped.
--- a/crates/adapters/src/peer/mod.rs
+++ b/crates/adapters/src/peer/mod.rs
@@ -11,7 +11,7 @@
 mod link;
 mod server;
 
-pub use client::{ByteCounterOf, LinkSettings, RpcLinks};
+pub use client::{ByteCounterOf, LinkEvent, LinkObserver, LinkSettings, RpcLinks};
 pub use compressed::{CompressedReader, CompressedWriter};
 pub use server::{PeerHandler, serve_connection};
 
--- a/crates/node/src/calls/attempt.rs
+++ b/crates/node/src/calls/attempt.rs
@@ -45,16 +45,20 @@
 /// Prepares an attempt at an endpoint.
 ///
 /// The attempt carries the newest stamp of the target node, which needs a live
-/// connection to that node.
+/// connection to that node. The node counts as unreachable if there is none within `limit`.
 pub(crate) async fn prepare(
     worker: &Rc<Worker>,
     endpoint: &Endpoint,
+    limit: Duration,
 ) -> Result<PreparedAttempt, Code> {
     let id = RequestId(worker.rng.borrow_mut().random());
     let (instance, addr) = (endpoint.instance.clone(), endpoint.peer_addr);
     let stamp = match is_own(worker, &instance) {
         true => worker.state.calls.stamp(worker.state.now()),
-        false => worker.links.stamp(addr).await.map_err(|_| Code::Unreachable)?,
+        false => {
+            let stamp = ntex::time::timeout(to_millis(limit), worker.links.stamp(addr)).await;
+            stamp.map_err(|()| Code::Unreachable)?.map_err(|_| Code::Unreachable)?
+        }
     };
     Ok(PreparedAttempt { instance, addr, attempt: Attempt { id, stamp } })
 }
@@ -159,7 +163,7 @@
 ///
 /// Queries to a node that can't be reached are repeated for the settle time of the
 /// settings; once a node has reported that the request is running, they are repeated
-/// until the deadline.
+/// until the deadline. No query lasts longer than [`SETTLE_PAUSE`] beyond that.
 pub(crate) async fn settle(
     worker: &Rc<Worker>,
     addr: SocketAddr,
@@ -168,7 +172,8 @@
 ) -> PeerReply {
     let mut give_up_at = deadline.min(Instant::now() + worker.state.settings.limits.settle);
     loop {
-        match query_status(worker, addr, attempt).await {
+        let limit = give_up_at.saturating_duration_since(Instant::now());
+        match query_status(worker, addr, attempt, limit).await {
             Some(Settlement::Ended(reply)) => return reply,
             Some(Settlement::Fenced) => return PeerReply::Failed(Code::Fenced),
             Some(Settlement::Evicted) => return PeerReply::Failed(Code::SettleFailed),
@@ -186,12 +191,13 @@
     worker: &Rc<Worker>,
     addr: SocketAddr,
     attempt: Attempt,
+    limit: Duration,
 ) -> Option<Settlement> {
     if addr == worker.state.control.identity.peer_addr {
         return Some(serve::settle(&worker.state, attempt));
     }
-    let limit = to_millis(worker.state.settings.limits.settle);
-    ntex::time::timeout(limit, worker.links.settle(addr, attempt)).await.ok()?.ok()
+    let limit = limit.max(SETTLE_PAUSE).min(worker.state.settings.limits.settle);
+    ntex::time::timeout(to_millis(limit), worker.links.settle(addr, attempt)).await.ok()?.ok()
 }
 
 /// Cancels the attempt when it is dropped before a reply arrived.
--- a/crates/node/src/calls/dispatch.rs
+++ b/crates/node/src/calls/dispatch.rs
@@ -81,6 +81,7 @@
         }
         let mut chosen_backend = ChosenBackend::new(worker, candidates[i].instance.clone());
         tried.push(i);
+        let chosen_at = Instant::now();
         last = match prepare_and_claim(worker, context, i, ledger.as_deref_mut()).await {
             Ok(prepared) => {
                 let started = Instant::now();
@@ -94,11 +95,8 @@
             Err(NoAttempt::TryAnother(code)) => {
                 chosen_backend.record_outcome(CallOutcome::Failed, Instant::now());
                 let reply = PeerReply::Failed(code);
-                context.attempt_log.borrow_mut().record(
-                    &candidates[i].instance,
-                    &reply,
-                    Instant::now(),
-                );
+                let mut attempt_log = context.attempt_log.borrow_mut();
+                attempt_log.record(&candidates[i].instance, &reply, chosen_at);
                 reply
             }
             Err(NoAttempt::Reply(reply)) => return reply,
@@ -200,7 +198,8 @@
 ) -> Result<PreparedAttempt, NoAttempt> {
     let endpoint = endpoint_at(context, i).ok_or(NoAttempt::TryAnother(Code::NoBackendServer))?;
     *context.last_tried.borrow_mut() = Some(endpoint.clone());
-    let prepared = attempt::prepare(worker, &endpoint).await.map_err(NoAttempt::TryAnother)?;
+    let prepared = attempt::prepare(worker, &endpoint, context.time_left());
+    let prepared = prepared.await.map_err(NoAttempt::TryAnother)?;
     let Some(ledger) = ledger else { return Ok(prepared) };
     match ledger.claim(&prepared).await {
         ClaimResult::Run => Ok(prepared),
--- a/crates/node/src/calls/keyed.rs
+++ b/crates/node/src/calls/keyed.rs
@@ -70,7 +70,8 @@
         loop {
             let claim = self.next_claim(prepared);
             let view = self.view();
-            let replies = ledger_client::claim(self.worker, &view, self.keyed.key, claim).await;
+            let (key, time_left) = (self.keyed.key, self.context.time_left());
+            let replies = ledger_client::claim(self.worker, &view, key, claim, time_left).await;
             let other = match decide(&claim, &replies) {
                 ClaimDecision::Run => {
                     self.granted = Some(claim);
--- a/crates/node/src/calls/ledger_client.rs
+++ b/crates/node/src/calls/ledger_client.rs
@@ -26,32 +26,44 @@
     worker: &Rc<Worker>,
     addr: SocketAddr,
     message: &LedgerMessage,
+) -> Option<LedgerReply> {
+    send_within(worker, addr, message, REPLY_TIMEOUT).await
+}
+
+/// Sends a message like [`send`] and waits for the reply for `limit`.
+async fn send_within(
+    worker: &Rc<Worker>,
+    addr: SocketAddr,
+    message: &LedgerMessage,
+    limit: Duration,
 ) -> Option<LedgerReply> {
     if addr == worker.state.control.identity.peer_addr {
         return Some(ledger::handle(&worker.state, message.clone()));
     }
     let body = postcard::to_stdvec(message).ok()?;
     let exchange = worker.links.ledger(addr, body);
-    let reply = ntex::time::timeout(to_millis(REPLY_TIMEOUT), exchange).await.ok()?.ok()?;
+    let reply = ntex::time::timeout(to_millis(limit), exchange).await.ok()?.ok()?;
     postcard::from_bytes(&reply).ok()
 }
 
 /// Requests a claim from all replicas of a key and returns their replies.
 ///
 /// Returns as soon as a quorum has granted the claim; replies that have not arrived
-/// by then are `None`.
+/// by then, or within `time_left`, are `None`.
 pub(crate) async fn claim(
     worker: &Rc<Worker>,
     view: &LedgerView,
     key: LedgerKey,
     claim: Claim,
+    time_left: Duration,
 ) -> Vec<Option<ClaimReply>> {
+    let limit = time_left.min(REPLY_TIMEOUT);
     let replicas = view.replicas(key);
     let message = LedgerMessage::Claim { key, claim, replicas: view.replica_digest(key) };
     let mut replies: Vec<Option<ClaimReply>> = vec![None; replicas.len()];
     let request_claim = |i: usize, member: &LedgerMember| {
         let (worker, addr, message) = (worker.clone(), member.addr, message.clone());
-        async move { (i, send(&worker, addr, &message).await) }
+        async move { (i, send_within(&worker, addr, &message, limit).await) }
     };
     let mut pending: FuturesUnordered<_> =
         replicas.iter().enumerate().map(|(i, member)| request_claim(i, member)).collect();
--- a/crates/node/src/control/start.rs
+++ b/crates/node/src/control/start.rs
@@ -107,5 +107,7 @@
         connect_timeout: CONNECT_TIMEOUT,
         heartbeat_interval: HEARTBEAT_INTERVAL,
         heartbeat_timeout: HEARTBEAT_TIMEOUT,
+        // The failure detector counts attempts, so each message makes one.
+        unreachable_memory: Duration::ZERO,
     }
 }
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -12,8 +12,10 @@
 use rand::{SeedableRng, rngs::StdRng};
 use savorykeel_adapters::{
     backend::HttpBackend,
-    peer::{LinkSettings, PeerHandler, RpcLinks},
+    peer::{LinkEvent, LinkObserver, LinkSettings, PeerHandler, RpcLinks},
 };
+use savorykeel_policy::calls::link_opening::UNREACHABLE_MEMORY;
+use slog::info;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -65,9 +67,10 @@
     fn start(init: &WorkerInit) -> Rc<Worker> {
         let settings = link_settings(&init.state);
         let byte_counter_of = init.state.control.byte_counter_of(LinkPurpose::Calls);
+        let links = RpcLinks::new(settings, byte_counter_of, init.cancel.clone());
         let worker = Rc::new(Worker {
             state: init.state.clone(),
-            links: RpcLinks::new(settings, byte_counter_of, init.cancel.clone()),
+            links: links.with_observer(link_log(&init.state)),
             rng: RefCell::new(StdRng::from_rng(&mut rand::rng())),
             cached_backend: RefCell::default(),
         });
@@ -112,9 +115,23 @@
         connect_timeout: limits.connect,
         heartbeat_interval: limits.heartbeat,
         heartbeat_timeout: limits.silence,
+        unreachable_memory: UNREACHABLE_MEMORY,
     }
 }
 
+/// Returns an observer that logs what happens to the links.
+fn link_log(state: &NodeState) -> LinkObserver {
+    let log = state.log.clone();
+    Rc::new(move |addr, event| match event {
+        LinkEvent::Lost => info!(log, "link to a node was lost"; "addr" => %addr),
+        LinkEvent::Unreachable => {
+            info!(log, "no link to a node can be opened; its requests are turned away";
+                "addr" => %addr);
+        }
+        LinkEvent::Regained => info!(log, "link to a node is open again"; "addr" => %addr),
+    })
+}
+
 /// Returns the handlers for messages that other nodes send.
 fn peer_handler(worker: &Rc<Worker>) -> PeerHandler {
     let (for_call, for_settle, for_cancel) = (worker.clone(), worker.clone(), worker.clone());
--- a/crates/policy/src/calls/mod.rs
+++ b/crates/policy/src/calls/mod.rs
@@ -13,6 +13,7 @@
 pub mod ledger_quorum;
 pub mod ledger_sync;
 pub mod ledger_view;
+pub mod link_opening;
 pub mod quarantine;
 pub mod retry;
 pub mod settle;
--- a/tests/feature/calls_limits.rs
+++ b/tests/feature/calls_limits.rs
@@ -116,7 +116,8 @@
         for _ in 0..20 {
             i += 1;
             let req = Request::get("/gate").tag(&format!("drain-{i}"));
-            assert_eq!(fleet.client.call(entry, req).unwrap().status, 200);
+            let reply = fleet.client.call(entry, req).unwrap();
+            assert_eq!(reply.status, 200, "{reply:?}");
         }
         fleet.members[0].runs().len() == before
     });
--- a/tests/regression.rs
+++ b/tests/regression.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
+    thread,
     time::{Duration, Instant},
 };
 
@@ -16,7 +17,10 @@
     },
     time::Tick,
 };
-use savorykeel_standins::{caller::Request, proxy::Faults};
+use savorykeel_standins::{
+    caller::{Reply, Request},
+    proxy::Faults,
+};
 
 use crate::harness::{
     deployment::{Deployment, ServiceSpec},
@@ -205,3 +209,68 @@
     assert_eq!(status.code(), Some(0), "{}", fleet.members[0].node().log());
     assert!(took < STOP_LINGER + STOP_DRAIN / 2, "the node stopped after {took:?}");
 }
+
+/// Timeout of the route, and the caller's deadline, in the test of a frozen node.
+const FROZEN_ROUTE_TIMEOUT: Duration = Duration::from_millis(800);
+const FROZEN_DEADLINE: Duration = Duration::from_millis(2_500);
+
+/// Time after the route's timeout within which each request has its answer.
+const LATE_ANSWER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time for which the node is frozen: longer than a link counts as silent and an attempt to
+/// open another one takes.
+const FREEZE: Duration = Duration::from_secs(4);
+
+/// Time between two requests for the service of the frozen node.
+const FROZEN_SPACING: Duration = Duration::from_millis(20);
+
+/// Guards against requests that wait past the timeout of their route for a link to a node that
+/// is frozen. They queued for the lock of the link, and each tried to open it once more in its
+/// turn; queries what became of lost calls did the same and weren't bounded by the deadline.
+#[test]
+fn requests_for_a_frozen_node_are_answered_in_time() {
+    let services = vec![ServiceSpec::new("gate", 1, true), ServiceSpec::new("history", 2, false)];
+    let deployment = Deployment { zones: 1, services, slots: 20 };
+    let fleet = Fleet::start(&deployment, Options::default());
+    let mut configuration = deployment.configuration();
+    for route in &mut configuration.routes {
+        route.timeout_ms = FROZEN_ROUTE_TIMEOUT.as_millis() as u64;
+    }
+    fleet.publish(0, &configuration);
+    fleet.wait_answered("/gate");
+    fleet.wait_answered("/gate/change");
+    fleet.members[0].node().pause();
+    let (frozen_at, deadline) = (Instant::now(), FROZEN_DEADLINE.as_millis().to_string());
+    let answers: Vec<_> = thread::scope(|scope| {
+        let mut pending = Vec::new();
+        for i in 0.. {
+            if frozen_at.elapsed() > FREEZE {
+                break;
+            }
+            let req = match i % 3 {
+                0 => Request::get("/gate"),
+                1 => Request::post("/gate/change", "open"),
+                _ => Request::post("/gate/change", "open").key(&format!("frozen-{i}")),
+            };
+            let req = req.header("Savorykeel-Deadline-Ms", &deadline);
+            let (client, entry) = (&fleet.client, fleet.members[1 + i % 2].callers());
+            let sent_at = Instant::now();
+            pending.push(scope.spawn(move || (client.call(entry, req), sent_at.elapsed())));
+            thread::sleep(FROZEN_SPACING);
+        }
+        pending.into_iter().map(|call| call.join().expect("the call ends")).collect()
+    });
+    let limit = FROZEN_ROUTE_TIMEOUT + LATE_ANSWER_LIMIT;
+    let late: Vec<_> = answers.iter().filter(|(_, took)| *took > limit).collect();
+    assert!(late.is_empty(), "{} of {} answers are late: {late:?}", late.len(), answers.len());
+    let is_turned_away = |reply: &Reply| reply.outcome() == Some("not-run");
+    let turned_away: Vec<_> =
+        answers.iter().filter(|(reply, _)| reply.as_ref().is_ok_and(is_turned_away)).collect();
+    assert!(2 * turned_away.len() > answers.len(), "only {} turned away", turned_away.len());
+    let mut waits: Vec<Duration> = turned_away.iter().map(|(_, took)| *took).collect();
+    waits.sort();
+    let median = waits[waits.len() / 2];
+    assert!(median < FROZEN_ROUTE_TIMEOUT / 4, "half of them waited for {median:?} or longer");
+    fleet.members[0].node().resume();
+    fleet.wait_answered("/gate");
+}
