Serve the backend server's calls with the connections of callers

Calls that a local backend server makes through listen.backend could be cut when its node had drained.

Cause: their listener was served by the HTTP library, whose connections know nothing of a stop: no answer asked for the close, requests were read after the node was found idle, and the end of the process cut them.

Evidence: the new test, callers that pipeline at listen.backend while the node stops, finds calls that ran and got no answer on.

Change: both listeners use the node's own connections. Once the backend server runs no request any more, its listener closes, its connections end with the answers to what has been read, and the node waits for them.

Conclusion: the same cause as for callers that pipeline, on a related path; the users' platform doesn't use it for calls, since its backend servers call the listener for callers.

--- a/crates/node/src/calls/announce.rs
+++ b/crates/node/src/calls/announce.rs
@@ -12,7 +12,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::{
-    http::{HttpResult, code_response, read_body},
+    http::{code_response, read_body},
     state::NodeState,
 };
 
@@ -69,7 +69,7 @@
 
 /// Handles a request to [`ANNOUNCEMENT_PATH`]: PUT announces the backend server and
 /// DELETE withdraws it.
-pub(crate) async fn handle(state: &NodeState, mut req: Request) -> HttpResult {
+pub(crate) async fn handle(state: &NodeState, mut req: Request) -> Response {
     match *req.method() {
         Method::PUT => {
             let mut payload = req.take_payload();
@@ -77,21 +77,21 @@
             let timeout = ANNOUNCEMENT_TIMEOUT;
             let read = read_body(&mut payload, MAX_ANNOUNCEMENT_BYTES, timeout, &mut memory);
             let Ok(body) = read.await else {
-                return Ok(code_response(Code::BadRequest, "the announcement can't be read"));
+                return code_response(Code::BadRequest, "the announcement can't be read");
             };
             match serde_json::from_slice::<RawAnnouncement>(&body) {
                 Ok(raw) => {
                     local_backend::handle_message(state, ServerMessage::Announced(raw.into()));
-                    Ok(accepted_response())
+                    accepted_response()
                 }
-                Err(e) => Ok(code_response(Code::BadRequest, format!("the announcement: {e}"))),
+                Err(e) => code_response(Code::BadRequest, format!("the announcement: {e}")),
             }
         }
         Method::DELETE => {
             local_backend::withdraw(state, "announced");
-            Ok(accepted_response())
+            accepted_response()
         }
-        _ => Ok(code_response(Code::BadRequest, "use PUT to announce and DELETE to leave")),
+        _ => code_response(Code::BadRequest, "use PUT to announce and DELETE to leave"),
     }
 }
 
--- a/crates/node/src/calls/heartbeat.rs
+++ b/crates/node/src/calls/heartbeat.rs
@@ -8,7 +8,7 @@
 use slog::warn;
 
 use crate::{
-    http::{HttpResult, code_response, read_body},
+    http::{code_response, read_body},
     state::NodeState,
 };
 
@@ -20,21 +20,21 @@
 /// Handles a heartbeat, whose content is valid for `lease`.
 ///
 /// Stale heartbeats and those of other backend servers are acknowledged without effect.
-pub(crate) async fn handle(state: &NodeState, mut req: Request, lease: Duration) -> HttpResult {
+pub(crate) async fn handle(state: &NodeState, mut req: Request, lease: Duration) -> Response {
     let mut payload = req.take_payload();
     let mut memory = state.body_memory.reservation(MAX_HEARTBEAT_BYTES);
     let read = read_body(&mut payload, MAX_HEARTBEAT_BYTES, HEARTBEAT_TIMEOUT, &mut memory);
     let Ok(body) = read.await else {
-        return Ok(code_response(Code::BadRequest, "the heartbeat can't be read"));
+        return code_response(Code::BadRequest, "the heartbeat can't be read");
     };
     match decode_heartbeat(req.method().as_str(), req.path(), &body, lease) {
         Ok(message) => {
             local_backend::handle_message(state, message);
-            Ok(Response::build(StatusCode::OK).json(&serde_json::json!({})))
+            Response::build(StatusCode::OK).json(&serde_json::json!({}))
         }
         Err(e) => {
             warn!(state.log, "heartbeat refused"; "path" => req.path(), "problem" => %e);
-            Ok(code_response(Code::BadRequest, format!("the heartbeat: {e}")))
+            code_response(Code::BadRequest, format!("the heartbeat: {e}"))
         }
     }
 }
--- a/crates/node/src/front/service.rs
+++ b/crates/node/src/front/service.rs
@@ -21,7 +21,11 @@
     worker::Worker,
 };
 
-use super::{Accepted, Origin, connection, protocol};
+use super::{
+    Accepted, Origin,
+    connection::{self, ConnectionSettings},
+    protocol,
+};
 
 /// Path of the page with the node's metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -38,22 +42,17 @@
     cancel: CancellationToken,
 ) {
     let limits = worker.state.settings.limits;
-    let (caller_worker, backend_worker) = (worker.clone(), worker.clone());
     let readiness_worker = worker.clone();
-    let backend =
-        http_service(&limits, move |req| handle_backend(backend_worker.clone(), req)).await;
     let readiness = move |req| handle_readiness(readiness_worker.clone(), req);
     let readiness = http_service(&limits, readiness).await;
     let metrics_worker = worker.clone();
     let metrics = move |req| handle_metrics(metrics_worker.clone(), req);
     let metrics = http_service(&limits, metrics).await;
-    let (Some(backend), Some(readiness), Some(metrics)) = (backend, readiness, metrics) else {
-        return;
-    };
+    let (Some(readiness), Some(metrics)) = (readiness, metrics) else { return };
     while let Ok(accepted) = accepted.recv().await {
         match accepted.origin {
-            Origin::Caller => serve_caller(caller_worker.clone(), accepted),
-            Origin::Backend => serve_http(backend.clone(), accepted),
+            Origin::Caller => serve_caller(&worker, accepted),
+            Origin::Backend => serve_backend(&worker, accepted),
             Origin::Readiness => serve_http(readiness.clone(), accepted),
             Origin::Metrics => serve_http(metrics.clone(), accepted),
             Origin::Peer => serve_peer(&worker, handler.clone(), accepted, cancel.clone()),
@@ -81,20 +80,42 @@
     service.pipeline(SharedCfg::new("http").add(http_config(limits)).into()).await.ok()
 }
 
-fn serve_caller(worker: Rc<Worker>, accepted: Accepted) {
+fn serve_caller(worker: &Rc<Worker>, accepted: Accepted) {
     let addr = accepted.stream.peer_addr().ok();
-    let config = SharedCfg::new("callers").add(http_config(&worker.state.settings.limits));
-    let Ok(io) = ntex::rt::from_tcp_stream(accepted.stream, config.into()) else { return };
     let idle_timeout = worker.state.control.table().map(|table| table.configuration.limits.idle);
-    let settings_worker = worker.clone();
-    let settings = connection::ConnectionSettings {
+    let state = worker.state.clone();
+    let settings = ConnectionSettings {
         idle_timeout: idle_timeout.unwrap_or(KEEP_ALIVE_TIMEOUT.into()),
         closing: worker.state.closing.clone(),
-        should_close: Rc::new(move || settings_worker.state.is_closing_callers()),
+        should_close: Rc::new(move || state.is_closing_callers()),
+    };
+    let limits = worker.state.settings.limits;
+    let worker = worker.clone();
+    serve_calls(&limits, accepted, settings, move |req| handle_caller(worker.clone(), req, addr));
+}
+
+fn serve_backend(worker: &Rc<Worker>, accepted: Accepted) {
+    let closing = worker.state.closing_backend.clone();
+    let settings = ConnectionSettings {
+        idle_timeout: KEEP_ALIVE_TIMEOUT.into(),
+        closing: closing.clone(),
+        should_close: Rc::new(move || closing.is_cancelled()),
     };
+    let limits = worker.state.settings.limits;
+    let worker = worker.clone();
+    serve_calls(&limits, accepted, settings, move |req| handle_backend(worker.clone(), req));
+}
+
+/// Serves a connection that carries calls, which a stop of the node must not cut.
+fn serve_calls<H, R>(limits: &Limits, accepted: Accepted, settings: ConnectionSettings, handle: H)
+where
+    H: Fn(Request) -> R + 'static,
+    R: Future<Output = Response> + 'static,
+{
+    let config = SharedCfg::new("calls").add(http_config(limits));
+    let Ok(io) = ntex::rt::from_tcp_stream(accepted.stream, config.into()) else { return };
     let guard = accepted.guard;
     ntex::rt::spawn(async move {
-        let handle = |req| handle_caller(worker.clone(), req, addr);
         connection::serve(io, settings, handle).await;
         drop(guard);
     })
@@ -176,7 +197,7 @@
 
 /// Handles a request of the local backend server: an announcement, a heartbeat or a
 /// call.
-async fn handle_backend(worker: Rc<Worker>, req: Request) -> HttpResult {
+async fn handle_backend(worker: Rc<Worker>, req: Request) -> Response {
     if req.path() == announce::ANNOUNCEMENT_PATH {
         return announce::handle(&worker.state, req).await;
     }
@@ -187,5 +208,5 @@
     }
     let caller = worker.state.service();
     let name = caller.map_or_else(String::new, |service| service.as_str().to_owned());
-    Ok(entry::handle(worker, req, Caller { name, is_local_backend: true }).await)
+    entry::handle(worker, req, Caller { name, is_local_backend: true }).await
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -221,16 +221,20 @@
     spawn_reload_handler(state.clone(), lifecycle.reloads);
     lifecycle.stop.cancelled().await;
     let signalled_at = Instant::now();
+    let limits = &state.settings.limits;
+    // The limit counts from the signal, as the platform's does: the steps before the drain may
+    // take longer than planned.
+    let ends_at = signalled_at + limits.linger + limits.drain;
     announce_leaving(&state).await;
     callers.stop().await;
     state.closing.cancel();
-    let outcome = drain(&state, &callers, signalled_at).await;
+    let outcome = drain(&state, &callers, &mut backend, ends_at).await;
     info!(state.log, "node has drained"; "outcome" => ?outcome,
         "took_ms" => signalled_at.elapsed().as_millis() as u64);
     control_cancel.cancel();
     // The HTTP library's stop of the operators' server takes longer than it is allowed to.
     let stop_servers = tokio::time::timeout(OPERATORS_SHUTDOWN_TIMEOUT, servers.stop(true));
-    let _ = tokio::join!(backend.stop(), peers.stop(), stop_servers, control);
+    let _ = tokio::join!(peers.stop(), stop_servers, control);
     cancel.cancel();
     state.metrics.flush();
     info!(state.log, "node stopped";
@@ -266,6 +270,7 @@
         log,
         metrics,
         closing: CancellationToken::new(),
+        closing_backend: CancellationToken::new(),
         body_memory,
         request_log_limit: RequestLogLimit::default(),
         burn: BurnState::default(),
@@ -363,22 +368,37 @@
     sleep(propagation).await;
 }
 
-/// Waits until the calls in flight have ended and the connections of callers are closed, which
-/// each last answer asks for by now.
+/// Waits until the calls in flight have ended and the connections of callers and of the local
+/// backend server are closed, which each last answer asks for by now.
 ///
-/// The limit counts from the signal, as the platform's does: the steps before the drain may
-/// take longer than planned.
-async fn drain(state: &NodeState, callers: &Acceptor, signalled_at: Instant) -> ShutdownOutcome {
-    let limits = &state.settings.limits;
-    while signalled_at.elapsed() < limits.linger + limits.drain {
-        if state.is_idle() && callers.open_connections() == 0 {
-            return ShutdownOutcome::Graceful;
-        }
-        sleep(DRAIN_POLL_INTERVAL).await;
+/// The backend server may make calls as long as it runs requests.
+async fn drain(
+    state: &NodeState,
+    callers: &Acceptor,
+    backend: &mut Acceptor,
+    ends_at: Instant,
+) -> ShutdownOutcome {
+    poll_until(ends_at, || state.serving.load(Ordering::Acquire) == 0).await;
+    backend.stop().await;
+    state.closing_backend.cancel();
+    let open_connections = || callers.open_connections() + backend.open_connections();
+    if poll_until(ends_at, || state.is_idle() && open_connections() == 0).await {
+        return ShutdownOutcome::Graceful;
     }
     warn!(state.log, "calls still in flight at the drain limit";
         "entered" => state.entered.load(Ordering::Relaxed),
         "serving" => state.serving.load(Ordering::Relaxed),
-        "connections" => callers.open_connections());
+        "connections" => open_connections());
     ShutdownOutcome::CallsAborted
 }
+
+/// Waits until `condition` holds or the moment has come; returns whether it holds.
+async fn poll_until(until: Instant, condition: impl Fn() -> bool) -> bool {
+    while !condition() {
+        if Instant::now() >= until {
+            return false;
+        }
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
+    true
+}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -36,6 +36,9 @@
     pub(crate) metrics: Metrics,
     /// Cancelled to close idle connections of callers.
     pub(crate) closing: CancellationToken,
+    /// Cancelled to close connections of the local backend server; their answers ask for the
+    /// close.
+    pub(crate) closing_backend: CancellationToken,
     /// Memory for the bodies of requests and answers.
     pub(crate) body_memory: BodyMemory,
     /// Limits the rate of log lines about requests.
--- a/tests/regression.rs
+++ b/tests/regression.rs
@@ -274,3 +274,16 @@
     fleet.members[0].node().resume();
     fleet.wait_answered("/gate");
 }
+
+/// Guards against calls of the local backend server that are cut when its node has drained.
+/// Their listener was served by the HTTP library, whose stop ignores requests on the way.
+#[test]
+fn a_stopping_node_answers_the_calls_of_its_backend_server() {
+    let mut fleet = start_for_planned_stop();
+    let callers = start_pipelining(fleet.members[0].node().ready().backend, true);
+    fleet.members[0].node().term();
+    let status = fleet.members[0].node_mut().wait_exit();
+    let connections: Vec<_> = callers.into_iter().flat_map(Pipeliner::finish).collect();
+    assert_none_cut(&fleet, &connections);
+    assert_eq!(status.code(), Some(0), "{}", fleet.members[0].node().log());
+}
