Give requests at a stopping node no more time than the node has

Reported by another operator: requests that came late in a planned stop were passed on and cut at its end, also such that may not be repeated. It could happen here with uploads whose last byte arrives shortly before the drain limit.

Cause: a request got the time of its route, although the node ended before, where it entered and beside the backend server.

Ruled out: new connections after the listener has closed, idle connections that are read after the linger time.

Before: the test fails. After: it passes. Conclusion: what is passed on can end, and what can't isn't passed on.

--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -12,7 +12,7 @@
 use ntex::http::{Payload, Request, Response};
 use rand::RngExt;
 use savorykeel_policy::{
-    calls::deadline::{next_depth, time_left},
+    calls::deadline::{before_end, next_depth, time_left},
     code::{Code, startup_retry_after},
     config::model::Route,
     ids::ServiceName,
@@ -103,13 +103,14 @@
     let mut body_memory = worker.state.body_memory.reservation(0);
     let body = read_body(payload, limit, timeout, &mut body_memory).await;
     let body = body.map_err(|e| body_failure(&e, limit))?;
+    let deadline = deadline_before_end(worker, &route, started + timeout)?;
     let service = route.choose_service(worker.rng.borrow_mut().random()).clone();
     let versions = choose_versions(worker, &table, &route, &service, req);
     let context = CallContext {
         versions,
         request: to_port_request(req, body),
         objective_at: started + latency_objective(&table, &route, &service),
-        deadline: started + timeout,
+        deadline,
         table,
         route,
         service,
@@ -160,6 +161,24 @@
     route.objective.or_else(of_service).unwrap_or(route.timeout)
 }
 
+/// Returns the deadline of a request whose body has been read: that of its caller or, at a
+/// stopping node, a moment before the node's end.
+fn deadline_before_end(
+    worker: &Worker,
+    route: &Route,
+    deadline: Instant,
+) -> Result<Instant, Refusal> {
+    let until_end = worker.state.until_end();
+    if until_end.is_none() {
+        return Ok(deadline);
+    }
+    let average_latency = worker.state.calls.balancer.lock().route_latency(&route.name);
+    let now = Instant::now();
+    before_end(deadline.saturating_duration_since(now), until_end, average_latency)
+        .map(|left| now + left)
+        .map_err(|code| Refusal::new(code, "the node stops before the request can end"))
+}
+
 fn observe(worker: &Worker, context: &CallContext, reply: &PeerReply, took: Duration) {
     let endpoint = context.last_tried.borrow();
     let call = EndedCall {
--- a/crates/node/src/calls/serve.rs
+++ b/crates/node/src/calls/serve.rs
@@ -144,6 +144,10 @@
     let started = Instant::now();
     let state = &worker.state;
     let backend = backend_for(state, &call)?;
+    let call = PeerCall {
+        time_left: deadline::before_end(call.time_left, state.until_end(), None)?,
+        ..call
+    };
     let request = &call.request;
     let fingerprint =
         Fingerprint::of(&call.service, &request.method, &request.target, &request.body);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -4,7 +4,7 @@
     io,
     net::{SocketAddr, TcpListener},
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::{Duration, Instant},
@@ -224,7 +224,7 @@
     let limits = &state.settings.limits;
     // The limit counts from the signal, as the platform's does: the steps before the drain may
     // take longer than planned.
-    let ends_at = signalled_at + limits.linger + limits.drain;
+    let ends_at = *state.ends_at.get_or_init(|| signalled_at + limits.linger + limits.drain);
     announce_leaving(&state).await;
     callers.stop().await;
     state.closing.cancel();
@@ -271,6 +271,7 @@
         metrics,
         closing: CancellationToken::new(),
         closing_backend: CancellationToken::new(),
+        ends_at: OnceLock::new(),
         body_memory,
         request_log_limit: RequestLogLimit::default(),
         burn: BurnState::default(),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,9 +3,12 @@
 //! Lock order: [`NodeState::backend`] is taken before the locks of the control state.
 //! No lock is held across an await.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU32, Ordering},
+use std::{
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use parking_lot::Mutex;
@@ -24,6 +27,10 @@
     telemetry::RequestLogLimit,
 };
 
+/// Time between the latest deadline of a request at a stopping node and the node's end, in
+/// which the answer is sent.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// State of one node, shared by its worker threads.
 pub(crate) struct NodeState {
     /// The node's settings, as read at its start.
@@ -39,6 +46,8 @@
     /// Cancelled to close connections of the local backend server; their answers ask for the
     /// close.
     pub(crate) closing_backend: CancellationToken,
+    /// Drain limit of a node that is stopping.
+    pub(crate) ends_at: OnceLock<Instant>,
     /// Memory for the bodies of requests and answers.
     pub(crate) body_memory: BodyMemory,
     /// Limits the rate of log lines about requests.
@@ -73,6 +82,12 @@
         self.closing_callers.load(Ordering::Acquire)
     }
 
+    /// Returns the time for which a request may run if the node is stopping.
+    pub(crate) fn until_end(&self) -> Option<Duration> {
+        let until_end = self.ends_at.get()?.saturating_duration_since(Instant::now());
+        Some(until_end.saturating_sub(LAST_ANSWER_TIME))
+    }
+
     /// Returns whether the node is leaving.
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Acquire)
--- a/crates/policy/src/calls/balance/mod.rs
+++ b/crates/policy/src/calls/balance/mod.rs
@@ -176,6 +176,11 @@
         *average_ms += (ms - *average_ms) * ROUTE_LATENCY_WEIGHT;
     }
 
+    /// Returns the average latency of a route; `None` before its first answer.
+    pub fn route_latency(&self, route: &RouteName) -> Option<Duration> {
+        self.route_latency_ms.get(route).map(|ms| Duration::from_secs_f64(ms / 1_000.0))
+    }
+
     /// Returns the mean run time, in milliseconds, of the candidates that reported one.
     fn mean_run_ms(&self, candidates: &[Candidate]) -> Option<f64> {
         let tracked = candidates.iter().filter_map(|c| self.tracked.get(&c.instance));
--- a/crates/policy/src/calls/deadline.rs
+++ b/crates/policy/src/calls/deadline.rs
@@ -26,6 +26,28 @@
     if left < MIN_TIME_LEFT { Err(Code::DeadlineBeforeStart) } else { Ok(left) }
 }
 
+/// Multiple of its route's average latency for which a request has to be able to run at a node
+/// that stops.
+const STOP_LATENCY_FACTOR: u32 = 2;
+
+/// Returns the time that a request may take at a node that ends in `until_end`, if it is
+/// stopping, or [`Code::Leaving`] if the request isn't expected to end by then.
+///
+/// Load: the last bytes of slow uploads arrive while a node stops. Passed on with their whole
+/// time, their requests would be cut with the node; with the time that is left, the backend
+/// server answers before.
+pub fn before_end(
+    time_left: Duration,
+    until_end: Option<Duration>,
+    average_latency: Option<Duration>,
+) -> Result<Duration, Code> {
+    let Some(until_end) = until_end.filter(|until_end| *until_end < time_left) else {
+        return Ok(time_left);
+    };
+    let expected = average_latency.unwrap_or_default() * STOP_LATENCY_FACTOR;
+    if until_end < expected.max(MIN_TIME_LEFT) { Err(Code::Leaving) } else { Ok(until_end) }
+}
+
 /// Returns the depth of a call made by one of depth `caller_depth`, or an error code if
 /// it exceeds the configured limit.
 pub fn next_depth(caller_depth: u32, limit: u32) -> Result<u32, Code> {
--- a/crates/policy/tests/calls_load.rs
+++ b/crates/policy/tests/calls_load.rs
@@ -11,7 +11,7 @@
     calls::{
         admission::{AdmissionDecision, AdmissionQueue, AdmissionRequest, Release, Ticket},
         balance::{Balancer, CallOutcome, CallRequirements, Candidate, Load},
-        deadline::{next_depth, next_hop, time_left},
+        deadline::{before_end, next_depth, next_hop, time_left},
         retry::{NOT_RUN_LIMITS, RetryBudget},
     },
     code::Code,
@@ -540,3 +540,17 @@
     assert_eq!(next_depth(0, 2), Ok(1));
     assert_eq!(next_depth(2, 2), Err(Code::TooDeep));
 }
+
+/// A node that stops gives requests no more time than it has, and turns away those that can't be
+/// expected to end by then.
+#[test]
+fn requests_at_a_stopping_node_end_before_it() {
+    let ms = Duration::from_millis;
+    let average = Some(ms(200));
+    assert_eq!(before_end(ms(5_000), None, average), Ok(ms(5_000)));
+    assert_eq!(before_end(ms(300), Some(ms(3_000)), average), Ok(ms(300)));
+    assert_eq!(before_end(ms(5_000), Some(ms(3_000)), average), Ok(ms(3_000)));
+    assert_eq!(before_end(ms(5_000), Some(ms(399)), average), Err(Code::Leaving));
+    assert_eq!(before_end(ms(5_000), Some(ms(399)), None), Ok(ms(399)));
+    assert_eq!(before_end(ms(5_000), Some(ms(0)), None), Err(Code::Leaving));
+}
--- a/tests/regression.rs
+++ b/tests/regression.rs
@@ -1,7 +1,8 @@
 //! Regression tests, each for one fault that was found and fixed.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr},
+    io::{Read, Write},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
     thread,
     time::{Duration, Instant},
 };
@@ -275,6 +276,64 @@
     fleet.wait_answered("/gate");
 }
 
+/// Number of slow uploads, and the time between the ends of two of them.
+const SLOW_UPLOADS: usize = 12;
+const SLOW_UPLOAD_SPACING: Duration = Duration::from_millis(200);
+
+/// Guards against requests that are read late in a planned stop, passed on and cut.
+/// The last byte of a slow upload may arrive shortly before the drain limit. Its request got
+/// the whole time of its route, although the node ended before.
+#[test]
+fn uploads_that_end_late_in_a_planned_stop_are_answered() {
+    let services = vec![ServiceSpec::new("gate", 2, true)];
+    let deployment = Deployment { zones: 1, services, slots: 20 };
+    let adjust_node = Box::new(|settings: &mut RawSettings| {
+        settings.limits.linger = STOP_LINGER;
+        settings.limits.drain = Duration::from_millis(1_500);
+    });
+    let fleet = Fleet::start(&deployment, Options { adjust_node, ..Options::default() });
+    fleet.publish_first(&deployment, "/gate");
+    fleet.delay_answers(Duration::from_millis(400));
+    let entry = fleet.members[0].callers();
+    // The node knows how long requests of the route take.
+    let reply = fleet.client.call(entry, Request::post("/gate/change", "u")).unwrap();
+    assert_eq!(reply.status, 200, "{reply:?}");
+    let begin = |i| {
+        let mut stream = TcpStream::connect(entry).unwrap();
+        let head = format!(
+            "POST /gate/change HTTP/1.1\r\nHost: a\r\nX-Request-Tag: slow-{i}\r\nContent-Length: 2\r\n\r\nu"
+        );
+        stream.write_all(head.as_bytes()).unwrap();
+        stream
+    };
+    let uploads: Vec<TcpStream> = (0..SLOW_UPLOADS).map(begin).collect();
+    thread::sleep(SLOW_UPLOAD_SPACING);
+    fleet.members[0].node().term();
+    let answers: Vec<String> = thread::scope(|scope| {
+        let finish = |(i, mut stream): (usize, TcpStream)| {
+            scope.spawn(move || {
+                thread::sleep(SLOW_UPLOAD_SPACING * (i as u32 + 1));
+                // The node may have ended.
+                let _ = stream.write_all(b"u");
+                let mut answer = Vec::new();
+                let _ = stream.read_to_end(&mut answer);
+                String::from_utf8_lossy(&answer).into_owned()
+            })
+        };
+        let pending: Vec<_> = uploads.into_iter().enumerate().map(finish).collect();
+        pending.into_iter().map(|upload| upload.join().expect("the upload ends")).collect()
+    });
+    let runs = fleet.runs();
+    for (i, answer) in answers.iter().enumerate() {
+        let tag = format!("slow-{i}");
+        let ran = runs.iter().any(|run| run.tag.as_deref() == Some(&tag));
+        let is_ok = answer.starts_with("HTTP/1.1 200 ");
+        let is_not_run = answer.starts_with("HTTP/1.1 503 ") || answer.is_empty();
+        assert!(if ran { is_ok } else { is_not_run }, "{tag}, which ran: {ran}: {answer:?}");
+    }
+    assert!(answers.iter().any(|answer| answer.contains("\"leaving\"")), "{answers:?}");
+}
+
 /// Guards against calls of the local backend server that are cut when its node has drained.
 /// Their listener was served by the HTTP library, whose stop ignores requests on the way.
 #[test]
