Reply to callers that wait at the drain limit of a stopping node

Callers whose requests outlast the drain limit saw their connection cut when the process ended.

Cause: the node logged them and ended. Ruled out: the answer of the backend server arriving in time.

Change: at the limit each of them gets code 208 (502, outcome unknown), or 103 if nothing was tried yet, on a connection that is closed in order, within 0.1 s. The request isn't cancelled: it runs on beside its backend server, as before. 207 is sent as 502 too, since its outcome is unknown; as 503 it would have promised the opposite.

Before: regression::a_caller_that_waits_at_the_drain_limit_gets_a_reply fails. After: it passes.

--- a/crates/node/src/calls/entry.rs
+++ b/crates/node/src/calls/entry.rs
@@ -212,12 +212,32 @@
 /// Dispatches the request.
 ///
 /// A request that the ledger records runs in a task of its own and continues when its
-/// caller disconnects, so that the caller's next attempt finds the answer.
+/// caller disconnects, so that the caller's next attempt finds the answer. At the drain limit
+/// of a stopping node the caller gets a reply in place of a cut connection; the request runs on.
 async fn run(worker: &Rc<Worker>, context: Rc<CallContext>) -> PeerReply {
-    if context.keyed().is_none() {
-        return dispatch(worker, &context).await;
+    let (task_worker, task_context) = (worker.clone(), context.clone());
+    let mut dispatched = Box::pin(async move { dispatch(&task_worker, &task_context).await });
+    let ending = worker.state.ending.clone();
+    if context.keyed().is_some() {
+        let task = ntex::rt::spawn(dispatched);
+        return tokio::select! {
+            reply = task => reply.unwrap_or(PeerReply::Failed(Code::SettleFailed)),
+            () = ending.cancelled() => reply_at_end(&context),
+        };
+    }
+    tokio::select! {
+        reply = &mut dispatched => return reply,
+        () = ending.cancelled() => {}
+    }
+    // Dropped, it would cancel the request.
+    ntex::rt::spawn(dispatched).detach();
+    reply_at_end(&context)
+}
+
+/// Returns the reply to a request that has no answer at the drain limit.
+fn reply_at_end(context: &CallContext) -> PeerReply {
+    match *context.last_tried.borrow() {
+        Some(_) => PeerReply::Failed(Code::NodeStopped),
+        None => PeerReply::Failed(Code::Leaving),
     }
-    let worker = worker.clone();
-    let task = ntex::rt::spawn(async move { dispatch(&worker, &context).await });
-    task.await.unwrap_or(PeerReply::Failed(Code::SettleFailed))
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -47,6 +47,9 @@
 /// Time between two checks whether the calls in flight have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest time after the drain limit in which callers that still wait get their replies.
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time between two checks of the backend server's lease.
 const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -271,6 +274,7 @@
         metrics,
         closing: CancellationToken::new(),
         closing_backend: CancellationToken::new(),
+        ending: CancellationToken::new(),
         ends_at: OnceLock::new(),
         body_memory,
         request_log_limit: RequestLogLimit::default(),
@@ -390,6 +394,8 @@
         "entered" => state.entered.load(Ordering::Relaxed),
         "serving" => state.serving.load(Ordering::Relaxed),
         "connections" => open_connections());
+    state.ending.cancel();
+    poll_until(ends_at + LAST_ANSWERS_TIMEOUT, || open_connections() == 0).await;
     ShutdownOutcome::CallsAborted
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -46,6 +46,8 @@
     /// Cancelled to close connections of the local backend server; their answers ask for the
     /// close.
     pub(crate) closing_backend: CancellationToken,
+    /// Cancelled at the drain limit: callers that still wait learn that the outcome is unknown.
+    pub(crate) ending: CancellationToken,
     /// Drain limit of a node that is stopping.
     pub(crate) ends_at: OnceLock<Instant>,
     /// Memory for the bodies of requests and answers.
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -135,6 +135,8 @@
     KeyBusy = 206,
     /// The caller cancelled while the request was running.
     CancelledWhileRunning = 207,
+    /// The node that the caller asked stopped before the answer came.
+    NodeStopped = 208,
     /// The publish was derived from a version that is no longer in force.
     PublishConflict = 300,
     /// The configuration breaks a rule.
@@ -196,6 +198,7 @@
             Code::DeadlineBeforeStart | Code::DeadlineWhileRunning => 504,
             Code::BackendConnectionLost | Code::BadBackendAnswer => 502,
             Code::SettleFailed | Code::AnswerExpired | Code::LedgerUncertain => 502,
+            Code::CancelledWhileRunning | Code::NodeStopped => 502,
             _ => 503,
         }
     }
--- a/tests/regression.rs
+++ b/tests/regression.rs
@@ -9,6 +9,7 @@
 
 use savorykeel_node::settings::RawSettings;
 use savorykeel_policy::{
+    code::Code,
     distribution::zone_rank::{READERS_PER_ZONE, ranked},
     ids::{ConfigVersion, InstanceName, RegionName, ZoneName},
     membership::{
@@ -19,6 +20,7 @@
     time::Tick,
 };
 use savorykeel_standins::{
+    backend::Run,
     caller::{Reply, Request},
     proxy::Faults,
 };
@@ -346,3 +348,27 @@
     assert_none_cut(&fleet, &connections);
     assert_eq!(status.code(), Some(0), "{}", fleet.members[0].node().log());
 }
+
+/// Guards against connections that are cut at the drain limit although the node could say that
+/// the outcome is unknown.
+#[test]
+fn a_caller_that_waits_at_the_drain_limit_gets_a_reply() {
+    let adjust_node = Box::new(|settings: &mut RawSettings| {
+        settings.limits.drain = Duration::from_millis(500);
+    });
+    let services = vec![ServiceSpec::new("gate", 1, true), ServiceSpec::new("history", 1, false)];
+    let deployment = Deployment { zones: 1, services, slots: 20 };
+    let mut fleet = Fleet::start(&deployment, Options { adjust_node, ..Options::default() });
+    fleet.publish_first(&deployment, "/gate");
+    fleet.delay_answers(Duration::from_secs(8));
+    let entry = fleet.members[1].callers();
+    let pending = fleet.client.send(entry, Request::post("/gate/change", "open").tag("long"));
+    let ran = |run: &Run| run.tag.as_deref() == Some("long");
+    eventually("the request runs", || fleet.runs().iter().any(ran));
+    fleet.members[1].node().term();
+    let reply = pending.wait().expect("there is a reply");
+    assert_eq!(reply.code(), Some(Code::NodeStopped.number()), "{reply:?}");
+    assert_eq!(fleet.members[1].node_mut().wait_exit().code(), Some(8));
+    let cancelled: u64 = fleet.members[0].backend().counts().cancelled;
+    assert_eq!(cancelled, 0, "the request runs on");
+}
