Keep half of the memory for bodies free of answers

Reported by another operator: a faulty backend server sends bytes without end, and the machine that called it ends with the requests of others. Here a node keeps none of it, but callers at that node were refused when their requests had a body (503, code 104).

Cause: answers and requests share one budget, and answers without end to many requests at once hold all of it.

Ruled out: slots, memory of the process, other nodes (they get whole answers only).

Change: answers take at most half of the budget.

--- a/crates/adapters/src/body_memory.rs
+++ b/crates/adapters/src/body_memory.rs
@@ -12,7 +12,9 @@
 /// A budget of bytes that all threads of a node share.
 #[derive(Debug, Clone)]
 pub struct BodyMemory {
-    available: Arc<AtomicUsize>,
+    /// Bytes that aren't reserved: of the whole budget first, then of parts of it, each within
+    /// the one before.
+    available: Vec<Arc<AtomicUsize>>,
 }
 
 /// Bytes reserved for one body; they are given back when it is dropped.
@@ -27,12 +29,22 @@
 impl BodyMemory {
     /// Creates a budget of `bytes`.
     pub fn new(bytes: usize) -> Self {
-        Self { available: Arc::new(AtomicUsize::new(bytes)) }
+        Self { available: vec![Arc::new(AtomicUsize::new(bytes))] }
+    }
+
+    /// Returns a part of the budget: what is reserved from it also takes from the whole, and is
+    /// at most `bytes`.
+    #[must_use]
+    pub fn part(&self, bytes: usize) -> Self {
+        let mut available = self.available.clone();
+        available.push(Arc::new(AtomicUsize::new(bytes)));
+        Self { available }
     }
 
     /// Returns the bytes that aren't reserved.
     pub fn available(&self) -> usize {
-        self.available.load(Ordering::Relaxed)
+        let bytes = self.available.iter().map(|available| available.load(Ordering::Relaxed));
+        bytes.min().unwrap_or(0)
     }
 
     /// Returns an empty reservation for a body whose first `free` bytes don't count, so that
@@ -43,7 +55,19 @@
 
     fn try_take(&self, bytes: usize) -> bool {
         let take = |available: usize| available.checked_sub(bytes);
-        self.available.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok()
+        for (i, available) in self.available.iter().enumerate() {
+            if available.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_err() {
+                give_back(&self.available[..i], bytes);
+                return false;
+            }
+        }
+        true
+    }
+}
+
+fn give_back(available: &[Arc<AtomicUsize>], bytes: usize) {
+    for available in available {
+        available.fetch_add(bytes, Ordering::Relaxed);
     }
 }
 
@@ -64,6 +88,6 @@
 
 impl Drop for BodyReservation {
     fn drop(&mut self) {
-        self.memory.available.fetch_add(self.reserved, Ordering::Relaxed);
+        give_back(&self.memory.available, self.reserved);
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -57,6 +57,10 @@
 /// update takes to reach every node.
 const LEAVE_PROPAGATION_TIME: Duration = Duration::from_millis(300);
 
+/// Part of the memory for bodies that answers may take, as a divisor. The rest is for requests,
+/// so that a backend server that sends bytes without end doesn't keep out those of others.
+const ANSWER_MEMORY_DIVISOR: usize = 2;
+
 /// Largest number of open connections from other nodes.
 const MAX_PEER_CONNECTIONS: usize = 65_536;
 
@@ -267,6 +271,7 @@
     };
     let expected = settings.backend.as_ref().map(|backend| backend.expected.clone());
     let body_memory = BodyMemory::new(settings.limits.body_memory_bytes);
+    let answer_memory = body_memory.part(settings.limits.body_memory_bytes / ANSWER_MEMORY_DIVISOR);
     Ok(Arc::new(NodeState {
         settings,
         clock,
@@ -277,6 +282,7 @@
         ending: CancellationToken::new(),
         ends_at: OnceLock::new(),
         body_memory,
+        answer_memory,
         request_log_limit: RequestLogLimit::default(),
         burn: BurnState::default(),
         control,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -52,6 +52,8 @@
     pub(crate) ends_at: OnceLock<Instant>,
     /// Memory for the bodies of requests and answers.
     pub(crate) body_memory: BodyMemory,
+    /// The part of it that answers may take.
+    pub(crate) answer_memory: BodyMemory,
     /// Limits the rate of log lines about requests.
     pub(crate) request_log_limit: RequestLogLimit,
     /// Results of the calls that entered at this node.
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -98,7 +98,7 @@
         {
             return cached.client.clone();
         }
-        let memory = self.state.body_memory.clone();
+        let memory = self.state.answer_memory.clone();
         let client = HttpBackend::new(addr, connections, self.state.headers, memory);
         *self.cached_backend.borrow_mut() =
             Some(CachedBackendClient { addr, connections, client: client.clone() });
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -13,6 +13,7 @@
 mod cli_usage;
 mod config_recovery;
 mod config_spread;
+mod endless_answers;
 mod explain;
 mod harness;
 mod http_semantics;
--- a/tests/feature/uploads.rs
+++ b/tests/feature/uploads.rs
@@ -1,7 +1,6 @@
 //! Large request bodies that may run once at most, when callers, links or memory fail.
 
 use std::{
-    fs,
     io::Write,
     net::{Shutdown, SocketAddr, TcpStream},
     time::Duration,
@@ -13,6 +12,7 @@
 use crate::harness::{
     deployment::{Deployment, ServiceSpec},
     fleet::{Fleet, Options},
+    process::peak_memory_kib,
     wait::eventually,
 };
 
@@ -138,10 +138,3 @@
         assert!(peak_kib < MACHINE_KIB, "{} took {peak_kib} KiB", member.identity.instance);
     }
 }
-
-/// Returns the largest resident memory of a process so far, in KiB.
-fn peak_memory_kib(pid: u32) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-    line.trim().trim_end_matches(" kB").parse().unwrap()
-}
--- a/tests/harness/process.rs
+++ b/tests/harness/process.rs
@@ -165,3 +165,10 @@
 fn log_file(dir: &Path, instance: &str) -> PathBuf {
     dir.join(format!("{instance}.log"))
 }
+
+/// Returns the largest resident memory of a process so far, in KiB.
+pub fn peak_memory_kib(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse().unwrap()
+}
