Refuse a stalled upload when its time is over

A caller whose upload stalled got the refusal 2 s after its timeout, and the connection was kept open for ever.

Cause: the refusal waited for the rest of the body, up to 2 s, and a connection with an unfinished body counted as in use.

Change: the refusal waits 0.1 s, then it ends the connection, whose further input is discarded. Conclusion: what can't be served is told so at once.

--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -37,7 +37,7 @@
 const DISCARD_IDLE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Longest time for which input is discarded behind the last answer of a connection.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The settings and the state of the node that a connection depends on.
 pub(super) struct ConnectionSettings {
@@ -230,7 +230,9 @@
     async fn send(&mut self, answer: QueuedAnswer) -> Sent {
         let QueuedAnswer { mut response, codec } = answer;
         // Requests behind the last one aren't read, so it is known which answer that is.
-        let is_last = self.pending.is_empty() && (self.settings.should_close)();
+        // An answer that comes before the end of its request's body is one too.
+        let is_early = self.body_feed.is_some();
+        let is_last = self.pending.is_empty() && (is_early || (self.settings.should_close)());
         if is_last {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -37,8 +37,8 @@
 /// Largest part of an unneeded body that is read before the answer, in bytes.
 const MAX_DISCARDED_BYTES: usize = 32 << 20;
 
-/// Longest time for which an unneeded body is read.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for which an answer waits for the rest of an unneeded body.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Header that carries the caller's idempotency key of a request that it may resend.
 pub(crate) const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
@@ -90,10 +90,8 @@
     Ok(body)
 }
 
-/// Reads and discards the rest of a body, bounded in size and time.
-///
-/// Closing a connection with unread input resets it, and a reset may discard the
-/// answer before the caller has read it.
+/// Reads and discards the rest of a body, bounded in size and time, so that the connection can
+/// be used further.
 pub(crate) async fn discard_body(payload: &mut Payload) {
     let mut remaining = MAX_DISCARDED_BYTES;
     let discard = async {
@@ -104,7 +102,7 @@
             }
         }
     };
-    // On a timeout the caller may lose its answer; the node is not affected.
+    // On a timeout the connection ends with the answer.
     let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard).await;
 }
 
--- a/tests/regression.rs
+++ b/tests/regression.rs
@@ -399,3 +399,28 @@
         assert_eq!(runs.iter().filter(|run| run.tag.as_deref() == Some(&tag)).count(), 1);
     }
 }
+
+/// Guards against a refusal that waits for the rest of a body that nobody needs.
+/// The caller stops in the middle of its upload, and got the refusal 2 s after the timeout.
+#[test]
+fn an_upload_that_stalls_is_refused_in_time() {
+    let services = vec![ServiceSpec::new("gate", 1, true)];
+    let deployment = Deployment { zones: 1, services, slots: 20 };
+    let fleet = Fleet::start(&deployment, Options::default());
+    fleet.publish_first(&deployment, "/gate");
+    let mut stream = TcpStream::connect(fleet.members[0].callers()).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let timeout = Duration::from_millis(800);
+    let head = format!(
+        "POST /gate/change HTTP/1.1\r\nHost: a\r\nSavorykeel-Deadline-Ms: {}\r\nContent-Length: 9\r\n\r\nstall",
+        timeout.as_millis()
+    );
+    let sent_at = Instant::now();
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("the node answers and closes");
+    let took = sent_at.elapsed();
+    assert!(answer.contains("\"deadline-before-start\""), "{answer}");
+    assert!(answer.to_ascii_lowercase().contains("connection: close"), "{answer}");
+    assert!(took < timeout + LATE_ANSWER_LIMIT, "the connection ended after {took:?}");
+}
