Send heartbeats on busy links as often as before

A node that answers many large requests retains them for less than that and refuses calls with an older stamp.

A refused CONNECT is the last request that is read on its connection, as its answer closes it.

--- a/crates/adapters/src/peer/link.rs
+++ b/crates/adapters/src/peer/link.rs
@@ -120,9 +120,16 @@
     closed.cancel();
 }
 
-/// Number of intervals after which a heartbeat is sent on any link, so that the stamp stays
-/// within the time for which the other node retains requests.
-const MAX_HEARTBEAT_INTERVALS: u32 = 16;
+/// Number of intervals after which a heartbeat is sent on a link with pending requests although
+/// bytes arrive, so that requests carry a recent stamp.
+///
+/// A node that answers many requests retains them for a short time. It refuses requests with
+/// a stamp from before that.
+const BUSY_HEARTBEAT_INTERVALS: u32 = 2;
+
+/// Number of intervals after which a heartbeat is sent on an idle link, so that the stamp stays
+/// within the time for which an idle node retains requests.
+const IDLE_HEARTBEAT_INTERVALS: u32 = 16;
 
 /// Sends heartbeats and cancels `closed` when one stays unanswered.
 ///
@@ -138,7 +145,12 @@
         intervals += 1;
         let is_quiet = link.received.get() == received;
         received = link.received.get();
-        if !(is_quiet && link.pending.get() > 0) && intervals < MAX_HEARTBEAT_INTERVALS {
+        let due_after = match (link.pending.get() > 0, is_quiet) {
+            (true, true) => 1,
+            (true, false) => BUSY_HEARTBEAT_INTERVALS,
+            (false, _) => IDLE_HEARTBEAT_INTERVALS,
+        };
+        if intervals < due_after {
             continue;
         }
         intervals = 0;
--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -195,6 +195,7 @@
         if codec.upgrade() || req.method() == Method::CONNECT {
             // The node supports neither upgrades nor tunnels, so the request would never
             // complete.
+            self.has_last_request = true;
             let response = code_response(Code::BadRequest, "no other protocol is served");
             return self.queue_answer(codec, async { with_connection_close(response) });
         }
