Close connections that were tried beside a slow link

Found by reading: a connection that is being tried beside a link with an overdue heartbeat stayed open for good when the answer came after all.

Cause: the task that serves a connection ends with its token, and the token of an attempt that was dropped was never cancelled. Evidence: the new test, a link with answers 0.35 s late for 5 s: on the commit before, the connections don't go away within 30 s. Change: a guard closes the connection unless the link is handed over. Before: fails. After: passes.

--- a/crates/adapters/src/peer/link.rs
+++ b/crates/adapters/src/peer/link.rs
@@ -57,11 +57,13 @@
         let client: peer::Client = rpc.bootstrap(Side::Server);
         let closed = owner.child_token();
         ntex::rt::spawn(run_rpc(rpc, closed.clone())).detach();
+        // Closes the connection if the node doesn't answer or nobody waits for the link any more.
+        let guard = closed.drop_guard();
         let first_heartbeat = timeout(connect_timeout, heartbeat(&client)).await;
         let Ok(Some(stamp)) = first_heartbeat else {
-            closed.cancel();
             return Err(io::ErrorKind::TimedOut.into());
         };
+        let closed = guard.disarm();
         let link = Rc::new(Link {
             client,
             stamp: Cell::new(stamp),
--- a/tests/regression.rs
+++ b/tests/regression.rs
@@ -424,3 +424,29 @@
     assert!(answer.to_ascii_lowercase().contains("connection: close"), "{answer}");
     assert!(took < timeout + LATE_ANSWER_LIMIT, "the connection ended after {took:?}");
 }
+
+/// Guards against connections that stay open after they were tried beside a slow link.
+/// The answer to a heartbeat came while another connection was being opened, which was forgotten
+/// and stayed open as long as the nodes lived.
+#[test]
+fn a_slow_link_leaves_no_connections_behind() {
+    let services = vec![ServiceSpec::new("gate", 1, true), ServiceSpec::new("history", 1, false)];
+    let deployment = Deployment { zones: 1, services, slots: 20 };
+    let fleet = Fleet::start(&deployment, Options { peer_proxies: true, ..Options::default() });
+    fleet.publish_first(&deployment, "/gate");
+    let entry = fleet.members[1].callers();
+    let proxy = fleet.members[0].proxy.as_ref().expect("there is a proxy");
+    let before = proxy.counts();
+    proxy.set_faults(Faults { answer_delay_ms: 350, ..Faults::default() });
+    let slow_until = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < slow_until {
+        let reply = fleet.client.call(entry, Request::get("/gate")).expect("it is answered");
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+    proxy.clear_faults();
+    let opened = proxy.counts().connections - before.connections;
+    assert!(opened > 3, "other connections were tried: {opened}");
+    eventually("the connections that were tried are closed", || {
+        proxy.counts().open <= before.open + 1
+    });
+}
