--- a/tests/regression.rs
+++ b/tests/regression.rs
@@ -171,14 +171,21 @@
     callers
 }
 
+/// Stops the first node, waits until it has ended in order, and returns what the callers saw.
+///
 /// Asserts that each request that ran got an answer.
 #[track_caller]
-fn assert_none_cut(fleet: &Fleet, connections: &[pipeline::Connection]) {
+fn stop_without_a_cut(fleet: &mut Fleet, callers: Vec<Pipeliner>) -> Vec<pipeline::Connection> {
+    fleet.members[0].node().term();
+    let status = fleet.members[0].node_mut().wait_exit();
+    let connections: Vec<_> = callers.into_iter().flat_map(Pipeliner::finish).collect();
     let runs = fleet.runs();
     let ran = |tag: &&String| runs.iter().any(|run| run.tag.as_ref() == Some(*tag));
     let unanswered = connections.iter().flat_map(|connection| connection.unanswered());
     let cut: Vec<_> = unanswered.filter(ran).collect();
     assert!(cut.is_empty(), "ran and got no answer: {cut:?}");
+    assert_eq!(status.code(), Some(0), "{}", fleet.members[0].node().log());
+    connections
 }
 
 /// Guards against requests that a stopping node passes on and cuts at its drain limit.
@@ -188,11 +195,7 @@
 fn a_stopping_node_answers_the_requests_of_callers_that_pipeline() {
     let mut fleet = start_for_planned_stop();
     let callers = start_pipelining(fleet.members[0].callers(), true);
-    fleet.members[0].node().term();
-    let status = fleet.members[0].node_mut().wait_exit();
-    let connections: Vec<_> = callers.into_iter().flat_map(Pipeliner::finish).collect();
-    assert_none_cut(&fleet, &connections);
-    assert_eq!(status.code(), Some(0), "{}", fleet.members[0].node().log());
+    stop_without_a_cut(&mut fleet, callers);
 }
 
 /// Guards against answers that a reset destroys and a stop that waits for its callers.
@@ -203,13 +206,9 @@
     let mut fleet = start_for_planned_stop();
     let callers = start_pipelining(fleet.members[0].callers(), false);
     let signalled_at = Instant::now();
-    fleet.members[0].node().term();
-    let status = fleet.members[0].node_mut().wait_exit();
+    let connections = stop_without_a_cut(&mut fleet, callers);
     let took = signalled_at.elapsed();
-    let connections: Vec<_> = callers.into_iter().flat_map(Pipeliner::finish).collect();
-    assert_none_cut(&fleet, &connections);
     assert!(connections.iter().any(|connection| connection.was_asked_to_close));
-    assert_eq!(status.code(), Some(0), "{}", fleet.members[0].node().log());
     assert!(took < STOP_LINGER + STOP_DRAIN / 2, "the node stopped after {took:?}");
 }
 
@@ -342,11 +341,7 @@
 fn a_stopping_node_answers_the_calls_of_its_backend_server() {
     let mut fleet = start_for_planned_stop();
     let callers = start_pipelining(fleet.members[0].node().ready().backend, true);
-    fleet.members[0].node().term();
-    let status = fleet.members[0].node_mut().wait_exit();
-    let connections: Vec<_> = callers.into_iter().flat_map(Pipeliner::finish).collect();
-    assert_none_cut(&fleet, &connections);
-    assert_eq!(status.code(), Some(0), "{}", fleet.members[0].node().log());
+    stop_without_a_cut(&mut fleet, callers);
 }
 
 /// Guards against connections that are cut at the drain limit although the node could say that
