Wait in tests until nodes route by the members that they report

Cause, traced with a line at that place: the routing table of the request has one backend server, the members have two, and in one of two cases the table has two a moment later. A node gathers changes for 20 ms before it builds its table; the tests waited for the status only. It is no fault of a node: it may use a server later than it knows of it.

--- a/tests/harness/fleet.rs
+++ b/tests/harness/fleet.rs
@@ -20,6 +20,10 @@
     wait::eventually,
 };
 
+/// Time within which a node routes requests by what its status reports: it gathers changes of
+/// the members for a moment before it builds its routing table anew.
+const ROUTING_TABLE_DELAY: Duration = Duration::from_millis(500);
+
 /// Target of a proxy until the node behind it listens.
 const UNREACHABLE_ADDR: SocketAddr =
     SocketAddr::V4(std::net::SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 1));
@@ -255,7 +259,8 @@
         format!("http://{addr}")
     }
 
-    /// Waits until every node reports all nodes as alive, with their backend servers. Nodes
+    /// Waits until every node reports all nodes as alive, with their backend servers, and routes
+    /// requests to them. Nodes
     /// that start together serve before they know those of other availability zones.
     #[track_caller]
     pub fn wait_members(&self) {
@@ -273,6 +278,7 @@
                 members.len() == nodes().count() && members.iter().all(is_known)
             });
         }
+        std::thread::sleep(ROUTING_TABLE_DELAY);
     }
 
     /// Publishes the first configuration and waits until every node has applied it and
