Reproduce a store that comes back from an older copy, failing

A stand-in of the platform's store, which can be away and come back from a copy in a new era, and tests with six nodes as real processes.

The HTTP server of the stand-ins is public now, as the new stand-in uses it.

--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -22,28 +22,28 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// A received request with its complete body.
-pub(crate) struct Call {
+pub struct Call {
     /// Method.
-    pub(crate) method: Method,
+    pub method: Method,
     /// Path without query.
-    pub(crate) path: String,
+    pub path: String,
     /// Query string without the `?`; empty if there is none.
-    pub(crate) query: String,
+    pub query: String,
     /// Headers.
-    pub(crate) headers: HeaderMap,
+    pub headers: HeaderMap,
     /// Complete body.
-    pub(crate) body: Vec<u8>,
+    pub body: Vec<u8>,
     io: Option<IoRef>,
 }
 
 impl Call {
     /// Returns a header's value, or `None` if the header is absent or not text.
-    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+    pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name).and_then(|value| value.to_str().ok())
     }
 
     /// Closes the connection immediately, so that the caller gets no answer.
-    pub(crate) fn close_connection(&self) {
+    pub fn close_connection(&self) {
         if let Some(io) = &self.io {
             io.terminate();
         }
@@ -51,7 +51,7 @@
 
     /// Parses the body as JSON. The error is a 400 response that names the path
     /// of the invalid value.
-    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Response> {
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Response> {
         let mut de = serde_json::Deserializer::from_slice(&self.body);
         serde_path_to_error::deserialize(&mut de).map_err(|e| {
             let problem = format!("{}: {}\n", e.path(), e.inner());
@@ -60,19 +60,19 @@
     }
 
     /// Returns the value of a query parameter. Percent-encoding isn't decoded.
-    pub(crate) fn query_value(&self, name: &str) -> Option<&str> {
+    pub fn query_value(&self, name: &str) -> Option<&str> {
         let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
         pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
     }
 }
 
 /// Returns a response with a JSON body.
-pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Response {
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response {
     Response::build(status).json(value)
 }
 
 /// Returns a response without a body.
-pub(crate) fn empty(status: StatusCode) -> Response {
+pub fn empty(status: StatusCode) -> Response {
     Response::build(status).finish()
 }
 
@@ -81,7 +81,7 @@
 ///
 /// A connection above `max_connections` is closed immediately, as by a server
 /// that has reached its connection limit.
-pub(crate) async fn serve<H, F>(
+pub async fn serve<H, F>(
     listener: net::TcpListener,
     stop: CancellationToken,
     max_connections: usize,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub mod backend;
 pub mod caller;
-mod http;
+pub mod http;
 pub mod log;
 pub mod proxy;
-mod thread;
+pub mod thread;
--- a/crates/standins/src/thread.rs
+++ b/crates/standins/src/thread.rs
@@ -8,7 +8,7 @@
 /// The thread of a running stand-in. Dropping it stops the thread and waits
 /// until it has ended.
 #[derive(Debug)]
-pub(crate) struct OwnedThread {
+pub struct OwnedThread {
     stop: CancellationToken,
     thread: Option<thread::JoinHandle<()>>,
 }
@@ -19,7 +19,7 @@
     ///
     /// `main` creates its future on the new thread because futures of this
     /// runtime aren't `Send`.
-    pub(crate) fn start<M, F>(name: &str, stop: CancellationToken, main: M) -> io::Result<Self>
+    pub fn start<M, F>(name: &str, stop: CancellationToken, main: M) -> io::Result<Self>
     where
         M: FnOnce(CancellationToken) -> F + Send + 'static,
         F: Future<Output = ()> + 'static,
@@ -42,7 +42,7 @@
 
     /// Waits until the thread ends, because `main` completed or the token was
     /// cancelled.
-    pub(crate) fn join(&mut self) {
+    pub fn join(&mut self) {
         if let Some(thread) = self.thread.take() {
             // The thread has already printed its panic, if any.
             let _ = thread.join();
@@ -58,7 +58,7 @@
 }
 
 /// Binds a non-blocking listener, as an async runtime needs it.
-pub(crate) fn bind(addr: net::SocketAddr) -> io::Result<net::TcpListener> {
+pub fn bind(addr: net::SocketAddr) -> io::Result<net::TcpListener> {
     let listener = net::TcpListener::bind(addr)?;
     listener.set_nonblocking(true)?;
     Ok(listener)
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -23,4 +23,5 @@
 mod publish_move;
 mod publish_outcomes;
 mod session;
+mod store_return;
 mod uploads;
--- /dev/null
+++ b/tests/feature/store_return.rs
@@ -0,0 +1,192 @@
+//! The platform's store comes back from a copy some seconds old.
+//!
+//! What nodes wrote since is gone, offsets are given out again, and operators write again what
+//! they had written. Each test is named after the failure that it guards against.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use savorykeel_platform_standin::{ConfigurationDocument, Copy, EraHeader, MoveOrderDocument};
+
+use crate::harness::{
+    deployment::{Deployment, ServiceSpec},
+    fleet::{Fleet, Options},
+    wait::eventually,
+};
+
+/// Time within which a configuration has to be in force on every node that is in touch. After
+/// a disruption of the store, nodes are in touch again once it has been stable for 3 s.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Time for which the store is away before it comes back from a copy.
+const AWAY: Duration = Duration::from_millis(500);
+
+const SERVICES: [&str; 2] = ["gate", "history"];
+
+fn deployment() -> Deployment {
+    let services = vec![ServiceSpec::new("gate", 4, false), ServiceSpec::new("history", 2, false)];
+    Deployment { zones: 2, services, slots: 20 }
+}
+
+fn configuration(number: u64) -> ConfigurationDocument {
+    ConfigurationDocument::new(number, &SERVICES)
+}
+
+fn start(options: Options) -> Fleet {
+    let fleet = Fleet::start(&deployment(), Options { on_platform: true, ..options });
+    fleet.wait_members();
+    fleet.store.publish(&configuration(1));
+    eventually("the first configuration is in force", || fleet.is_routed("/gate/"));
+    fleet
+}
+
+/// Lets the store be away for a moment and come back from a copy.
+fn come_back(fleet: &Fleet, copy: &Copy) {
+    fleet.store.set_away(true);
+    thread::sleep(AWAY);
+    fleet.store.come_back_from(copy);
+}
+
+#[track_caller]
+fn assert_routed_in_time(fleet: &Fleet, path: &str) {
+    let started = Instant::now();
+    while !fleet.is_routed(path) {
+        assert!(started.elapsed() < IN_FORCE_LIMIT, "{path} isn't in force on every node");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+#[test]
+fn versions_after_a_return_of_the_store_are_not_ignored() {
+    let fleet = start(Options::default());
+    fleet.store.publish(&configuration(2).route("/kept/", "gate"));
+    let copy = fleet.store.copy();
+    for number in [4, 5, 8] {
+        fleet.store.publish(&configuration(number).route("/lost/", "gate"));
+    }
+    eventually("the lost version is in force", || fleet.is_routed("/lost/"));
+    come_back(&fleet, &copy);
+    fleet.store.publish(&configuration(8).route("/lost/", "gate"));
+    let newer = configuration(9).route("/lost/", "gate").route("/newer/", "history");
+    fleet.store.publish(&newer);
+    assert_routed_in_time(&fleet, "/newer/");
+    assert_routed_in_time(&fleet, "/lost/");
+}
+
+/// The new end lies beyond the offset at which nodes read on, so no read fails.
+#[test]
+fn versions_below_the_old_end_are_not_skipped() {
+    let fleet = start(Options::default());
+    let copy = fleet.store.copy();
+    for number in [2, 3, 4] {
+        fleet.store.publish(&configuration(number).route("/lost/", "gate"));
+    }
+    eventually("the lost version is in force", || fleet.is_routed("/lost/"));
+    fleet.store.set_away(true);
+    thread::sleep(AWAY);
+    fleet.store.come_back_from(&copy);
+    fleet.store.publish(&configuration(5).route("/newer/", "history"));
+    for within in [60, 61, 62, 63] {
+        fleet.store.order(&MoveOrderDocument {
+            service: "history".into(),
+            version: "v1".into(),
+            within: Duration::from_secs(within),
+        });
+    }
+    assert_routed_in_time(&fleet, "/newer/");
+}
+
+#[test]
+fn nodes_do_not_go_back_to_the_copy() {
+    let mut fleet = start(Options::default());
+    let copy = fleet.store.copy();
+    fleet.store.publish(&configuration(2).route("/confirmed/", "gate"));
+    eventually("the version is in force", || fleet.is_routed("/confirmed/"));
+    come_back(&fleet, &copy);
+    // The operator hasn't written its records again yet.
+    for member in [0, 1] {
+        fleet.members[member].node_mut().kill();
+        fleet.members[member].node = None;
+        fleet.restart(member);
+    }
+    let started = Instant::now();
+    while started.elapsed() < IN_FORCE_LIMIT {
+        for member in 0..fleet.members.len() {
+            let reply = fleet.call_route(member, "/confirmed/").expect("the node answers");
+            assert_ne!(reply.status, 404, "node {member} went back to the copy");
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    fleet.store.publish(&configuration(3).route("/confirmed/", "gate").route("/newer/", "gate"));
+    assert_routed_in_time(&fleet, "/newer/");
+}
+
+#[test]
+fn restarted_node_does_not_wait_for_an_offset_that_never_comes() {
+    let mut fleet = start(Options::default());
+    let copy = fleet.store.copy();
+    for number in 2..20 {
+        fleet.store.publish(&configuration(number).route("/lost/", "gate"));
+    }
+    eventually("the lost version is in force", || fleet.is_routed("/lost/"));
+    come_back(&fleet, &copy);
+    fleet.store.publish(&configuration(20).route("/newer/", "gate"));
+    fleet.members[0].node_mut().kill();
+    fleet.members[0].node = None;
+    fleet.restart(0);
+    assert_routed_in_time(&fleet, "/newer/");
+}
+
+#[test]
+fn presence_records_that_the_copy_lacks_are_written_again_once() {
+    let fleet = Fleet::empty(2, Options { on_platform: true, ..Options::default() });
+    let copy = fleet.store.copy();
+    let mut fleet = fleet;
+    for spec in deployment().services {
+        for i in 0..spec.instances {
+            fleet.add(&spec, (i % 2) as u8 + 1, 20);
+        }
+    }
+    fleet.wait_members();
+    fleet.store.publish(&configuration(1));
+    eventually("the first configuration is in force", || fleet.is_routed("/gate/"));
+    eventually("every node has a record", || fleet.store.present().len() == fleet.members.len());
+    let before: Vec<usize> = writes(&fleet);
+    come_back(&fleet, &copy);
+    fleet.store.publish(&configuration(1));
+    let started = Instant::now();
+    while fleet.store.present().len() < fleet.members.len() {
+        let elapsed = started.elapsed();
+        assert!(elapsed < IN_FORCE_LIMIT, "only {:?} are present", fleet.store.present());
+        thread::sleep(Duration::from_millis(50));
+    }
+    thread::sleep(Duration::from_secs(2));
+    let after = writes(&fleet);
+    let again: usize = after.iter().zip(&before).map(|(after, before)| after - before).sum();
+    assert!(again <= fleet.members.len() + 1, "{before:?} writes before, {after:?} after");
+}
+
+fn writes(fleet: &Fleet) -> Vec<usize> {
+    let names = fleet.members.iter().map(|member| &member.identity.instance);
+    names.map(|name| fleet.store.presence_writes(name)).collect()
+}
+
+#[test]
+fn odd_era_headers_do_not_stop_the_configuration() {
+    let fleet = start(Options::default());
+    let headers = [
+        EraHeader::Absent,
+        EraHeader::Text("eight".into()),
+        EraHeader::Number,
+        EraHeader::Text("0".into()),
+        EraHeader::Text("18446744073709551616".into()),
+    ];
+    for (number, header) in (2..).zip(headers) {
+        fleet.store.set_era_header(header);
+        let path = format!("/route-{number}/");
+        fleet.store.publish(&configuration(number).route(&path, "gate"));
+        assert_routed_in_time(&fleet, &path);
+    }
+}
--- a/tests/harness/fleet.rs
+++ b/tests/harness/fleet.rs
@@ -3,11 +3,12 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use savorykeel_node::settings::RawSettings;
+use savorykeel_node::settings::{RawPlatform, RawSettings};
+use savorykeel_platform_standin as store;
 use savorykeel_policy::config::raw::RawConfiguration;
 use savorykeel_standins::{
     backend::{self, Run},
-    caller::Client,
+    caller::{Client, Reply, Request},
     log, proxy,
 };
 use tempfile::TempDir;
@@ -24,6 +25,9 @@
 /// the members for a moment before it builds its routing table anew.
 const ROUTING_TABLE_DELAY: Duration = Duration::from_millis(500);
 
+/// Time within which a node answers a request in a test of its routes.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Target of a proxy until the node behind it listens.
 const UNREACHABLE_ADDR: SocketAddr =
     SocketAddr::V4(std::net::SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 1));
@@ -34,8 +38,11 @@
     pub log: log::Settings,
     /// Whether other nodes connect to each node through a proxy of its own.
     pub peer_proxies: bool,
-    /// Whether the nodes of each zone connect to the log service through a proxy.
+    /// Whether the nodes of each zone connect to the log service, or to the platform's store,
+    /// through a proxy.
     pub log_proxies: bool,
+    /// Whether the platform's store takes the place of the log service.
+    pub on_platform: bool,
     /// Adjusts a node's settings before it starts.
     pub adjust_node: Box<dyn Fn(&mut RawSettings)>,
     /// Adjusts a backend server's settings before it starts.
@@ -48,6 +55,7 @@
             log: log::Settings::default(),
             peer_proxies: false,
             log_proxies: false,
+            on_platform: false,
             adjust_node: Box::new(|_| ()),
             adjust_backend: Box::new(|_| ()),
         }
@@ -184,6 +192,8 @@
     pub log_proxies: Vec<proxy::Handle>,
     /// The log service.
     pub log: log::Handle,
+    /// The platform's store; used if [`Options::on_platform`] is set.
+    pub store: store::Handle,
     /// A caller for single requests.
     pub client: Client,
     network: u8,
@@ -209,14 +219,17 @@
     #[track_caller]
     pub fn empty(zones: u8, options: Options) -> Self {
         let log = log::start(options.log.clone()).expect("the log service starts");
+        let store = store::start().expect("the store starts");
+        let target = if options.on_platform { store.addr() } else { log.addr() };
         let proxy_count = if options.log_proxies { zones } else { 0 };
         let log_proxies = (0..proxy_count)
-            .map(|_| proxy::start(proxy::Settings::for_target(log.addr())).expect("a proxy starts"))
+            .map(|_| proxy::start(proxy::Settings::for_target(target)).expect("a proxy starts"))
             .collect();
         Self {
             members: Vec::new(),
             log_proxies,
             log,
+            store,
             client: Client::start().expect("the client starts"),
             network: next_network(),
             dir: TempDir::new().expect("a temporary directory is made"),
@@ -240,6 +253,10 @@
         let advertised = proxy.as_ref().map(proxy::Handle::addr);
         let mut settings =
             node_settings(self.dir.path(), &identity, &self.log_url(zone), advertised);
+        if self.options.on_platform {
+            settings.log_service.clear();
+            settings.platform = Some(self.platform(zone));
+        }
         (self.options.adjust_node)(&mut settings);
         let mut backend_settings =
             backend::Settings::new(&spec.name, &spec.version).with_name(&identity.instance);
@@ -259,6 +276,31 @@
         format!("http://{addr}")
     }
 
+    fn platform(&self, zone: u8) -> RawPlatform {
+        let proxy = self.log_proxies.get(usize::from(zone) - 1);
+        let addr = proxy.map_or(self.store.addr(), proxy::Handle::addr);
+        RawPlatform {
+            store: addr.to_string(),
+            retry_share: 0.1,
+            unproven_share: 0.1,
+            stop_grace: None,
+        }
+    }
+
+    /// Calls a node on the platform, where routes have a host.
+    pub fn call_route(&self, member: usize, path: &str) -> Option<Reply> {
+        let host = store::ConfigurationDocument::HOST;
+        let req = Request::get(path).header("Host", host).timeout(ROUTE_TIMEOUT);
+        self.client.call(self.members[member].callers(), req).ok()
+    }
+
+    /// Returns whether a route is in force on every node that runs.
+    pub fn is_routed(&self, path: &str) -> bool {
+        let running = |i: &usize| self.members[*i].node.is_some();
+        let nodes = (0..self.members.len()).filter(running);
+        nodes.into_iter().all(|i| self.call_route(i, path).is_some_and(|r| r.status == 200))
+    }
+
     /// Waits until every node reports all nodes as alive, with their backend servers, and routes
     /// requests to them. Nodes
     /// that start together serve before they know those of other availability zones.
@@ -268,7 +310,7 @@
         for node in nodes() {
             let ready = node.ready();
             eventually(&format!("{} knows all nodes", ready.instance), || {
-                let req = savorykeel_standins::caller::Request::get("/v1/status");
+                let req = Request::get("/v1/status");
                 let Ok(reply) = self.client.call(ready.operators, req) else { return false };
                 let status: serde_json::Value = reply.json().expect("the status is JSON");
                 let members = status["members"].as_array().expect("the status has members");
@@ -332,7 +374,7 @@
             let (addr, what) =
                 (node.ready().callers, format!("{} answers {path}", node.ready().instance));
             eventually(&what, || {
-                let req = savorykeel_standins::caller::Request::get(path);
+                let req = Request::get(path);
                 self.client.call(addr, req).is_ok_and(|reply| reply.status == 200)
             });
         }
