Log and count changes of the store's era

The logs couldn't tell a store that had lost records from an operator who wrote none. Each node now reads the header Store-Era of the store's answers, writes a line when it rises, with both eras and the position held, and counts store_returns.

--- a/crates/adapters/src/metrics/mod.rs
+++ b/crates/adapters/src/metrics/mod.rs
@@ -40,6 +40,8 @@
     LogFailures,
     /// Operators' documents that can't be used, and unknown values in those that can.
     DocumentProblems,
+    /// Changes of the store's era, which mean that it came back from an older copy.
+    StoreReturns,
     /// Bytes of control messages sent to other nodes.
     ControlBytesSent,
     /// Bytes of control messages received from other nodes.
--- a/crates/node/src/control/metrics.rs
+++ b/crates/node/src/control/metrics.rs
@@ -81,6 +81,7 @@
     log_failures: u64,
     applied: u64,
     document_problems: u64,
+    store_returns: u64,
 }
 
 impl CounterValues {
@@ -96,6 +97,7 @@
             log_failures: load(&counters.log_failures),
             applied: load(&counters.applied),
             document_problems: load(&counters.document_problems),
+            store_returns: load(&counters.store_returns),
         }
     }
 
@@ -113,6 +115,7 @@
         metrics.count(Counter::Applied, self.applied - last.applied, &[]);
         let problems = self.document_problems - last.document_problems;
         metrics.count(Counter::DocumentProblems, problems, &[]);
+        metrics.count(Counter::StoreReturns, self.store_returns - last.store_returns, &[]);
     }
 }
 
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod context;
 mod derived;
 mod desired;
+mod era;
 mod event;
 mod exchange;
 mod gossip;
@@ -64,6 +65,7 @@
             maintenance::remove_departed(cx.clone()),
             checkpoints::write_when_due(cx.clone()),
             metrics::report_periodically(cx.clone()),
+            era::watch(cx.clone()),
             crate::moves::run(cx.clone()),
         );
     };
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,7 +1,7 @@
 //! State that the control loops share with the call path and the operators' API.
 //!
 //! Locks are acquired in the order fold, members, derived values, recovery, floors,
-//! journal, moves;
+//! journal, store era, moves;
 //! no lock is held across an await.
 
 use std::{
@@ -23,6 +23,7 @@
         fold::{Fold, Position, Publish},
     },
     distribution::{
+        era::KnownEra,
         floor::{Floors, Recovery, RecoveryPeers, Witnesses},
         message::{ReplyBody, Sender, Topic},
         spread::SpreadTargets,
@@ -95,6 +96,8 @@
     pub log_appends: AtomicU64,
     /// Failures of the log service.
     pub log_failures: AtomicU64,
+    /// Changes of the store's era.
+    pub store_returns: AtomicU64,
     /// Operators' documents that can't be used, and unknown values in those that can.
     pub document_problems: AtomicU64,
 }
@@ -123,6 +126,7 @@
     fold: Mutex<Fold>,
     members: Mutex<Members>,
     recovery: Mutex<Recovery>,
+    store_era: Mutex<KnownEra>,
     floors: Mutex<Floors>,
     journal: Mutex<Option<Journal>>,
     pub(super) last_contact: SharedLastContact,
@@ -178,6 +182,7 @@
             fold: Mutex::default(),
             members: Mutex::new(Members::new(own, (clock.tick)())),
             recovery: Mutex::default(),
+            store_era: Mutex::default(),
             floors: Mutex::default(),
             journal: Mutex::new(journal),
             last_contact: SharedLastContact::default(),
@@ -358,6 +363,10 @@
         f(&mut self.recovery.lock())
     }
 
+    pub(super) fn with_store_era<T>(&self, f: impl FnOnce(&mut KnownEra) -> T) -> T {
+        f(&mut self.store_era.lock())
+    }
+
     pub(super) fn with_floors<T>(&self, f: impl FnOnce(&mut Floors) -> T) -> T {
         f(&mut self.floors.lock())
     }
--- a/crates/policy/src/distribution/mod.rs
+++ b/crates/policy/src/distribution/mod.rs
@@ -4,6 +4,7 @@
 //!
 //! `docs/design/0002-configuration.md` gives the reasons for the design.
 
+pub mod era;
 pub mod floor;
 pub mod hold;
 pub mod message;
--- a/crates/ports/src/log.rs
+++ b/crates/ports/src/log.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use savorykeel_policy::distribution::era::StoreEra;
+
 /// Stream in which operators publish configuration.
 pub const CONFIGURATION_STREAM: &str = "configuration";
 
@@ -83,6 +85,11 @@
     /// Reads records from offset `from` on, waiting up to `wait` if there are none.
     async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<LogPage, LogError>;
 
+    /// Returns the era that the service stated last, if it states one; see [`StoreEra`].
+    fn era(&self) -> Option<StoreEra> {
+        None
+    }
+
     /// Returns whether the newest record of each key that [`LogService::store`] writes never
     /// expires; otherwise records must be appended again before they expire.
     fn retains_newest(&self) -> bool {
