--- a/crates/ports/src/log.rs
+++ b/crates/ports/src/log.rs
@@ -71,6 +71,10 @@
         /// Offset of the oldest retained record.
         earliest: Offset,
     },
+    /// The service came back from an older copy, so that the requested offset doesn't exist or
+    /// means another record.
+    #[error("the log service came back from an older copy")]
+    Restored,
     /// The answer can't be parsed.
     #[error("log service answered with something else than its protocol: {0}")]
     Malformed(String),
