Order states by the operators' number, and know orders apart from offsets

Second cause: Position was the offset after the newest document. In the store's new era a newer state has a lower offset, so nodes took it for stale, didn't pull it, and held restarted nodes to a floor that was never reached again. The class: a number that belongs to somebody else taken for one that only grows.

- The configuration's position follows from the number that operators give it, which they only raise.
Equal configurations have equal positions on all nodes and in all eras, so floors, pulls and waits need no era.
- Orders to move a service have no such number.
They don't go through the configuration any more; each node that reads the store gives them to the move tracker, whose targets all nodes merge.
An order is the one in force, a known older one, or new; a new one gets an id above all known ones.

Ruled out: the era in the upper bits of the position. A node that starts after the return reads the older copy under the newer era, and would pull all others back to it.

--- a/crates/node/src/control/reader.rs
+++ b/crates/node/src/control/reader.rs
@@ -17,7 +17,7 @@
 
 use super::{
     context::{ControlContext, ControlMode},
-    desired,
+    desired::DesiredReader,
     event::Event,
     state::{ControlState, Counters},
 };
@@ -49,6 +49,7 @@
 {
     let mut failures = 0;
     let mut reason = None;
+    let mut desired = DesiredReader::default();
     loop {
         let previous = std::mem::replace(&mut reason, reason_to_read(cx));
         log_reason(&cx.state.logger, previous, reason);
@@ -57,7 +58,7 @@
             continue;
         }
         let outcome = match cx.log.is_stored_by_platform() {
-            true => desired::read_once(cx, cx.times.log_wait).await,
+            true => desired.read_once(cx, cx.times.log_wait).await,
             false => read_once(cx, cx.times.log_wait).await,
         };
         match outcome {
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -137,7 +137,7 @@
     /// Highest position of the fold that may be applied.
     allowed_position: AtomicU64,
     has_joined: AtomicBool,
-    started_at: Tick,
+    pub(super) started_at: Tick,
     /// Newest tick at which the held position was the end of the log, or
     /// `NEVER_CONFIRMED`.
     log_end_confirmed_at: AtomicU64,
--- a/crates/node/src/moves/controller.rs
+++ b/crates/node/src/moves/controller.rs
@@ -20,6 +20,7 @@
         evaluators::ReportScope,
         evidence::{COLD_START, EvidenceKey, Observation, Report},
         gossip::MoveGossip,
+        orders::{MoveOrder, OrderOutcome},
         split::VersionSplit,
         status::{MoveEnding, MoveReport, MoveStatus},
         tracker::{MoveTracker, TrackerRevision},
@@ -206,6 +207,11 @@
         }
     }
 
+    /// Records an order that was read from the platform's store.
+    pub fn apply_order(&self, order: &MoveOrder, may_be_repeated: bool) -> OrderOutcome {
+        self.tracker.lock().apply_order(order, may_be_repeated)
+    }
+
     /// Merges statuses of moves that were read from the platform's store.
     pub fn merge_statuses(&self, statuses: &[MoveStatus]) {
         let mut tracker = self.tracker.lock();
--- a/crates/policy/src/config/fold.rs
+++ b/crates/policy/src/config/fold.rs
@@ -228,8 +228,9 @@
     /// Applies a complete configuration from a platform that stores it as a whole
     /// instead of as a stream of records.
     ///
-    /// The position is also used as the version, because both only grow. If the
-    /// configuration breaks a rule, the previous one stays in force.
+    /// The position follows from the number that operators give to the configuration, and is
+    /// also used as the version. Both only grow, whatever becomes of the records that hold the
+    /// configuration. If the configuration breaks a rule, the previous one stays in force.
     pub fn replace(
         &mut self,
         position: Position,
--- a/crates/policy/src/moves/mod.rs
+++ b/crates/policy/src/moves/mod.rs
@@ -19,6 +19,7 @@
 mod hypothesis;
 pub mod judge;
 pub mod monitor;
+pub mod orders;
 pub mod quick;
 pub mod ramp;
 pub mod recheck;
--- a/crates/policy/src/moves/targets.rs
+++ b/crates/policy/src/moves/targets.rs
@@ -1,19 +1,22 @@
 //! The history of target versions of each service.
 //!
 //! Every node must start a move from the same version, including nodes that have
-//! just started. A node records the target of each configuration that it applies
-//! and merges the records of its peers, so that it doesn't need to have read every
+//! just started. A node records the target of each configuration that it applies, or of each
+//! order where a platform stores orders apart, and merges the records of its peers, so that it doesn't need to have read every
 //! record of the log.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::{
     config::model::{Configuration, DueTime},
     ids::{BackendVersion, ConfigVersion, ServiceName},
 };
 
+use super::orders::{MoveOrder, OrderOutcome};
+
 /// Largest number of targets kept for each service; older ones are discarded.
 pub const MAX_TARGETS: usize = 8;
 
@@ -26,33 +29,72 @@
     pub version: BackendVersion,
 }
 
+/// A version as a configuration or an order requested it.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+struct Requested {
+    version: BackendVersion,
+    /// Time within which an order wants the move to complete; none for a version that a
+    /// configuration requested.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    within: Option<Duration>,
+}
+
+impl From<&MoveOrder> for Requested {
+    fn from(order: &MoveOrder) -> Self {
+        Self { version: order.version.clone(), within: Some(order.within) }
+    }
+}
+
 /// The target versions recorded for one service.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceTargets {
-    asked: BTreeMap<ConfigVersion, BackendVersion>,
+    asked: BTreeMap<ConfigVersion, Requested>,
 }
 
 impl ServiceTargets {
     /// Records a target unless the previous configuration has the same one.
     fn record(&mut self, asked: ConfigVersion, version: &BackendVersion) {
         let before = self.asked.range(..=asked).next_back();
-        if before.is_some_and(|(_, recorded)| recorded == version) {
+        if before.is_some_and(|(_, recorded)| recorded.version == *version) {
             return;
         }
-        self.asked.insert(asked, version.clone());
+        self.asked.insert(asked, Requested { version: version.clone(), within: None });
         self.discard_oldest();
     }
 
+    /// Records an order, unless it is known; see [`OrderOutcome`].
+    ///
+    /// A new order gets an id above all known ones. Nodes that read the same orders in a row
+    /// give them the same ids; ids that differ are merged as one request, see
+    /// [`ServiceTargets::history`].
+    fn record_order(&mut self, order: &MoveOrder, may_be_repeated: bool) -> OrderOutcome {
+        let requested = Requested::from(order);
+        let newest = self.asked.last_key_value();
+        let is_in_force = newest.is_some_and(|(_, newest)| *newest == requested);
+        if is_in_force || self.asked.get(&order.first_id()) == Some(&requested) {
+            return OrderOutcome::Known;
+        }
+        if may_be_repeated && self.asked.values().any(|known| *known == requested) {
+            return OrderOutcome::Held;
+        }
+        let above_known = newest.map_or(ConfigVersion(0), |(id, _)| ConfigVersion(id.0 + 1));
+        let id = order.first_id().max(above_known);
+        self.asked.insert(id, requested);
+        self.discard_oldest();
+        OrderOutcome::New(id)
+    }
+
     /// Merges the targets that a peer recorded and returns whether anything changed.
     ///
-    /// Of two versions for the same configuration the greater one wins, so that
-    /// all nodes keep the same.
+    /// Of two requests with the same id the greater one wins, so that all nodes keep the
+    /// same.
     pub fn merge(&mut self, other: &Self) -> bool {
         let before = self.clone();
-        for (asked, version) in &other.asked {
-            let recorded = self.asked.entry(*asked).or_insert_with(|| version.clone());
-            if version > recorded {
-                *recorded = version.clone();
+        for (asked, requested) in &other.asked {
+            let recorded = self.asked.entry(*asked).or_insert_with(|| requested.clone());
+            if requested > recorded {
+                *recorded = requested.clone();
             }
         }
         self.discard_oldest();
@@ -65,19 +107,31 @@
         }
     }
 
-    /// Returns the targets in order of their configurations.
+    /// Returns the targets in order of their configurations or orders.
     ///
-    /// Consecutive configurations with the same target give one entry, under the
-    /// earliest of them.
+    /// Consecutive ones with the same target give one entry, under the earliest of them.
     pub fn history(&self) -> Vec<Target> {
+        self.history_until(ConfigVersion(u64::MAX))
+    }
+
+    /// Returns the history without the targets of configurations after `applied`. Orders
+    /// aren't part of a configuration, so they are never left out.
+    fn history_until(&self, applied: ConfigVersion) -> Vec<Target> {
         let mut history: Vec<Target> = Vec::new();
-        for (asked, version) in &self.asked {
-            if history.last().is_none_or(|last| last.version != *version) {
+        for (asked, Requested { version, within }) in &self.asked {
+            let is_visible = *asked <= applied || within.is_some();
+            if is_visible && history.last().is_none_or(|last| last.version != *version) {
                 history.push(Target { asked: *asked, version: version.clone() });
             }
         }
         history
     }
+
+    /// Returns when the newest order wants its move to be complete, if there is an order.
+    fn due(&self) -> Option<DueTime> {
+        let (_, newest) = self.asked.last_key_value()?;
+        newest.within.map(DueTime::Within)
+    }
 }
 
 /// The target history of all services, with the requested completion times.
@@ -110,15 +164,19 @@
         }
     }
 
+    /// Records an order that was read from the platform's store.
+    pub fn apply_order(&mut self, order: &MoveOrder, may_be_repeated: bool) -> OrderOutcome {
+        let targets = self.services.entry(order.service.clone()).or_default();
+        targets.record_order(order, may_be_repeated)
+    }
+
     /// Returns the targets of a service in order; the last is the current one.
     ///
     /// Targets that a peer recorded from a newer configuration are omitted until
     /// this node has applied that configuration.
     pub fn history(&self, service: &ServiceName) -> Vec<Target> {
-        let Some(targets) = self.services.get(service) else { return Vec::new() };
-        let mut history = targets.history();
-        history.retain(|target| target.asked <= self.applied);
-        history
+        let targets = self.services.get(service);
+        targets.map_or(Vec::new(), |targets| targets.history_until(self.applied))
     }
 
     /// Returns the current target of a service.
@@ -128,7 +186,8 @@
 
     /// Returns when the current target of a service should carry all traffic.
     pub fn due(&self, service: &ServiceName) -> Option<DueTime> {
-        self.due.get(service).copied()
+        let ordered = self.services.get(service).and_then(ServiceTargets::due);
+        ordered.or_else(|| self.due.get(service).copied())
     }
 
     /// Returns the recorded targets of a service, for gossip.
--- a/crates/policy/src/moves/tracker.rs
+++ b/crates/policy/src/moves/tracker.rs
@@ -22,6 +22,7 @@
     evidence::{Evidence, Observation, Report},
     gossip::{MoveGossip, MoveStateUpdate, ServiceMoves},
     monitor::{MonitorInput, MoveMonitor},
+    orders::{MoveOrder, OrderOutcome},
     short,
     split::VersionSplit,
     state::{BadKind, BadReason, MoveKey, MoveState, Permille},
@@ -62,6 +63,15 @@
         }
     }
 
+    /// Records an order that was read from the platform's store.
+    pub fn apply_order(&mut self, order: &MoveOrder, may_be_repeated: bool) -> OrderOutcome {
+        let outcome = self.targets.apply_order(order, may_be_repeated);
+        if matches!(outcome, OrderOutcome::New(_)) {
+            self.mark_changed(&order.service);
+        }
+        outcome
+    }
+
     /// Sets the backend server whose calls this node counts.
     ///
     /// The counts are reset when its service or version differs from before.
--- a/crates/ports/src/desired.rs
+++ b/crates/ports/src/desired.rs
@@ -8,7 +8,7 @@
 
 use savorykeel_policy::{
     config::{fold::Position, raw::RawConfiguration},
-    moves::status::MoveStatus,
+    moves::{orders::MoveOrder, status::MoveStatus},
 };
 
 use crate::log::LogError;
@@ -16,19 +16,29 @@
 /// The configuration that operators have requested.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Desired {
-    /// Orders the states: the one at the higher position is newer.
-    pub position: Position,
-    /// Number that operators assigned to the configuration; used in log lines only.
-    pub label: u64,
+    /// Number that operators assigned to the configuration. It only increases, also when the
+    /// platform's store comes back from an older copy.
+    pub number: u64,
     /// The complete configuration.
     pub configuration: RawConfiguration,
 }
 
+impl Desired {
+    /// Returns the position of the configuration, which orders the states of nodes. Zero is the
+    /// position of a node without configuration.
+    pub fn position(&self) -> Position {
+        Position(self.number.saturating_add(1))
+    }
+}
+
 /// Result of a read of the desired configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct DesiredRead {
-    /// The newest state, if it changed since the last read.
-    pub changed: Option<Box<Desired>>,
+    /// The newest configuration, if one was written since the last read.
+    pub configuration: Option<Box<Desired>>,
+    /// The newest order of each service for which one was written since the last read. Known
+    /// ones are repeated when the store is read anew.
+    pub orders: Vec<MoveOrder>,
     /// Problems of documents that can't be used; the previous ones stay in force.
     pub unusable: Vec<String>,
     /// Unknown values in documents that are used, with what they were replaced by.
--- a/tests/feature/store_return.rs
+++ b/tests/feature/store_return.rs
@@ -9,11 +9,12 @@
 };
 
 use savorykeel_platform_standin::{ConfigurationDocument, Copy, EraHeader, MoveOrderDocument};
+use savorykeel_standins::backend::{Answer, Behaviour};
 
 use crate::harness::{
     deployment::{Deployment, ServiceSpec},
     fleet::{Fleet, Options},
-    wait::eventually,
+    wait::{TIMEOUT, eventually},
 };
 
 /// Time within which a configuration has to be in force on every node that is in touch. After
@@ -190,3 +191,102 @@
         assert_routed_in_time(&fleet, &path);
     }
 }
+
+/// Time within which an operator wants a move of the tests to complete.
+const MOVE_TIME: Duration = Duration::from_secs(8);
+
+/// Members of `gate` that run the new version.
+const NEW_MEMBERS: [usize; 2] = [2, 3];
+
+fn order() -> MoveOrderDocument {
+    MoveOrderDocument { service: "gate".into(), version: "v2".into(), within: MOVE_TIME }
+}
+
+/// Calls `gate` until a condition holds; returns the versions that answered since.
+fn call_until(fleet: &Fleet, limit: Duration, mut is_met: impl FnMut() -> bool) -> Vec<String> {
+    let started = Instant::now();
+    let mut versions = Vec::new();
+    for i in 0.. {
+        if is_met() || started.elapsed() > limit {
+            break;
+        }
+        let member = i % fleet.members.len();
+        if let Some(answer) = fleet.call_route(member, "/gate/").filter(|r| r.status == 200) {
+            versions.push(answer.json::<Answer>().expect("the answer is JSON").version);
+        }
+    }
+    versions
+}
+
+fn phase(fleet: &Fleet) -> Option<String> {
+    fleet.store.status("gate").map(|status| status.phase)
+}
+
+/// Moves `gate` to the new version; returns copies from before the order and from the middle
+/// of the move.
+fn complete_move(fleet: &mut Fleet) -> [Copy; 2] {
+    let before = fleet.store.copy();
+    fleet.store.order(&order());
+    for member in NEW_MEMBERS {
+        fleet.members[member].replace_backend("v2", Behaviour::default());
+    }
+    call_until(fleet, TIMEOUT, || phase(fleet).as_deref() == Some("running"));
+    let middle = fleet.store.copy();
+    call_until(fleet, TIMEOUT, || phase(fleet).as_deref() == Some("done"));
+    assert_eq!(phase(fleet).as_deref(), Some("done"), "the move is completed");
+    [before, middle]
+}
+
+#[track_caller]
+fn assert_still_done(fleet: &Fleet) {
+    let is_done = || phase(fleet).as_deref() == Some("done");
+    call_until(fleet, IN_FORCE_LIMIT, is_done);
+    assert_eq!(phase(fleet).as_deref(), Some("done"), "the status stands there again");
+    let versions = call_until(fleet, 2 * AWAY, || false);
+    assert!(versions.iter().all(|version| version == "v2"), "{versions:?}");
+    assert_eq!(phase(fleet).as_deref(), Some("done"), "the move began again");
+}
+
+#[test]
+fn completed_move_does_not_begin_again() {
+    let mut fleet = start(Options::default());
+    let copies = complete_move(&mut fleet);
+    for copy in &copies {
+        let writes = fleet.store.status_writes("gate");
+        come_back(&fleet, copy);
+        let versions = call_until(&fleet, 2 * AWAY, || false);
+        assert!(versions.iter().all(|version| version == "v2"), "{versions:?}");
+        fleet.store.publish(&configuration(1));
+        fleet.store.order(&order());
+        assert_still_done(&fleet);
+        let writes = fleet.store.status_writes("gate") - writes;
+        assert!(writes <= 2, "the status was written {writes} times");
+    }
+    // A node that knows nothing else learns of the end from the others or from the store.
+    fleet.members[0].node_mut().kill();
+    fleet.members[0].node = None;
+    fleet.restart(0);
+    assert_still_done(&fleet);
+}
+
+#[test]
+fn version_that_was_taken_back_gets_no_calls() {
+    let mut fleet = start(Options::default());
+    let copy = fleet.store.copy();
+    fleet.store.order(&order());
+    for member in NEW_MEMBERS {
+        let behaviour = Behaviour { failure_rate: 1.0, ..Behaviour::default() };
+        fleet.members[member].replace_backend("v2", behaviour);
+    }
+    let is_taken_back = || phase(&fleet).as_deref() == Some("taken-back");
+    call_until(&fleet, TIMEOUT, is_taken_back);
+    assert!(is_taken_back(), "{:?}", phase(&fleet));
+    let runs = |fleet: &Fleet| NEW_MEMBERS.map(|member| fleet.members[member].runs().len());
+    let before = runs(&fleet);
+    come_back(&fleet, &copy);
+    fleet.store.order(&order());
+    call_until(&fleet, IN_FORCE_LIMIT, is_taken_back);
+    assert!(is_taken_back(), "the status stands there again");
+    call_until(&fleet, 2 * AWAY, || false);
+    assert_eq!(runs(&fleet), before, "the version got calls");
+}
