Keep a move's monitor and start when it becomes known under another id

Operators saw: nothing yet; found while a node that starts after a return of the store was traced, which knows a running order by a lower id than the others. All nodes then take the lower id, and the evaluators began the move anew: a new deadline, counts from zero. The same could happen before with a node that had read an earlier configuration than the others.

The state of a move was already joined over all ids that belong to it. Its monitor and its start are found the same way now.

move_that_gets_an_earlier_id_keeps_its_start: start 9,000 before, 1,000 after.

--- a/crates/policy/src/moves/active_move.rs
+++ b/crates/policy/src/moves/active_move.rs
@@ -1,6 +1,9 @@
 //! The current move of a service: the versions that lose and gain its traffic.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Range,
+};
 
 use crate::{
     ids::{BackendVersion, ConfigVersion, ServiceName},
@@ -67,13 +70,18 @@
     /// target to the one that requested the next, because nodes that skipped
     /// configurations may record the move under a later one.
     pub(super) fn state(&self, service: &ServiceName, target: &Target) -> MoveState {
-        let from = MoveKey { service: service.clone(), asked: target.asked };
+        let states = self.states.range(self.keys_of(service, target));
+        states.fold(MoveState::default(), |joined, (_, state)| joined.joined(state))
+    }
+
+    /// Returns the keys under which nodes may know the move to a target: from the id of the
+    /// target to that of the next one.
+    pub(super) fn keys_of(&self, service: &ServiceName, target: &Target) -> Range<MoveKey> {
         let next =
             self.targets.history(service).into_iter().find(|later| later.asked > target.asked);
         let end = next.map_or(ConfigVersion(u64::MAX), |next| next.asked);
-        let to = MoveKey { service: service.clone(), asked: end };
-        let states = self.states.range(from..to);
-        states.fold(MoveState::default(), |joined, (_, state)| joined.joined(state))
+        let key = |asked| MoveKey { service: service.clone(), asked };
+        key(target.asked)..key(end)
     }
 
     /// Returns the current move of a service, or none when no configuration named a
--- a/crates/policy/src/moves/tracker.rs
+++ b/crates/policy/src/moves/tracker.rs
@@ -233,11 +233,15 @@
         let Some(active) = self.active_move(service_table, &service) else { return false };
         self.discard_departed_evidence(table, &service);
         let key = MoveKey { service: service.clone(), asked: active.target.asked };
+        let keys = self.keys_of(&service, &active.target);
+        // The move keeps its monitor when it becomes known under an earlier id.
+        let monitored = std::mem::take(&mut self.monitors).into_iter();
+        let monitor = monitored.into_iter().find(|(known, _)| keys.contains(known));
         let input = MonitorInput {
             tick,
             wall,
             due: self.targets.due(&service),
-            since: self.since.get(&key).copied(),
+            since: self.since.range(keys.clone()).map(|(_, since)| *since).min(),
             unproven_share: Permille::from_share(table.configuration.limits.unproven_share),
             old: active.old.as_ref(),
             baseline: active.baseline,
@@ -250,13 +254,13 @@
             longest_request: longest_request(table, &service),
             evidence: &self.evidence,
         };
-        self.monitors.retain(|monitored, _| *monitored == key);
         let routes = table.configuration.routes.iter().filter(|r| r.routes_to(&service)).count();
-        let monitor = self
-            .monitors
-            .entry(key.clone())
-            .or_insert_with(|| MoveMonitor::new(routes, &input, &active.state));
+        let mut monitor = monitor.map_or_else(
+            || MoveMonitor::new(routes, &input, &active.state),
+            |(_, monitor)| monitor,
+        );
         let desired = monitor.evaluate(&input, &active.state);
+        self.monitors.insert(key.clone(), monitor);
         self.merge_state(key, &desired)
     }
 
--- a/crates/policy/tests/moves_orders.rs
+++ b/crates/policy/tests/moves_orders.rs
@@ -1,17 +1,22 @@
 //! Tests of orders to move a service, as they are read from a store that may come back from an
 //! older copy.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use savorykeel_policy::{
-    config::{model::DueTime, raw::RawConfiguration},
-    ids::{BackendVersion, ConfigVersion, ServiceName},
+    config::{
+        model::{Configuration, DueTime},
+        raw::RawConfiguration,
+    },
+    ids::{BackendVersion, ConfigVersion, InstanceName, ServiceName, ZoneName},
+    membership::entry::{BackendRecord, Liveness, NodeRecord, Stamp},
     moves::{
         orders::{MoveOrder, OrderOutcome, REPEAT_WINDOW, may_be_repeated},
         targets::{Target, Targets},
         tracker::{MoveTracker, TrackerRevision},
     },
-    time::Tick,
+    table::Table,
+    time::{Tick, WallMillis},
 };
 
 fn gate() -> ServiceName {
@@ -159,3 +164,49 @@
     assert!(may_be_repeated(recent, None, returned_at));
     assert!(may_be_repeated(recent, Some(Tick(1)), returned_at));
 }
+
+/// Guards against a running move that starts over when another node gives it an earlier id: its
+/// deadline was counted anew from then on.
+#[test]
+fn move_that_gets_an_earlier_id_keeps_its_start() {
+    let raw: RawConfiguration = serde_json::from_value(serde_json::json!({
+        "format": 1,
+        "services": {"gate": {"version": null}},
+        "routes": [{"name": "open", "match": {"path": "/"}, "service": "gate", "idempotent": true}],
+    }))
+    .unwrap();
+    let configuration: Arc<Configuration> = Arc::new(raw.try_into().unwrap());
+    let nodes = [node("a", "v1"), node("b", "v2")];
+    let members = nodes.iter().map(|node| (node, Liveness::Alive));
+    let table = Table::build(ConfigVersion(1), configuration, members);
+    let mut lived = MoveTracker::default();
+    let (instance, zone) = ("a".try_into().unwrap(), "patras".try_into().unwrap());
+    lived.set_local_backend(&instance, 1, &zone, &gate(), &order("v1", 0).version);
+    lived.apply_order(&order("v2", 8), false);
+    lived.evaluate(&table, Tick(1_000), WallMillis(1_000));
+    assert_eq!(lived.status(&table).unwrap().since, WallMillis(1_000));
+    let mut started = MoveTracker::default();
+    started.apply_order(&order("v2", 5), true);
+    lived.merge(started.delta_since(TrackerRevision(0)));
+    lived.evaluate(&table, Tick(9_000), WallMillis(9_000));
+    let status = lived.status(&table).unwrap();
+    assert_eq!((status.asked, status.since), (ConfigVersion(6), WallMillis(1_000)));
+}
+
+fn node(name: &str, version: &str) -> NodeRecord {
+    NodeRecord {
+        instance: InstanceName::try_from(name).unwrap(),
+        stamp: Stamp::default(),
+        zone: ZoneName::try_from("patras").unwrap(),
+        region: "achaia".try_into().unwrap(),
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        leaving: false,
+        backend: Some(BackendRecord {
+            service: gate(),
+            version: BackendVersion::try_from(version).unwrap(),
+            slots: 20,
+            draining: false,
+        }),
+        applied: ConfigVersion(0),
+    }
+}
