Store the status of a move again when the store came back without it

Operators saw: the status of a completed or reverted move missing, or running for ever, after the store came back from a copy. Cause: the node that had written a status remembered that it stands in the store, and so did those that had found it there. The class: what the project wrote is taken for stored for ever once it was acknowledged.

Nodes learn of a new era from the store's answers to any of their calls, and from other nodes: each message carries the newest era that its sender knows, and a node that learns of a newer one tells its spread targets. The evaluators of a service then read the stored statuses again, in their order, and the first one that finds its own missing stores it. A status is now compared by its move and phase, since a node that started after the return may have stored it under another id; none is written without reading first.

--- a/crates/bench/src/fleet/observer.rs
+++ b/crates/bench/src/fleet/observer.rs
@@ -144,6 +144,7 @@
         position: Position(0),
         members: 0,
         recovered: false,
+        store_era: None,
         current_ago: None,
     }
 }
--- a/crates/node/src/control/era.rs
+++ b/crates/node/src/control/era.rs
@@ -1,4 +1,8 @@
 //! Notices that the store came back from an older copy.
+//!
+//! Every message between nodes carries the newest era that its sender knows, so that nodes learn
+//! of it that don't use the store. What nodes wrote in the last seconds of the earlier era may
+//! be gone; [`super::presence`] and `crate::moves::statuses` write it again.
 
 use std::{rc::Rc, time::Duration};
 
@@ -9,6 +13,7 @@
 
 use super::{
     context::ControlContext,
+    event::Event,
     reader::to_millis,
     state::{ControlState, Counters},
 };
@@ -26,6 +31,19 @@
     }
 }
 
+/// Remembers for which era of the store a part of the node has checked its records there.
+#[derive(Debug, Default)]
+pub(crate) struct CheckedEra(Option<StoreEra>);
+
+impl CheckedEra {
+    /// Returns whether the store has come back from a copy since the last call.
+    pub(crate) fn has_returned(&mut self, state: &ControlState) -> bool {
+        let newest = state.with_store_era(|known| known.newest());
+        let previous = std::mem::replace(&mut self.0, newest);
+        previous.is_some() && previous != newest
+    }
+}
+
 impl ControlState {
     /// Records an era of the store; `source` is who stated it.
     pub(super) fn record_era(&self, era: StoreEra, source: &str) {
@@ -35,5 +53,6 @@
         warn!(self.logger, "the store came back from an older copy"; "era" => change.current.0,
             "previous_era" => change.previous.0, "source" => source,
             "held" => self.held_position().0);
+        self.emit(Event::StoreReturned);
     }
 }
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -14,6 +14,8 @@
     },
     /// The fold advanced; the neighbours have to be notified.
     FoldAdvanced,
+    /// The store came back from an older copy; the other nodes have to be told.
+    StoreReturned,
     /// Another node holds a newer configuration.
     NewerConfiguration {
         /// The other node, which holds the newer configuration.
--- a/crates/node/src/control/gossip.rs
+++ b/crates/node/src/control/gossip.rs
@@ -86,6 +86,7 @@
                 queue_changes(&cx, &pending, members, source)
             }
             Event::FoldAdvanced => announce_and_apply(&cx, &pending),
+            Event::StoreReturned => push_era(&cx),
             Event::NewerConfiguration { holder, position, in_own_zone } => {
                 let source = Source { holder, position };
                 match in_own_zone {
@@ -151,6 +152,13 @@
     }
 }
 
+/// Tells the spread targets of the store's era, which every message carries.
+fn push_era<L: 'static, P: PeerLinks + 'static>(cx: &Rc<ControlContext<L, P>>) {
+    for target in cx.state.spread_targets().all() {
+        send(cx, target, MessageBody::Updates { entries: Vec::new() });
+    }
+}
+
 /// Compares tables with relays of other availability zones to which this node has not
 /// forwarded changes before, unless the members change once more within
 /// [`NEW_RELAY_DELAY`] so that it no longer does.
--- a/crates/node/src/control/handle.rs
+++ b/crates/node/src/control/handle.rs
@@ -73,6 +73,9 @@
         let now = self.now();
         LastContact::record(&self.last_contact, &from.instance, now);
         self.with_floors(|floors| floors.record(&from.instance, from.position));
+        if let Some(era) = from.store_era {
+            self.record_era(era, from.instance.as_str());
+        }
         let contact = Contact { instance: from.instance.clone(), addr: from.addr };
         if from.position > self.held_position() {
             let in_own_zone = from.zone == self.identity.zone;
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -29,6 +29,8 @@
 pub(crate) mod topic;
 mod traffic;
 
+pub(crate) use era::CheckedEra;
+
 pub use context::{ControlContext, ControlMode, ControlTimes};
 pub(crate) use reader::{jittered, to_millis};
 pub use start::start;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -381,6 +381,7 @@
             position,
             members: self.members.lock().digest(),
             recovered: self.is_serving(),
+            store_era: self.store_era.lock().newest(),
             current_ago: self.current_ago(),
         }
     }
--- a/crates/policy/src/distribution/message.rs
+++ b/crates/policy/src/distribution/message.rs
@@ -10,7 +10,10 @@
     membership::merge::{Entry, Rank, Statement},
 };
 
-use super::update::{FoldUpdate, HeldState};
+use super::{
+    era::StoreEra,
+    update::{FoldUpdate, HeldState},
+};
 
 /// Largest size of a message or reply, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
@@ -35,6 +38,8 @@
     /// Whether the sender has completed its recovery, so that it has applied
     /// everything that it ever served.
     pub recovered: bool,
+    /// Newest era of the store that the sender knows, if the store states eras.
+    pub store_era: Option<StoreEra>,
     /// Time since the sender's position was last confirmed as the end of the log, if
     /// it ever was.
     pub current_ago: Option<Duration>,
--- a/crates/policy/src/moves/status.rs
+++ b/crates/policy/src/moves/status.rs
@@ -103,7 +103,7 @@
 ///
 /// It is coarser than [`Phase`]: the stored status changes only when a move is done
 /// or rolled back.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum MovePhase {
     /// The move has neither been done nor rolled back.
@@ -128,3 +128,16 @@
     /// Wall-clock time at which the first node of the service detected the move.
     pub since: WallMillis,
 }
+
+impl MoveStatus {
+    /// Returns whether a newer status has to replace this one in the store.
+    ///
+    /// Nodes may know the same move under several ids, of which `next` has the lowest; the
+    /// status of that move is replaced only by a later phase.
+    pub fn is_replaced_by(&self, next: &Self) -> bool {
+        if self.version == next.version && self.asked >= next.asked {
+            return self.phase < next.phase;
+        }
+        self.asked <= next.asked
+    }
+}
--- a/crates/policy/tests/membership_merge.rs
+++ b/crates/policy/tests/membership_merge.rs
@@ -320,6 +320,7 @@
         position: Position(position),
         members: 0,
         recovered,
+        store_era: None,
         current_ago: None,
     }
 }
