Store presence records again when the store came back without them

Operators saw: nothing at once; nodes that start later don't find those whose records are gone, and a zone whose records are all gone isn't found at all. Cause, as for statuses: each node stores its record once, at its start, and believes it stored from then on.

The nodes of a zone with the role of presence writers read the records when the era rises, and store those of the zone's nodes that are missing, the second and third only what the first hasn't. Two or three reads a zone and one append for each lost record, whatever the number of nodes; weighed: each node checks its own, which is one read of all records for each node at once.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -60,6 +60,7 @@
             reader::read_while_needed(&cx),
             gossip::handle_events(cx.clone()),
             presence::maintain_presence(cx.clone()),
+            presence::restore_presence(cx.clone()),
             presence::recover(cx.clone()),
             probe::probe_watched(cx.clone()),
             maintenance::expire_members(cx.clone()),
--- a/crates/node/src/control/presence.rs
+++ b/crates/node/src/control/presence.rs
@@ -23,6 +23,7 @@
 use super::{
     contact::{ContactLimits, contact_enough},
     context::ControlContext,
+    era::CheckedEra,
     maintenance::pick_random,
     reader::{jittered, to_millis},
     roles,
@@ -59,6 +60,15 @@
 /// Time between two checks of whether this node has that role.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Time between two checks of whether the store has come back from an older copy.
+const RETURN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Wait before presence records are stored again, for each node of the zone with a lower rank.
+const RESTORE_DELAY: Duration = Duration::from_millis(500);
+
+/// Wait after a failed attempt to store presence records again, before jitter.
+const RESTORE_RETRY_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Time between two rounds of probes by a node that has not recovered yet.
 const RECOVERY_PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -76,6 +86,47 @@
     }
 }
 
+/// Stores the presence records of the availability zone again that the store lacks since it came
+/// back from an older copy.
+///
+/// The nodes with the role of writers do so for the whole zone, each after a wait that grows with
+/// its rank, so that usually one of them writes each record once.
+pub(super) async fn restore_presence<L: LogService, P>(cx: Rc<ControlContext<L, P>>) {
+    let mut checked_era = CheckedEra::default();
+    loop {
+        sleep(to_millis(RETURN_CHECK_INTERVAL)).await;
+        if !checked_era.has_returned(&cx.state) {
+            continue;
+        }
+        let rank = cx.state.with_members(|members| roles::rank_of(members, &cx.state.identity));
+        let Some(rank) = rank.filter(|rank| *rank < PRESENCE_WRITERS_PER_ZONE) else { continue };
+        sleep(to_millis(RESTORE_DELAY * rank as u32)).await;
+        while let Err(e) = store_missing(&cx).await {
+            warn!(cx.state.logger, "failed to store presence records again"; "problem" => %e);
+            sleep(to_millis(jittered(RESTORE_RETRY_INTERVAL))).await;
+        }
+    }
+}
+
+/// Stores the records of the nodes of this availability zone that the presence stream lacks.
+async fn store_missing<L: LogService, P>(cx: &ControlContext<L, P>) -> Result<(), LogError> {
+    let records = read_presence(cx).await?;
+    let is_stored = |node: &NodeRecord| {
+        let mut stored = records.iter().map(|record| &record.node);
+        stored.any(|s| s.instance == node.instance && s.peer_addr == node.peer_addr)
+    };
+    let own_zone = &cx.state.identity.zone;
+    let missing: Vec<NodeRecord> = cx.state.with_members(|members| {
+        members.alive_in(own_zone).filter(|node| !is_stored(node)).cloned().collect()
+    });
+    for node in missing {
+        let instance = node.instance.clone();
+        store_record(cx, node).await?;
+        info!(cx.state.logger, "presence record stored again"; "of" => instance.as_str());
+    }
+    Ok(())
+}
+
 /// Waits until this node has to read the presence stream again.
 ///
 /// Nodes without the role never read it again while their table has other active
@@ -209,22 +260,32 @@
     if node.leaving {
         return Ok(());
     }
-    let record = PresenceRecord::new(node, (cx.state.clock.wall)());
-    Counters::add(&cx.state.counters.log_appends, 1);
-    let key = cx.state.identity.instance.as_str();
-    match cx.log.store(PRESENCE_STREAM, key, record.to_bytes()).await {
+    match store_record(cx, node).await {
         Ok(()) => {
             info!(cx.state.logger, "presence record appended");
             Ok(())
         }
         Err(e) => {
-            Counters::add(&cx.state.counters.log_failures, 1);
             warn!(cx.state.logger, "failed to append the presence record"; "problem" => %e);
             Err(e)
         }
     }
 }
 
+async fn store_record<L: LogService, P>(
+    cx: &ControlContext<L, P>,
+    node: NodeRecord,
+) -> Result<(), LogError> {
+    let instance = node.instance.clone();
+    let record = PresenceRecord::new(node, (cx.state.clock.wall)());
+    Counters::add(&cx.state.counters.log_appends, 1);
+    let result = cx.log.store(PRESENCE_STREAM, instance.as_str(), record.to_bytes()).await;
+    if result.is_err() {
+        Counters::add(&cx.state.counters.log_failures, 1);
+    }
+    result
+}
+
 /// Probes other nodes until this one has recovered, that is, until it has learned
 /// the position that it may have served before.
 ///
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -13,7 +13,7 @@
 
 /// Returns whether the node reads the log for its availability zone.
 pub(super) fn reads_log(members: &Members, identity: &Identity) -> bool {
-    own_rank(members, identity).is_some_and(|rank| rank < READERS_PER_ZONE)
+    rank_of(members, identity).is_some_and(|rank| rank < READERS_PER_ZONE)
 }
 
 /// Returns whether another node reads the log for availability zone `zone`.
@@ -24,16 +24,17 @@
 /// Returns whether the node appends presence records for its availability zone to
 /// the log.
 pub(super) fn writes_presence(members: &Members, identity: &Identity) -> bool {
-    own_rank(members, identity).is_some_and(|rank| rank < PRESENCE_WRITERS_PER_ZONE)
+    rank_of(members, identity).is_some_and(|rank| rank < PRESENCE_WRITERS_PER_ZONE)
 }
 
 /// Returns whether the node writes checkpoints; one node in each availability zone
 /// does.
 pub(super) fn writes_checkpoints(members: &Members, identity: &Identity) -> bool {
-    own_rank(members, identity) == Some(0)
+    rank_of(members, identity) == Some(0)
 }
 
-fn own_rank(members: &Members, identity: &Identity) -> Option<usize> {
+/// Returns the rank of the node in its availability zone, from zero.
+pub(super) fn rank_of(members: &Members, identity: &Identity) -> Option<usize> {
     rank(members, &identity.zone, &identity.instance)
 }
 
