Recover after a return of the store by what other nodes know, too

Callers saw: a node that starts after the store came back from a copy sends calls to a version whose move had not begun, or to the old one of a completed move. Two causes of one class, the store's copy taken for everything:

- The end of the store counted as proof that a node holds all that it ever applied.
It isn't after a return, so the neighbours, which recorded what the node had applied, are asked once in any case.
- Orders and ends of moves were taken from the store alone.
Since they don't come with the configuration, so a node could also serve before it knew any, and used any version of a service.

The check of restarted_node_serves_only_at_its_floor that the log's end suffices is replaced: it doesn't until the neighbours were asked.

--- a/crates/node/src/control/desired.rs
+++ b/crates/node/src/control/desired.rs
@@ -54,6 +54,7 @@
             apply_configuration(cx, *desired);
         }
         self.apply_orders(cx, read.orders);
+        state.with_recovery(|recovery| recovery.confirm_orders());
         state.confirm_log_end(state.held_position(), requested_at);
         state.rebuild();
         ReadOutcome::AtEnd
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -55,6 +55,9 @@
     P: PeerLinks + 'static,
 {
     let cx = Rc::new(cx);
+    if cx.log.is_stored_by_platform() {
+        cx.state.with_recovery(|recovery| recovery.await_moves());
+    }
     let loops = async {
         tokio::join!(
             reader::read_while_needed(&cx),
--- a/crates/node/src/control/presence.rs
+++ b/crates/node/src/control/presence.rs
@@ -69,6 +69,9 @@
 /// Wait after a failed attempt to store presence records again, before jitter.
 const RESTORE_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time between two checks of whether a node that has not recovered yet has joined.
+const JOIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time between two rounds of probes by a node that has not recovered yet.
 const RECOVERY_PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -286,6 +289,14 @@
     result
 }
 
+/// Waits until the next round of probes is due, which is at once when the node has just joined.
+async fn pause_between_rounds<L, P>(cx: &ControlContext<L, P>, has_joined: bool) {
+    let until = cx.state.now() + jittered(RECOVERY_PROBE_INTERVAL);
+    while cx.state.now() < until && cx.state.has_joined() == has_joined {
+        sleep(to_millis(JOIN_CHECK_INTERVAL)).await;
+    }
+}
+
 /// Probes other nodes until this one has recovered, that is, until it has learned
 /// the position that it may have served before.
 ///
@@ -299,6 +310,7 @@
             info!(cx.state.logger, "recovering"; "answered" => progress.answered,
                 "zones" => progress.zones, "floor" => progress.floor.0);
         }
+        let has_joined = cx.state.has_joined();
         let mut contacts = cx.neighbours().all();
         let own_zone = &cx.state.identity.zone;
         let other_zone_contact = cx.state.with_members(|members| {
@@ -306,8 +318,14 @@
         });
         contacts.extend(other_zone_contact);
         join_all(contacts.iter().map(|contact| cx.probe_once(contact))).await;
+        if has_joined {
+            cx.state.with_recovery(|recovery| recovery.record_round());
+        }
+        if cx.state.uptime() > cx.times.isolation_timeout {
+            cx.state.with_recovery(|recovery| recovery.give_up_moves());
+        }
         cx.state.rebuild();
-        sleep(to_millis(jittered(RECOVERY_PROBE_INTERVAL))).await;
+        pause_between_rounds(&cx, has_joined).await;
     }
     info!(cx.state.logger, "recovered"; "position" => cx.state.held_position().0);
 }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -359,7 +359,7 @@
         f(&mut self.members.lock())
     }
 
-    pub(super) fn with_recovery<T>(&self, f: impl FnOnce(&mut Recovery) -> T) -> T {
+    pub(crate) fn with_recovery<T>(&self, f: impl FnOnce(&mut Recovery) -> T) -> T {
         f(&mut self.recovery.lock())
     }
 
@@ -451,6 +451,14 @@
         self.table.store(Some(Arc::new(table)));
     }
 
+    /// Records what a starting node has learned of moves, and serves if it waited for that.
+    pub(crate) fn record_moves(&self, record: impl FnOnce(&mut Recovery)) {
+        if !self.is_serving() {
+            self.with_recovery(record);
+            self.rebuild();
+        }
+    }
+
     fn may_serve(&self, position: Position) -> bool {
         if self.is_serving() {
             return true;
--- a/crates/node/src/moves/dissemination.rs
+++ b/crates/node/src/moves/dissemination.rs
@@ -58,8 +58,8 @@
 const REPORT_BYTES_PER_SECOND: usize = 6_000;
 
 /// Time between two attempts to pull all targets and states from one node, until one
-/// succeeds; before jitter.
-const FIRST_PULL_PERIOD: Duration = Duration::from_millis(300);
+/// succeeds and the node has recovered; before jitter.
+const FIRST_PULL_PERIOD: Duration = Duration::from_millis(150);
 
 /// Time between two pulls afterwards, before jitter. They repair what pushes may have
 /// missed.
@@ -224,21 +224,34 @@
     if now < *dissemination.next_pull.borrow() {
         return;
     }
-    let period =
-        if dissemination.last_pull.borrow().is_some() { PULL_PERIOD } else { FIRST_PULL_PERIOD };
+    let has_pulled = dissemination.last_pull.borrow().is_some();
+    let period = if has_pulled && cx.state.is_serving() { PULL_PERIOD } else { FIRST_PULL_PERIOD };
     *dissemination.next_pull.borrow_mut() = now + crate::control::jittered(period);
-    let Some(from) = random_member(cx) else { return };
+    let Some(from) = random_recovered(cx).or_else(|| random_member(cx)) else { return };
     let (cx, dissemination) = (cx.clone(), dissemination.clone());
     ntex::rt::spawn(async move {
         let Some(reply) = send(&cx, from.addr, &MoveMessage::PullAll).await else { return };
         if let Some(gossip) = decode(&reply) {
             cx.state.moves.merge(gossip);
+            cx.state.record_moves(|recovery| recovery.record_moves(&from.instance));
             *dissemination.last_pull.borrow_mut() = Some(cx.state.now());
         }
     })
     .detach();
 }
 
+/// Returns a random node that has answered as a recovered one, while this node recovers.
+fn random_recovered<L, P>(cx: &ControlContext<L, P>) -> Option<Contact> {
+    if cx.state.is_serving() {
+        return None;
+    }
+    let answered = cx.state.with_recovery(|recovery| recovery.answered().clone());
+    cx.state.with_members(|members| {
+        let known = members.active().filter(|record| answered.contains(&record.instance));
+        known.choose(&mut rand::rng()).map(Contact::of)
+    })
+}
+
 /// Returns a random other node, of the own availability zone if it has one.
 fn random_member<L, P>(cx: &ControlContext<L, P>) -> Option<Contact> {
     let own = &cx.state.identity;
--- a/crates/node/src/moves/statuses.rs
+++ b/crates/node/src/moves/statuses.rs
@@ -10,7 +10,7 @@
 use std::{rc::Rc, time::Duration};
 
 use ntex::time::sleep;
-use savorykeel_policy::moves::status::MoveStatus;
+use savorykeel_policy::{distribution::floor::Recovery, moves::status::MoveStatus};
 use savorykeel_ports::{desired::DesiredState, log::LogError};
 use slog::{info, warn};
 
@@ -51,6 +51,7 @@
 async fn read<L: DesiredState, P>(cx: &ControlContext<L, P>) -> Result<(), LogError> {
     let statuses = cx.log.statuses().await?;
     cx.state.moves.merge_statuses(&statuses);
+    cx.state.record_moves(Recovery::confirm_ends);
     Ok(())
 }
 
--- a/crates/policy/src/distribution/floor.rs
+++ b/crates/policy/src/distribution/floor.rs
@@ -63,6 +63,21 @@
     zones: BTreeSet<ZoneName>,
     is_log_end_confirmed: bool,
     has_members_confirmed: bool,
+    has_asked_neighbours: bool,
+    moves: MoveKnowledge,
+}
+
+/// What a starting node has learned of moves, where orders to move are stored apart from the
+/// configuration.
+#[derive(Debug, Clone, Copy, Default)]
+struct MoveKnowledge {
+    is_required: bool,
+    /// Whether a recovered node has sent all that it knows.
+    is_received: bool,
+    are_orders_read: bool,
+    are_ends_read: bool,
+    /// Whether the node has waited long enough for recovered nodes.
+    is_isolated: bool,
 }
 
 /// Progress of a recovery.
@@ -150,6 +165,54 @@
         self.is_log_end_confirmed = true;
     }
 
+    /// Records that each neighbour has answered or failed to answer since the node found others.
+    pub fn record_round(&mut self) {
+        self.has_asked_neighbours = true;
+    }
+
+    /// Makes the recovery wait until the node knows the orders to move and the moves that have
+    /// ended. Without them, it would send calls to any version of a service.
+    pub fn await_moves(&mut self) {
+        self.moves.is_required = true;
+    }
+
+    /// Records that the node has read the orders from the store.
+    pub fn confirm_orders(&mut self) {
+        self.moves.are_orders_read = true;
+    }
+
+    /// Records that the node has read the ends of moves from the store.
+    pub fn confirm_ends(&mut self) {
+        self.moves.are_ends_read = true;
+    }
+
+    /// Records that the node has received all that another node knows of moves; it counts if
+    /// that node has recovered.
+    pub fn record_moves(&mut self, from: &InstanceName) {
+        self.moves.is_received |= self.answered.contains(from);
+    }
+
+    /// Records that the node has waited long enough for what recovered nodes know of moves.
+    pub fn give_up_moves(&mut self) {
+        self.moves.is_isolated = true;
+    }
+
+    /// Returns the recovered nodes that have answered.
+    pub fn answered(&self) -> &BTreeSet<InstanceName> {
+        &self.answered
+    }
+
+    /// Returns whether the node knows what it needs of moves.
+    ///
+    /// What the store holds suffices only while no recovered node is known, because a store that
+    /// came back from an older copy may lack orders and ends.
+    fn knows_moves(&self) -> bool {
+        let MoveKnowledge { is_required, is_received, are_orders_read, are_ends_read, is_isolated } =
+            self.moves;
+        let may_use_store = is_isolated || self.answered.is_empty();
+        !is_required || is_received || (may_use_store && are_orders_read && are_ends_read)
+    }
+
     /// Returns the lowest position at which the node may serve.
     pub fn floor(&self) -> Position {
         self.floor
@@ -169,12 +232,13 @@
 
     /// Returns whether a node that has applied `position` may serve.
     ///
-    /// The end of the log covers everything that was ever applied. Without the log,
-    /// answers from several nodes in several availability zones are needed; a node
-    /// whose membership table isn't confirmed can't decide whether the answers suffice
-    /// and doesn't serve.
+    /// The end of the log covers everything that was ever applied, unless the log has come
+    /// back from an older copy; so the neighbours, which recorded what the node had applied, are
+    /// asked too. Without the log, answers from several nodes in several availability zones are
+    /// needed; a node whose membership table isn't confirmed can't decide whether the answers
+    /// suffice and doesn't serve.
     pub fn is_complete(&self, position: Position, peers: &RecoveryPeers) -> bool {
-        if position < self.floor {
+        if position < self.floor || !self.knows_moves() {
             return false;
         }
         let has_answers = self.has_members_confirmed
@@ -182,6 +246,6 @@
             && self.answered.len() >= MIN_ANSWERS.min(peers.nodes)
             && self.zones.len() >= MIN_ANSWER_ZONES.min(peers.zones)
             && peers.witnesses.suffice_to_recover(|name| self.answered.contains(name));
-        self.is_log_end_confirmed || has_answers
+        (self.is_log_end_confirmed && self.has_asked_neighbours) || has_answers
     }
 }
--- a/crates/policy/tests/membership_merge.rs
+++ b/crates/policy/tests/membership_merge.rs
@@ -359,6 +359,8 @@
     }
     assert!(!starting.is_complete(Position(0), &answerers));
     starting.confirm_log_end(Position(4));
+    assert!(!starting.is_complete(Position(4), &answerers), "the log may be an older copy");
+    starting.record_round();
     assert!(!starting.is_complete(Position(3), &answerers));
     assert!(starting.is_complete(Position(4), &answerers));
 }
@@ -446,3 +448,40 @@
     assert!(!recovery.is_complete(Position(7), &answerers));
     assert!(recovery.is_complete(Position(8), &answerers));
 }
+
+/// Guards against a node that starts after the store came back from an older copy, takes what
+/// the copy holds for everything, and sends calls to a version that was taken back.
+#[test]
+fn starting_node_learns_of_moves_from_recovered_nodes_if_there_are_any() {
+    let peers = RecoveryPeers { nodes: 1, zones: 1, witnesses: Witnesses::default() };
+    let name = record(1, 1, 0).instance;
+    let started = || {
+        let mut recovery = Recovery::default();
+        recovery.await_moves();
+        recovery.confirm_log_end(Position(4));
+        recovery.record_round();
+        recovery
+    };
+    let mut alone = started();
+    assert!(!alone.is_complete(Position(4), &peers));
+    alone.confirm_orders();
+    assert!(!alone.is_complete(Position(4), &peers));
+    alone.confirm_ends();
+    assert!(alone.is_complete(Position(4), &peers), "no recovered node is known");
+
+    let mut with_peer = started();
+    with_peer.confirm_orders();
+    with_peer.confirm_ends();
+    with_peer.record_answer(&sender(1, 4, true), Position(0));
+    assert!(!with_peer.is_complete(Position(4), &peers), "the other node may know more");
+    let mut given_up = with_peer.clone();
+    given_up.give_up_moves();
+    assert!(given_up.is_complete(Position(4), &peers));
+    with_peer.record_moves(&name);
+    assert!(with_peer.is_complete(Position(4), &peers));
+
+    let mut from_starting = started();
+    from_starting.record_answer(&sender(1, 4, false), Position(0));
+    from_starting.record_moves(&name);
+    assert!(!from_starting.is_complete(Position(4), &peers), "the other node just started too");
+}
--- a/tests/feature/store_return.rs
+++ b/tests/feature/store_return.rs
@@ -50,6 +50,12 @@
     fleet.store.come_back_from(copy);
 }
 
+fn restart_node(fleet: &mut Fleet, member: usize) {
+    fleet.members[member].node_mut().kill();
+    fleet.members[member].node = None;
+    fleet.restart(member);
+}
+
 #[track_caller]
 fn assert_routed_in_time(fleet: &Fleet, path: &str) {
     let started = Instant::now();
@@ -108,9 +114,7 @@
     come_back(&fleet, &copy);
     // The operator hasn't written its records again yet.
     for member in [0, 1] {
-        fleet.members[member].node_mut().kill();
-        fleet.members[member].node = None;
-        fleet.restart(member);
+        restart_node(&mut fleet, member);
     }
     let started = Instant::now();
     while started.elapsed() < IN_FORCE_LIMIT {
@@ -134,9 +138,7 @@
     eventually("the lost version is in force", || fleet.is_routed("/lost/"));
     come_back(&fleet, &copy);
     fleet.store.publish(&configuration(20).route("/newer/", "gate"));
-    fleet.members[0].node_mut().kill();
-    fleet.members[0].node = None;
-    fleet.restart(0);
+    restart_node(&mut fleet, 0);
     assert_routed_in_time(&fleet, "/newer/");
 }
 
@@ -284,4 +286,22 @@
     assert!(is_taken_back(), "the status stands there again");
     call_until(&fleet, 2 * AWAY, || false);
     assert_eq!(runs(&fleet), before, "the version got calls");
+    for member in [0, 1] {
+        restart_node(&mut fleet, member);
+        call_until(&fleet, 2 * AWAY, || false);
+    }
+    assert_eq!(runs(&fleet), before, "the version got calls from a node that started");
+}
+
+#[test]
+fn node_that_starts_after_the_return_knows_an_ended_move() {
+    let mut fleet = start(Options::default());
+    let [copy, _] = complete_move(&mut fleet);
+    come_back(&fleet, &copy);
+    fleet.store.publish(&configuration(1));
+    fleet.store.order(&order());
+    for member in [0, 1, 4] {
+        restart_node(&mut fleet, member);
+        assert_still_done(&fleet);
+    }
 }
