Give the log its lost records back when it came back from a copy

Callers saw: with the project's own log service, publishes that were appended after such a return are never in force, without an error in any log. Cause: a node reads on at its position, which lies beyond the new end, and takes the empty page for the end of the log. Ends of moves and the founder record of a ledger group, taken for stored, stay lost.

The readers keep the newest records that they have folded and append the lost ones again, each at the offset that it had and only there, so that offsets mean what they meant for all nodes. A publish through a node goes to the position that the node holds. Ends of moves are read anew, the founder record and presence are checked at once.

The stand-in log has copies, eras and appends at an offset.

--- a/crates/adapters/src/log.rs
+++ b/crates/adapters/src/log.rs
@@ -1,18 +1,20 @@
 //! The log service port over HTTP.
 //!
-//! The protocol of the log service is described in
-//! `docs/LOG-SERVICE.md`.
+//! `docs/design/0010-stand-ins.md` describes the protocol of the log service.
 
-use std::time::Duration;
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use ntex::{
     client::{Client, ClientResponse, Connector},
     time::Millis,
 };
-use savorykeel_policy::moves::status::MoveStatus;
+use savorykeel_policy::{
+    distribution::era::{AnswerEra, ClientEras, EraCount, StoreEra},
+    moves::status::MoveStatus,
+};
 use savorykeel_ports::{
     desired::{DesiredRead, DesiredState},
-    log::{LogError, LogPage, LogRecord, LogService, Offset},
+    log::{BEYOND_END, LogError, LogPage, LogRecord, LogService, Offset},
 };
 use serde::Deserialize;
 use serde_with::{base64::Base64, serde_as};
@@ -26,6 +28,9 @@
 /// Error of the operations that the log service doesn't support: configuration and statuses.
 const UNSUPPORTED: &str = "the log service keeps no documents";
 
+/// Header of the answers with the era of the log service.
+const ERA_HEADER: &str = "log-era";
+
 /// Maximum number of records in one answer.
 const MAX_READ_RECORDS: usize = 256;
 
@@ -34,6 +39,7 @@
 pub struct HttpLog {
     base: std::sync::Arc<str>,
     client: Client,
+    eras: Rc<Cell<ClientEras>>,
 }
 
 /// Response to an append.
@@ -59,6 +65,12 @@
     body: Vec<u8>,
 }
 
+/// Response to an append at another offset than the end.
+#[derive(Deserialize)]
+struct EndsResponse {
+    next: Offset,
+}
+
 /// Response to a read of records that have expired.
 #[derive(Deserialize)]
 struct ExpiredResponse {
@@ -77,26 +89,52 @@
             .build(ntex::SharedCfg::default())
             .await
             .map_err(unavailable)?;
-        Ok(Self { base, client })
+        Ok(Self { base, client, eras: Rc::default() })
     }
 
     fn records_url(&self, stream: &str) -> String {
         format!("{}/v1/streams/{stream}/records", self.base)
     }
 
-    async fn send_append(&self, stream: &str, body: Vec<u8>) -> Result<Offset, LogError> {
-        let req = self.client.post(self.records_url(stream)).timeout(to_millis(ANSWER_TIMEOUT));
+    /// Records the era that a response states, and returns the number of changes of era. A
+    /// response to a call that began in an earlier era is an error.
+    fn check_era(&self, response: &ClientResponse, begun: EraCount) -> Result<EraCount, LogError> {
+        let header = response.headers().get(ERA_HEADER).and_then(|value| value.to_str().ok());
+        let stated = header.and_then(|text| text.parse().ok()).map(StoreEra);
+        let mut eras = self.eras.get();
+        let era = eras.classify(begun, stated);
+        self.eras.set(eras);
+        match era {
+            AnswerEra::Late => {
+                Err(LogError::Unavailable("the answer is from an earlier era".into()))
+            }
+            AnswerEra::Current | AnswerEra::New => Ok(eras.count()),
+        }
+    }
+
+    async fn send_append(&self, url: String, body: Vec<u8>) -> Result<Offset, LogError> {
+        let begun = self.eras.get().count();
+        let req = self.client.post(url).timeout(to_millis(ANSWER_TIMEOUT));
         let response = req.send_body(body).await.map_err(unavailable)?;
+        self.check_era(&response, begun)?;
         match response.status().as_u16() {
             200 | 201 => Ok(parse_json::<AppendResponse>(&read_body(response).await?)?.offset),
+            412 => {
+                let ends: EndsResponse = parse_json(&read_body(response).await?)?;
+                Err(LogError::EndsElsewhere { next: ends.next })
+            }
             429 => Err(LogError::TooManyAppends),
             status => Err(LogError::Unavailable(format!("status {status}"))),
         }
     }
 
     async fn send_read(&self, url: String, timeout: Duration) -> Result<LogPage, LogError> {
+        let begun = self.eras.get().count();
         let req = self.client.get(url).timeout(to_millis(timeout));
         let response = req.send().await.map_err(unavailable)?;
+        if self.check_era(&response, begun)? != begun {
+            return Err(LogError::Restored);
+        }
         match response.status().as_u16() {
             200 => parse_json::<ReadResponse>(&read_body(response).await?)?.try_into(),
             410 => {
@@ -110,10 +148,15 @@
 
 impl LogService for HttpLog {
     async fn append(&self, stream: &str, body: Vec<u8>) -> Result<Offset, LogError> {
-        let exchange = self.send_append(stream, body);
+        let exchange = self.send_append(self.records_url(stream), body);
         with_timeout(ANSWER_TIMEOUT, exchange).await
     }
 
+    async fn append_at(&self, stream: &str, at: Offset, body: Vec<u8>) -> Result<(), LogError> {
+        let exchange = self.send_append(format!("{}?at={}", self.records_url(stream), at.0), body);
+        with_timeout(ANSWER_TIMEOUT, exchange).await.map(|_| ())
+    }
+
     async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<LogPage, LogError> {
         let url = format!(
             "{}?from={}&wait_ms={}&limit={MAX_READ_RECORDS}",
@@ -122,7 +165,16 @@
             wait.as_millis()
         );
         let timeout = wait + ANSWER_TIMEOUT;
-        with_timeout(timeout, self.send_read(url, timeout)).await
+        let page = with_timeout(timeout, self.send_read(url, timeout)).await?;
+        // A stream that ends before the offset has lost records.
+        if page.next < from && from != BEYOND_END {
+            return Err(LogError::Restored);
+        }
+        Ok(page)
+    }
+
+    fn era(&self) -> Option<StoreEra> {
+        self.eras.get().current()
     }
 }
 
--- a/crates/node/src/admin/publish.rs
+++ b/crates/node/src/admin/publish.rs
@@ -29,6 +29,10 @@
 /// Longest time to receive the body of a publish.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest time for which a publish waits until a log that came back from an older copy has the
+/// records again that nodes hold.
+const RESTORE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Time between two checks of whether the outcome is known.
 const OUTCOME_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -106,7 +110,22 @@
         return Err(LogError::Unavailable(problem.into()));
     };
     let log = HttpLog::new(base.clone()).await?;
-    log.append(CONFIGURATION_STREAM, body).await
+    let deadline = Instant::now() + RESTORE_TIMEOUT;
+    loop {
+        let held = Offset(state.control.held_position().0);
+        match log.append_at(CONFIGURATION_STREAM, held, body.clone()).await {
+            Ok(()) => return Ok(held),
+            // This node lags. The fold rejects a publish that overtakes another one.
+            Err(LogError::EndsElsewhere { next }) if next > held => {
+                return log.append(CONFIGURATION_STREAM, body).await;
+            }
+            // The log has lost records that nodes are about to write again at their offsets.
+            Err(LogError::EndsElsewhere { .. }) if Instant::now() < deadline => {
+                tokio::time::sleep(OUTCOME_POLL_PERIOD).await;
+            }
+            Err(e) => return Err(e),
+        }
+    }
 }
 
 fn known_outcome(state: &NodeState, id: &PublishId) -> Option<PublishOutcome> {
--- a/crates/node/src/calls/ledger_loop.rs
+++ b/crates/node/src/calls/ledger_loop.rs
@@ -22,7 +22,7 @@
 use slog::{info, warn};
 use tokio_util::sync::CancellationToken;
 
-use crate::{settings::StoreChoice, state::NodeState, worker::Worker};
+use crate::{control::CheckedEra, settings::StoreChoice, state::NodeState, worker::Worker};
 
 use super::{group, ledger_client, state::to_millis};
 
@@ -55,11 +55,18 @@
     let work = async {
         let log = open_log(&worker.state, base).await;
         let mut recorded_at = worker.state.now();
+        let mut checked_era = CheckedEra::default();
         loop {
             ntex::time::sleep(to_millis(POLL_INTERVAL)).await;
             join_group(&worker.state, &log).await;
             sync_with_group(&worker).await;
-            recorded_at = renew_group_record(&worker.state, &log, recorded_at).await;
+            // A log that came back from an older copy may lack the record.
+            let is_due = checked_era.has_returned(&worker.state.control)
+                || is_record_due(&worker.state, recorded_at);
+            if is_due {
+                recorded_at = worker.state.now();
+                renew_group_record(&worker.state, &log).await;
+            }
             expire(&worker.state);
         }
     };
@@ -201,22 +208,21 @@
 /// Appends a record of the group before the last one may have expired from the log.
 ///
 /// Only the first member of the group appends it. Without a record in the log, a new
-/// member would take itself for the founder. Returns the time of the last check that
-/// was due.
-async fn renew_group_record(state: &NodeState, log: &HttpLog, recorded_at: Tick) -> Tick {
-    let now = state.now();
-    if now.since(recorded_at) < state.settings.limits.key_retention / RECORDS_PER_RETENTION {
-        return recorded_at;
-    }
+/// member would take itself for the founder.
+async fn renew_group_record(state: &NodeState, log: &HttpLog) {
     let (Some(service), Some(own)) = (state.calls.ledger.service(), own_member(state)) else {
-        return now;
+        return;
     };
     let view = group::view(state, &service);
     let is_first = view.members().first().is_some_and(|first| first.identity == own.identity);
     if is_first && let Err(e) = append_group_record(log, &service, &own.identity).await {
         warn!(state.log, "can't append the group's record to the log"; "problem" => %e);
     }
-    now
+}
+
+fn is_record_due(state: &NodeState, recorded_at: Tick) -> bool {
+    let period = state.settings.limits.key_retention / RECORDS_PER_RETENTION;
+    state.now().since(recorded_at) >= period
 }
 
 fn expire(state: &NodeState) {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -22,6 +22,7 @@
 mod probe;
 mod pull;
 mod reader;
+mod restore;
 mod roles;
 pub mod snapshot;
 mod start;
--- a/crates/node/src/control/presence.rs
+++ b/crates/node/src/control/presence.rs
@@ -94,7 +94,7 @@
 ///
 /// The nodes with the role of writers do so for the whole zone, each after a wait that grows with
 /// its rank, so that usually one of them writes each record once.
-pub(super) async fn restore_presence<L: LogService, P>(cx: Rc<ControlContext<L, P>>) {
+pub(super) async fn restore_presence<L: LogService, P: PeerLinks>(cx: Rc<ControlContext<L, P>>) {
     let mut checked_era = CheckedEra::default();
     loop {
         sleep(to_millis(RETURN_CHECK_INTERVAL)).await;
@@ -104,13 +104,23 @@
         let rank = cx.state.with_members(|members| roles::rank_of(members, &cx.state.identity));
         let Some(rank) = rank.filter(|rank| *rank < PRESENCE_WRITERS_PER_ZONE) else { continue };
         sleep(to_millis(RESTORE_DELAY * rank as u32)).await;
-        while let Err(e) = store_missing(&cx).await {
+        while let Err(e) = restore_once(&cx).await {
             warn!(cx.state.logger, "failed to store presence records again"; "problem" => %e);
             sleep(to_millis(jittered(RESTORE_RETRY_INTERVAL))).await;
         }
     }
 }
 
+async fn restore_once<L: LogService, P: PeerLinks>(
+    cx: &ControlContext<L, P>,
+) -> Result<(), LogError> {
+    match cx.log.retains_newest() {
+        true => store_missing(cx).await,
+        // Few nodes of a zone have a record there, each its own.
+        false => check_and_append(cx).await.map(|_| ()),
+    }
+}
+
 /// Stores the records of the nodes of this availability zone that the presence stream lacks.
 async fn store_missing<L: LogService, P>(cx: &ControlContext<L, P>) -> Result<(), LogError> {
     let records = read_presence(cx).await?;
--- a/crates/node/src/control/reader.rs
+++ b/crates/node/src/control/reader.rs
@@ -10,7 +10,8 @@
 };
 use savorykeel_ports::desired::DesiredState;
 use savorykeel_ports::log::{
-    CHECKPOINT_STREAM, CONFIGURATION_STREAM, LogError, LogPage, LogRecord, LogService, Offset,
+    BEYOND_END, CHECKPOINT_STREAM, CONFIGURATION_STREAM, LogError, LogPage, LogRecord, LogService,
+    Offset,
 };
 use savorykeel_ports::peer::PeerLinks;
 use slog::{Logger, crit, error, info, warn};
@@ -19,12 +20,10 @@
     context::{ControlContext, ControlMode},
     desired::DesiredReader,
     event::Event,
+    restore::FoldedRecords,
     state::{ControlState, Counters},
 };
 
-/// Offset beyond every record; a read from it returns the end of the stream.
-const BEYOND_END: Offset = Offset(u64::MAX >> 1);
-
 /// Outcome of a read of the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ReadOutcome {
@@ -50,6 +49,7 @@
     let mut failures = 0;
     let mut reason = None;
     let mut desired = DesiredReader::default();
+    let mut folded = FoldedRecords::default();
     loop {
         let previous = std::mem::replace(&mut reason, reason_to_read(cx));
         log_reason(&cx.state.logger, previous, reason);
@@ -59,7 +59,7 @@
         }
         let outcome = match cx.log.is_stored_by_platform() {
             true => desired.read_once(cx, cx.times.log_wait).await,
-            false => read_once(cx, cx.times.log_wait).await,
+            false => read_once(cx, &mut folded, cx.times.log_wait).await,
         };
         match outcome {
             ReadOutcome::Failed | ReadOutcome::Stopped => {
@@ -118,15 +118,17 @@
 
 /// Reads and folds one page that starts at the position of the fold, waiting up to
 /// `wait` for records.
-pub(super) async fn read_once<L: LogService, P>(
+async fn read_once<L: LogService, P>(
     cx: &ControlContext<L, P>,
+    folded: &mut FoldedRecords,
     wait: Duration,
 ) -> ReadOutcome {
     let from = cx.state.held_position();
     let requested_at = cx.state.now();
     Counters::add(&cx.state.counters.log_reads, 1);
     match cx.log.read(CONFIGURATION_STREAM, Offset(from.0), wait).await {
-        Ok(page) => fold_page(cx, page, requested_at),
+        Ok(page) => fold_page(cx, folded, page, requested_at),
+        Err(LogError::Restored) => restore_lost_records(cx, folded).await,
         Err(LogError::Expired { earliest }) => restore_checkpoint(cx, earliest).await,
         Err(e) => {
             Counters::add(&cx.state.counters.log_failures, 1);
@@ -136,22 +138,47 @@
     }
 }
 
-fn fold_page<L, P>(cx: &ControlContext<L, P>, page: LogPage, requested_at: Tick) -> ReadOutcome {
+/// Writes records again that the log has lost, because it came back from an older copy.
+async fn restore_lost_records<L: LogService, P>(
+    cx: &ControlContext<L, P>,
+    folded: &FoldedRecords,
+) -> ReadOutcome {
+    match folded.restore(cx).await {
+        Ok(()) => ReadOutcome::More,
+        Err(e) => {
+            Counters::add(&cx.state.counters.log_failures, 1);
+            error!(cx.state.logger, "failed to write lost records to the log again"; "problem" => %e);
+            ReadOutcome::Failed
+        }
+    }
+}
+
+fn fold_page<L, P>(
+    cx: &ControlContext<L, P>,
+    folded: &mut FoldedRecords,
+    page: LogPage,
+    requested_at: Tick,
+) -> ReadOutcome {
     let state = &cx.state;
     Counters::add(&state.counters.log_records, page.records.len());
     state.record_log_next(page.next.0);
     let previous = state.held_position();
     let step = fold_records(cx, &page.records);
+    let next = page.next;
+    let is_empty = page.records.is_empty();
     let position = state.held_position();
+    for record in page.records.into_iter().filter(|record| record.offset.0 < position.0) {
+        folded.push(record);
+    }
     if position > previous {
         state.emit(Event::FoldAdvanced);
     }
     if step == Some(Step::Stopped) {
         return ReadOutcome::Stopped;
     }
-    if position.0 < page.next.0 {
+    if position.0 < next.0 {
         state.rebuild();
-        return if page.records.is_empty() { ReadOutcome::Failed } else { ReadOutcome::More };
+        return if is_empty { ReadOutcome::Failed } else { ReadOutcome::More };
     }
     state.confirm_log_end(position, requested_at);
     state.rebuild();
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -413,7 +413,7 @@
     }
 
     /// Returns the position of the fold, which may not have been applied yet.
-    pub(super) fn held_position(&self) -> Position {
+    pub(crate) fn held_position(&self) -> Position {
         self.fold.lock().position()
     }
 
--- a/crates/node/src/moves/endings.rs
+++ b/crates/node/src/moves/endings.rs
@@ -16,7 +16,7 @@
 use savorykeel_ports::log::{LogError, LogService, MOVE_STREAM, Offset};
 use slog::{info, warn};
 
-use crate::control::{ControlContext, to_millis};
+use crate::control::{CheckedEra, ControlContext, to_millis};
 
 /// Time between two checks of whether a move has ended, before jitter.
 const POLL_PERIOD: Duration = Duration::from_millis(500);
@@ -53,8 +53,13 @@
 pub(super) async fn run<L: LogService, P>(cx: Rc<ControlContext<L, P>>) {
     let mut stream = StreamState::default();
     let mut has_read = false;
+    let mut checked_era = CheckedEra::default();
     loop {
         sleep(to_millis(crate::control::jittered(POLL_PERIOD))).await;
+        if checked_era.has_returned(&cx.state) {
+            // The log may lack ends that were stored.
+            stream = StreamState::default();
+        }
         let Some(table) = cx.state.table() else { continue };
         let result = if has_read {
             write_when_ended(&cx, &mut stream, &table).await
@@ -112,6 +117,10 @@
                 stream.next = earliest;
                 continue;
             }
+            Err(LogError::Restored) => {
+                *stream = StreamState::default();
+                continue;
+            }
             result => result?,
         };
         let parsed = page.records.iter().map(|r| serde_json::from_slice::<MoveEnding>(&r.body));
--- a/crates/ports/src/log.rs
+++ b/crates/ports/src/log.rs
@@ -17,7 +17,7 @@
 pub const MOVE_STREAM: &str = "moves";
 
 /// Offset beyond every record; a read from it returns the end of the stream.
-const BEYOND_END: Offset = Offset(u64::MAX >> 1);
+pub const BEYOND_END: Offset = Offset(u64::MAX >> 1);
 
 /// Position of a record in a stream.
 #[derive(
@@ -75,6 +75,12 @@
     /// means another record.
     #[error("the log service came back from an older copy")]
     Restored,
+    /// The stream doesn't end at the offset at which the record was to be appended.
+    #[error("the stream ends at offset {}", .next.0)]
+    EndsElsewhere {
+        /// Offset of the next append.
+        next: Offset,
+    },
     /// The answer can't be parsed.
     #[error("log service answered with something else than its protocol: {0}")]
     Malformed(String),
@@ -86,6 +92,9 @@
     /// Appends a record and returns its offset.
     async fn append(&self, stream: &str, body: Vec<u8>) -> Result<Offset, LogError>;
 
+    /// Appends a record only if its offset will be `at`.
+    async fn append_at(&self, stream: &str, at: Offset, body: Vec<u8>) -> Result<(), LogError>;
+
     /// Reads records from offset `from` on, waiting up to `wait` if there are none.
     async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<LogPage, LogError>;
 
--- a/crates/standins/src/log/handle.rs
+++ b/crates/standins/src/log/handle.rs
@@ -14,7 +14,7 @@
 use super::{
     Faults, Outage, Settings, StreamCounts,
     server::{Shared, handle},
-    store::Store,
+    store::{Copy, Store},
 };
 
 /// Maximum number of open connections; more are closed.
@@ -95,7 +95,7 @@
     /// Appends a record without HTTP and regardless of the faults in force.
     /// Returns its offset, or `None` if the append exceeds the rate limit.
     pub fn append(&self, stream: &str, body: impl Into<Vec<u8>>) -> Option<u64> {
-        let offset = self.shared.store.lock().append(stream, body.into(), Instant::now());
+        let offset = self.shared.store.lock().append(stream, body.into(), None, Instant::now());
         self.shared.appended.notify_waiters();
         offset.ok()
     }
@@ -116,6 +116,17 @@
         )
     }
 
+    /// Returns a copy of all records.
+    pub fn copy(&self) -> Copy {
+        self.shared.store.lock().copy()
+    }
+
+    /// Replaces all records by those of a copy, in a new era. Counts stay.
+    pub fn come_back_from(&self, copy: &Copy) {
+        self.shared.store.lock().come_back_from(copy);
+        self.shared.appended.notify_waiters();
+    }
+
     /// Drops the `count` oldest records of a stream, as retention does.
     pub fn expire_oldest(&self, stream: &str, count: usize) {
         self.shared.store.lock().expire_oldest(stream, count);
--- a/crates/standins/src/log/mod.rs
+++ b/crates/standins/src/log/mod.rs
@@ -13,5 +13,5 @@
     faults::{Faults, Outage},
     handle::{Handle, start},
     settings::Settings,
-    store::StreamCounts,
+    store::{Copy, StreamCounts},
 };
--- a/crates/standins/src/log/server.rs
+++ b/crates/standins/src/log/server.rs
@@ -5,7 +5,10 @@
     time::{Duration, Instant},
 };
 
-use ntex::http::{Method, Response, StatusCode};
+use ntex::http::{
+    Method, Response, StatusCode,
+    header::{HeaderName, HeaderValue},
+};
 use parking_lot::Mutex;
 use serde::Serialize;
 use serde_with::{base64::Base64, serde_as};
@@ -18,6 +21,9 @@
     store::{Page, Store, StoreError},
 };
 
+/// Header that states the era of the service; it rises when the service comes back from a copy.
+const ERA_HEADER: &str = "log-era";
+
 /// Upper limit of a long poll's `wait_ms`.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
@@ -41,6 +47,11 @@
     offset: u64,
 }
 
+#[derive(Serialize)]
+struct EndsElsewhere {
+    next: u64,
+}
+
 #[derive(Serialize)]
 struct Expired {
     earliest: u64,
@@ -93,11 +104,14 @@
     if shared.check_outage().await.is_err() {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     }
-    match call.method {
+    let mut response = match call.method {
         Method::POST => append(shared, name, call).await,
         Method::GET => read(shared, name, call).await,
         _ => empty(StatusCode::METHOD_NOT_ALLOWED),
-    }
+    };
+    let era = shared.store.lock().era();
+    response.headers_mut().insert(HeaderName::from_static(ERA_HEADER), HeaderValue::from(era));
+    response
 }
 
 fn stream_name(path: &str) -> Option<&str> {
@@ -109,8 +123,16 @@
     if call.body.len() > shared.max_record_bytes {
         return empty(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let appended = shared.store.lock().append(name, call.body.clone(), Instant::now());
-    let Ok(offset) = appended else { return empty(StatusCode::TOO_MANY_REQUESTS) };
+    let at = call.query_value("at").map(str::parse).transpose();
+    let Ok(at) = at else { return empty(StatusCode::BAD_REQUEST) };
+    let appended = shared.store.lock().append(name, call.body.clone(), at, Instant::now());
+    let offset = match appended {
+        Ok(offset) => offset,
+        Err(StoreError::EndsElsewhere { next }) => {
+            return json(StatusCode::PRECONDITION_FAILED, &EndsElsewhere { next });
+        }
+        Err(_) => return empty(StatusCode::TOO_MANY_REQUESTS),
+    };
     shared.appended.notify_waiters();
     shared.delay_answer().await;
     if shared.consume_lost_answer() {
@@ -136,7 +158,7 @@
             json(StatusCode::OK, &Records::from(page))
         }
         Err(StoreError::Expired { earliest }) => json(StatusCode::GONE, &Expired { earliest }),
-        Err(StoreError::TooManyAppends) => empty(StatusCode::TOO_MANY_REQUESTS),
+        Err(_) => empty(StatusCode::TOO_MANY_REQUESTS),
     }
 }
 
--- a/crates/standins/src/log/store.rs
+++ b/crates/standins/src/log/store.rs
@@ -25,11 +25,16 @@
 }
 
 /// A record and the time at which it was appended.
+#[derive(Clone)]
 struct StoredRecord {
     body: Vec<u8>,
     appended_at: Instant,
 }
 
+/// An older state of all streams that the service can come back with.
+#[derive(Clone)]
+pub struct Copy(BTreeMap<String, (u64, VecDeque<StoredRecord>)>);
+
 /// Retained records and counts of one stream.
 #[derive(Default)]
 pub(crate) struct Stream {
@@ -61,12 +66,19 @@
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum StoreError {
     TooManyAppends,
-    Expired { earliest: u64 },
+    Expired {
+        earliest: u64,
+    },
+    /// The stream doesn't end at the offset that the append named.
+    EndsElsewhere {
+        next: u64,
+    },
 }
 
 /// All streams, and the token bucket that limits their appends.
 pub(crate) struct Store {
     streams: BTreeMap<String, Stream>,
+    era: u64,
     appends_per_second: u32,
     retention: Option<Duration>,
     retain_records: Option<usize>,
@@ -78,6 +90,7 @@
     pub(crate) fn new(settings: &Settings, now: Instant) -> Self {
         Self {
             streams: BTreeMap::new(),
+            era: 1,
             appends_per_second: settings.appends_per_second,
             retention: settings.retain_ms.map(Duration::from_millis),
             retain_records: settings.retain_records,
@@ -86,12 +99,32 @@
         }
     }
 
-    /// Appends a record and returns its offset, or an error if the append exceeds
-    /// the rate limit.
+    /// Returns the number of the era, which rises when the service comes back from a copy.
+    pub(crate) fn era(&self) -> u64 {
+        self.era
+    }
+
+    pub(crate) fn copy(&self) -> Copy {
+        let records = |stream: &Stream| (stream.earliest, stream.records.clone());
+        Copy(self.streams.iter().map(|(name, stream)| (name.clone(), records(stream))).collect())
+    }
+
+    /// Replaces the records of all streams by older ones, in a new era; counts stay.
+    pub(crate) fn come_back_from(&mut self, copy: &Copy) {
+        for (name, stream) in &mut self.streams {
+            let (earliest, records) = copy.0.get(name).cloned().unwrap_or_default();
+            (stream.earliest, stream.records) = (earliest, records);
+        }
+        self.era += 1;
+    }
+
+    /// Appends a record and returns its offset, or an error if the append exceeds the rate limit
+    /// or the stream doesn't end at offset `at`.
     pub(crate) fn append(
         &mut self,
         name: &str,
         body: Vec<u8>,
+        at: Option<u64>,
         now: Instant,
     ) -> Result<u64, StoreError> {
         let allowed = self.take_append_permit(now);
@@ -101,6 +134,9 @@
             return Err(StoreError::TooManyAppends);
         }
         let offset = stream.next();
+        if at.is_some_and(|at| at != offset) {
+            return Err(StoreError::EndsElsewhere { next: offset });
+        }
         stream.counts.appends += 1;
         stream.counts.append_bytes += body.len() as u64;
         stream.records.push_back(StoredRecord { body, appended_at: now });
--- a/tests/feature/store_return.rs
+++ b/tests/feature/store_return.rs
@@ -9,7 +9,11 @@
 };
 
 use savorykeel_platform_standin::{ConfigurationDocument, Copy, EraHeader, MoveOrderDocument};
-use savorykeel_standins::backend::{Answer, Behaviour};
+use savorykeel_ports::log::CONFIGURATION_STREAM;
+use savorykeel_standins::{
+    backend::{Answer, Behaviour},
+    log::Outage,
+};
 
 use crate::harness::{
     deployment::{Deployment, ServiceSpec},
@@ -305,3 +309,36 @@
         assert_still_done(&fleet);
     }
 }
+
+/// Guards against nodes that go on at an offset of the log's earlier life: they skipped what was
+/// published below it, without an error.
+#[test]
+fn publishes_after_a_return_of_the_log_are_not_skipped() {
+    let deployment = deployment();
+    let mut fleet = Fleet::start(&deployment, Options::default());
+    fleet.publish_first(&deployment, "/gate");
+    fleet.publish(1, &deployment.configuration());
+    fleet.wait_version(2);
+    let copy = fleet.log.copy();
+    for base in 2..5 {
+        fleet.publish(base, &deployment.configuration());
+    }
+    fleet.wait_version(5);
+    let records = fleet.log.records(CONFIGURATION_STREAM);
+    fleet.log.set_outage(Outage::Unavailable);
+    thread::sleep(AWAY);
+    fleet.log.come_back_from(&copy);
+    fleet.log.set_outage(Outage::None);
+    eventually("the lost records stand there again, once", || {
+        fleet.log.records(CONFIGURATION_STREAM) == records
+    });
+    fleet.publish(5, &deployment.configuration());
+    fleet.wait_version(6);
+    let spec = ServiceSpec::new("history", 1, false);
+    let started = fleet.add(&spec, 1, 20);
+    eventually("a node that starts then has the same version", || {
+        fleet.members[started].node().journal().last().is_some_and(|last| last.version == 6)
+    });
+    thread::sleep(2 * AWAY);
+    assert_eq!(fleet.log.records(CONFIGURATION_STREAM).len(), records.len() + 1);
+}
