Ask neighbours only after a return, and receive moves at once when starting

Cause: each start waited until the node had joined and its neighbours had answered, up to 0.5 s more where some are lost, and for moves that were pulled every 0.1 s from the first round on.

Nodes tell each other for a minute that the store returned; only then, or while nobody has answered, does the end of the store need the neighbours' word, for at most 150 ms. Moves are pulled every 40 ms while a node recovers, and any node that knows what it needs of them may give them.

--- a/crates/bench/src/fleet/observer.rs
+++ b/crates/bench/src/fleet/observer.rs
@@ -145,6 +145,7 @@
         members: 0,
         recovered: false,
         store_era: None,
+        store_returned_ago: None,
         current_ago: None,
     }
 }
--- a/crates/node/src/control/desired.rs
+++ b/crates/node/src/control/desired.rs
@@ -4,6 +4,7 @@
 
 use savorykeel_policy::{
     config::fold::ReplaceOutcome,
+    distribution::floor::Recovery,
     ids::ServiceName,
     moves::orders::{MoveOrder, OrderOutcome, may_be_repeated},
 };
@@ -54,7 +55,7 @@
             apply_configuration(cx, *desired);
         }
         self.apply_orders(cx, read.orders);
-        state.with_recovery(|recovery| recovery.confirm_orders());
+        state.record_moves(Recovery::confirm_orders);
         state.confirm_log_end(state.held_position(), requested_at);
         state.rebuild();
         ReadOutcome::AtEnd
--- a/crates/node/src/control/handle.rs
+++ b/crates/node/src/control/handle.rs
@@ -73,6 +73,9 @@
         let now = self.now();
         LastContact::record(&self.last_contact, &from.instance, now);
         self.with_floors(|floors| floors.record(&from.instance, from.position));
+        if let Some(ago) = from.store_returned_ago {
+            self.with_store_era(|known| known.record_return(ago, now));
+        }
         if let Some(era) = from.store_era {
             self.record_era(era, from.instance.as_str());
         }
--- a/crates/node/src/control/presence.rs
+++ b/crates/node/src/control/presence.rs
@@ -1,13 +1,14 @@
 //! Discovers other nodes through the log and maintains the presence records of the
 //! availability zone there.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, pin::pin, rc::Rc, time::Duration};
 
 use futures_util::future::join_all;
 use ntex::time::{sleep, timeout};
 use rand::{RngExt, seq::SliceRandom};
 use savorykeel_policy::{
     distribution::{
+        floor::Recovery,
         presence::{PresenceRecord, fresh_in_zone},
         zone_rank::PRESENCE_WRITERS_PER_ZONE,
     },
@@ -69,6 +70,10 @@
 /// Wait after a failed attempt to store presence records again, before jitter.
 const RESTORE_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time within which neighbours that run answer a node that recovers. Those that are lost must
+/// not keep it from serving what the store confirms.
+const NEIGHBOUR_ANSWER_TIME: Duration = Duration::from_millis(150);
+
 /// Time between two checks of whether a node that has not recovered yet has joined.
 const JOIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -327,12 +332,18 @@
             pick_random(members.active().filter(|record| record.zone != *own_zone))
         });
         contacts.extend(other_zone_contact);
-        join_all(contacts.iter().map(|contact| cx.probe_once(contact))).await;
+        let mut round = pin!(join_all(contacts.iter().map(|contact| cx.probe_once(contact))));
+        let answers = timeout(to_millis(NEIGHBOUR_ANSWER_TIME), round.as_mut()).await;
         if has_joined {
+            // Neighbours that answer later raise the floor all the same.
             cx.state.with_recovery(|recovery| recovery.record_round());
+            cx.state.rebuild();
+        }
+        if answers.is_err() {
+            round.await;
         }
         if cx.state.uptime() > cx.times.isolation_timeout {
-            cx.state.with_recovery(|recovery| recovery.give_up_moves());
+            cx.state.record_moves(Recovery::give_up_moves);
         }
         cx.state.rebuild();
         pause_between_rounds(&cx, has_joined).await;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -374,6 +374,7 @@
     /// Returns the description of this node that goes with every message and reply.
     pub(super) fn sender(&self) -> Sender {
         let position = self.held_position();
+        let store_era = *self.store_era.lock();
         Sender {
             instance: self.identity.instance.clone(),
             zone: self.identity.zone.clone(),
@@ -381,7 +382,8 @@
             position,
             members: self.members.lock().digest(),
             recovered: self.is_serving(),
-            store_era: self.store_era.lock().newest(),
+            store_era: store_era.newest(),
+            store_returned_ago: store_era.returned_ago(self.now()),
             current_ago: self.current_ago(),
         }
     }
@@ -453,8 +455,15 @@
 
     /// Records what a starting node has learned of moves, and serves if it waited for that.
     pub(crate) fn record_moves(&self, record: impl FnOnce(&mut Recovery)) {
-        if !self.is_serving() {
-            self.with_recovery(record);
+        if self.is_serving() {
+            return;
+        }
+        let knows_moves = self.with_recovery(|recovery| {
+            record(recovery);
+            recovery.knows_moves()
+        });
+        if knows_moves {
+            self.moves.set_complete();
             self.rebuild();
         }
     }
@@ -465,6 +474,9 @@
         }
         let recovery_peers = self.recovery_peers();
         let is_complete = self.recovery.lock().is_complete(position, &recovery_peers);
+        if is_complete {
+            self.moves.set_complete();
+        }
         self.is_serving.fetch_or(is_complete, Ordering::AcqRel);
         is_complete
     }
--- a/crates/node/src/moves/controller.rs
+++ b/crates/node/src/moves/controller.rs
@@ -6,7 +6,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Weak},
+    sync::{
+        Arc, Weak,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -96,6 +99,7 @@
     splits: ArcSwap<Splits>,
     breakers: Mutex<BTreeMap<EvidenceKey, CircuitBreaker>>,
     local_backend: Mutex<Option<LocalBackend>>,
+    is_complete: AtomicBool,
 }
 
 impl MoveController {
@@ -225,6 +229,16 @@
         self.tracker.lock().status(table)
     }
 
+    /// Returns whether this node knows what it needs of moves to serve.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete.load(Ordering::Acquire)
+    }
+
+    /// Records that this node knows what it needs of moves to serve.
+    pub fn set_complete(&self) {
+        self.is_complete.store(true, Ordering::Release);
+    }
+
     /// Returns all targets and states, for a node that may have none of them.
     pub fn full_gossip(&self) -> MoveGossip {
         self.tracker.lock().delta_since(TrackerRevision::default())
--- a/crates/node/src/moves/dissemination.rs
+++ b/crates/node/src/moves/dissemination.rs
@@ -16,9 +16,12 @@
 use ntex::time::{Millis, sleep};
 use rand::seq::IteratorRandom;
 use savorykeel_policy::{
-    distribution::message::{MessageBody, ReplyBody, Topic},
+    distribution::{
+        floor::Recovery,
+        message::{MessageBody, ReplyBody, Topic},
+    },
     ids::InstanceName,
-    membership::rings::Contact,
+    membership::{entry::NodeRecord, rings::Contact},
     moves::{
         evaluators::{EvaluatorTerm, EvidencePlan, ReportScope},
         evidence::Report,
@@ -36,12 +39,15 @@
 
 use super::{
     controller::ReportChanges,
-    message::{MoveMessage, decode, encode},
+    message::{AllMoves, MoveMessage, decode, encode},
 };
 
 /// Time between two rounds.
 const ROUND_PERIOD: Millis = Millis(100);
 
+/// Time between two rounds while the node recovers, which it can't before it knows the moves.
+const START_ROUND_PERIOD: Millis = Millis(20);
+
 /// Time between two evaluations of the evidence: a quarter of the time within which a
 /// short move has to detect a fault.
 const EVALUATION_PERIOD: Duration = Duration::from_millis(250);
@@ -58,8 +64,8 @@
 const REPORT_BYTES_PER_SECOND: usize = 6_000;
 
 /// Time between two attempts to pull all targets and states from one node, until one
-/// succeeds and the node has recovered; before jitter.
-const FIRST_PULL_PERIOD: Duration = Duration::from_millis(150);
+/// succeeds and the node has recovered.
+const FIRST_PULL_PERIOD: Duration = Duration::from_millis(40);
 
 /// Time between two pulls afterwards, before jitter. They repair what pushes may have
 /// missed.
@@ -95,7 +101,7 @@
 pub(super) async fn run<L: 'static, P: PeerLinks + 'static>(cx: Rc<ControlContext<L, P>>) {
     let dissemination = Rc::new(Dissemination::default());
     loop {
-        sleep(ROUND_PERIOD).await;
+        sleep(if cx.state.is_serving() { ROUND_PERIOD } else { START_ROUND_PERIOD }).await;
         pull_when_due(&cx, &dissemination);
         let Some(table) = cx.state.table() else { continue };
         if cx.state.moves.refresh(&table) {
@@ -225,41 +231,41 @@
         return;
     }
     let has_pulled = dissemination.last_pull.borrow().is_some();
-    let period = if has_pulled && cx.state.is_serving() { PULL_PERIOD } else { FIRST_PULL_PERIOD };
-    *dissemination.next_pull.borrow_mut() = now + crate::control::jittered(period);
-    let Some(from) = random_recovered(cx).or_else(|| random_member(cx)) else { return };
+    let is_settled = has_pulled && cx.state.is_serving();
+    let period = if is_settled { crate::control::jittered(PULL_PERIOD) } else { FIRST_PULL_PERIOD };
+    *dissemination.next_pull.borrow_mut() = now + period;
+    let Some(from) = random_member(cx) else { return };
     let (cx, dissemination) = (cx.clone(), dissemination.clone());
     ntex::rt::spawn(async move {
         let Some(reply) = send(&cx, from.addr, &MoveMessage::PullAll).await else { return };
-        if let Some(gossip) = decode(&reply) {
+        if let Some(AllMoves { gossip, is_complete }) = decode(&reply) {
             cx.state.moves.merge(gossip);
-            cx.state.record_moves(|recovery| recovery.record_moves(&from.instance));
+            if is_complete {
+                cx.state.record_moves(Recovery::record_moves);
+            }
             *dissemination.last_pull.borrow_mut() = Some(cx.state.now());
         }
     })
     .detach();
 }
 
-/// Returns a random node that has answered as a recovered one, while this node recovers.
-fn random_recovered<L, P>(cx: &ControlContext<L, P>) -> Option<Contact> {
-    if cx.state.is_serving() {
-        return None;
-    }
-    let answered = cx.state.with_recovery(|recovery| recovery.answered().clone());
-    cx.state.with_members(|members| {
-        let known = members.active().filter(|record| answered.contains(&record.instance));
-        known.choose(&mut rand::rng()).map(Contact::of)
-    })
-}
-
-/// Returns a random other node, of the own availability zone if it has one.
+/// Returns a random other node, of the own availability zone if it has one, and one that has
+/// answered as a recovered one while this node recovers.
 fn random_member<L, P>(cx: &ControlContext<L, P>) -> Option<Contact> {
     let own = &cx.state.identity;
+    let answered = match cx.state.is_serving() {
+        true => BTreeSet::new(),
+        false => cx.state.with_recovery(|recovery| recovery.answered().clone()),
+    };
     cx.state.with_members(|members| {
         let others = || members.active().filter(|record| record.instance != own.instance);
-        let in_own_zone = others().filter(|record| record.zone == own.zone);
-        let record = in_own_zone.choose(&mut rand::rng());
-        record.or_else(|| others().choose(&mut rand::rng())).map(Contact::of)
+        let in_own_zone = || others().filter(|record| record.zone == own.zone);
+        let has_answered = |record: &&NodeRecord| answered.contains(&record.instance);
+        let mut rng = rand::rng();
+        let record = in_own_zone().filter(has_answered).choose(&mut rng);
+        let record = record.or_else(|| others().filter(has_answered).choose(&mut rng));
+        let record = record.or_else(|| in_own_zone().choose(&mut rng));
+        record.or_else(|| others().choose(&mut rng)).map(Contact::of)
     })
 }
 
--- a/crates/node/src/moves/mod.rs
+++ b/crates/node/src/moves/mod.rs
@@ -18,7 +18,7 @@
 use crate::control::{ControlContext, state::TopicHandler};
 
 use controller::MoveController;
-use message::{MoveMessage, decode, encode};
+use message::{AllMoves, MoveMessage, decode, encode};
 
 /// Runs the tasks of moves, without end: the exchange with other nodes, and storing the
 /// status of a move on the platform or its end in the log.
@@ -43,7 +43,10 @@
             controller.merge(gossip);
             Vec::new()
         }
-        Some(MoveMessage::PullAll) => encode(&controller.full_gossip()),
+        Some(MoveMessage::PullAll) => {
+            let (gossip, is_complete) = (controller.full_gossip(), controller.is_complete());
+            encode(&AllMoves { gossip, is_complete })
+        }
         None => Vec::new(),
     })
 }
--- a/crates/policy/src/distribution/era.rs
+++ b/crates/policy/src/distribution/era.rs
@@ -3,6 +3,8 @@
 //! Offsets of different eras can't be compared, and records that a node wrote in an earlier
 //! era may be gone. See `docs/design/0018-store-eras.md`.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::time::Tick;
@@ -72,6 +74,13 @@
     }
 }
 
+/// Time after a return of the store for which a starting node doesn't take what it reads there for
+/// all that was ever applied. Operators have written again what the copy lacks by then.
+pub const RETURN_MEMORY: Duration = Duration::from_secs(60);
+
+/// Difference between two times of a return that may be one, as nodes tell of it.
+const RETURN_TOLERANCE: Duration = Duration::from_secs(1);
+
 /// A change of the store's era, as one node learns of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EraChange {
@@ -99,6 +108,23 @@
         self.changed_at
     }
 
+    /// Returns the time since the store returned, while it counts as recent.
+    pub fn returned_ago(&self, now: Tick) -> Option<Duration> {
+        let ago = now.since(self.changed_at?);
+        (ago < RETURN_MEMORY).then_some(ago)
+    }
+
+    /// Records that the store returned `ago` before `now`, as another node says.
+    ///
+    /// A time that is only a little later than the known one is the same return, told with
+    /// delay; recorded, it would grow later with each message.
+    pub fn record_return(&mut self, ago: Duration, now: Tick) {
+        let at = Tick(now.0.saturating_sub(ago.as_millis() as u64));
+        if self.changed_at.is_none_or(|known| at > known + RETURN_TOLERANCE) {
+            self.changed_at = Some(at);
+        }
+    }
+
     /// Records an era and returns the change if it is newer than the known one. The first known
     /// era isn't a change.
     pub fn record(&mut self, era: StoreEra, now: Tick) -> Option<EraChange> {
--- a/crates/policy/src/distribution/floor.rs
+++ b/crates/policy/src/distribution/floor.rs
@@ -64,6 +64,8 @@
     is_log_end_confirmed: bool,
     has_members_confirmed: bool,
     has_asked_neighbours: bool,
+    has_heard_others: bool,
+    has_store_returned: bool,
     moves: MoveKnowledge,
 }
 
@@ -72,7 +74,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct MoveKnowledge {
     is_required: bool,
-    /// Whether a recovered node has sent all that it knows.
+    /// Whether another node that knows what it needs has sent all that it knows.
     is_received: bool,
     are_orders_read: bool,
     are_ends_read: bool,
@@ -152,6 +154,8 @@
     /// restart of the whole fleet no node has recorded anything.
     pub fn record_answer(&mut self, from: &Sender, your_floor: Position) {
         self.floor = self.floor.max(from.position).max(your_floor);
+        self.has_heard_others = true;
+        self.has_store_returned |= from.store_returned_ago.is_some();
         if from.recovered {
             self.answered.insert(from.instance.clone());
             self.zones.insert(from.zone.clone());
@@ -186,10 +190,10 @@
         self.moves.are_ends_read = true;
     }
 
-    /// Records that the node has received all that another node knows of moves; it counts if
-    /// that node has recovered.
-    pub fn record_moves(&mut self, from: &InstanceName) {
-        self.moves.is_received |= self.answered.contains(from);
+    /// Records that the node has received all moves from another node that knows what it needs
+    /// of them.
+    pub fn record_moves(&mut self) {
+        self.moves.is_received = true;
     }
 
     /// Records that the node has waited long enough for what recovered nodes know of moves.
@@ -206,7 +210,7 @@
     ///
     /// What the store holds suffices only while no recovered node is known, because a store that
     /// came back from an older copy may lack orders and ends.
-    fn knows_moves(&self) -> bool {
+    pub fn knows_moves(&self) -> bool {
         let MoveKnowledge { is_required, is_received, are_orders_read, are_ends_read, is_isolated } =
             self.moves;
         let may_use_store = is_isolated || self.answered.is_empty();
@@ -233,8 +237,8 @@
     /// Returns whether a node that has applied `position` may serve.
     ///
     /// The end of the log covers everything that was ever applied, unless the log has come
-    /// back from an older copy; so the neighbours, which recorded what the node had applied, are
-    /// asked too. Without the log, answers from several nodes in several availability zones are
+    /// back from an older copy. If another node says so, or none has said anything, the
+    /// neighbours, which recorded what the node had applied, are asked first. Without the log, answers from several nodes in several availability zones are
     /// needed; a node whose membership table isn't confirmed can't decide whether the answers
     /// suffice and doesn't serve.
     pub fn is_complete(&self, position: Position, peers: &RecoveryPeers) -> bool {
@@ -246,6 +250,7 @@
             && self.answered.len() >= MIN_ANSWERS.min(peers.nodes)
             && self.zones.len() >= MIN_ANSWER_ZONES.min(peers.zones)
             && peers.witnesses.suffice_to_recover(|name| self.answered.contains(name));
-        (self.is_log_end_confirmed && self.has_asked_neighbours) || has_answers
+        let is_end_proof = self.has_heard_others && !self.has_store_returned;
+        (self.is_log_end_confirmed && (is_end_proof || self.has_asked_neighbours)) || has_answers
     }
 }
--- a/crates/policy/src/distribution/message.rs
+++ b/crates/policy/src/distribution/message.rs
@@ -40,6 +40,8 @@
     pub recovered: bool,
     /// Newest era of the store that the sender knows, if the store states eras.
     pub store_era: Option<StoreEra>,
+    /// Time since the store came back from an older copy, if the sender knows of that.
+    pub store_returned_ago: Option<Duration>,
     /// Time since the sender's position was last confirmed as the end of the log, if
     /// it ever was.
     pub current_ago: Option<Duration>,
