Soak a store that comes back from copies, seeded

savorykeel-bench store-soak runs seven nodes on the platform's stand-in. An operator publishes and writes again what a return undoes, in order or only the newest; returns come singly, twice in a second, and beside kills; nodes are killed, suspended and cut off from each other, and the era in the answers is odd at times. Observers ask every node for the routes all the time: one that a node has served must not be unknown later, also after its restart. After each four steps the newest version has to be in force everywhere within 5 s and every node present in the store.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod load;
 pub mod mesh;
 pub mod soak;
+pub mod store_soak;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod moves;
 mod processes;
 mod soak_command;
+mod store_soak_command;
 
 use argh::FromArgs;
 
@@ -27,6 +28,7 @@
     Load(load_command::Args),
     Moves(moves::Args),
     Soak(soak_command::Args),
+    StoreSoak(store_soak_command::Args),
 }
 
 fn main() -> anyhow::Result<()> {
@@ -38,5 +40,6 @@
         Command::Load(args) => load_command::run(&args),
         Command::Moves(args) => moves::run(&args),
         Command::Soak(args) => soak_command::run(&args),
+        Command::StoreSoak(args) => store_soak_command::run(&args),
     }
 }
--- a/crates/bench/src/mesh.rs
+++ b/crates/bench/src/mesh.rs
@@ -17,7 +17,8 @@
     unistd::Pid,
 };
 use savorykeel_node::settings::{
-    ControlSettings, RawAdvertise, RawLimits, RawListen, RawOperators, RawSettings, RawTesting,
+    ControlSettings, RawAdvertise, RawLimits, RawListen, RawOperators, RawPlatform, RawSettings,
+    RawTesting,
 };
 use savorykeel_policy::config::raw::RawConfiguration;
 use savorykeel_ports::log::CONFIGURATION_STREAM;
@@ -180,6 +181,8 @@
     /// Client for single requests to nodes.
     pub client: Client,
     log: log::Handle,
+    /// The platform's store, if it takes the place of the log service.
+    store: Option<SocketAddr>,
     dir: TempDir,
     options: MeshOptions,
 }
@@ -193,23 +196,45 @@
         configuration: &RawConfiguration,
         probe_path: &str,
     ) -> anyhow::Result<Self> {
-        let log = log::start(log::Settings::default())?;
+        let mut mesh = Self::empty(options, None)?;
         let record = PublishRecord { format: 1, id: "bench-1", base: 0, configuration };
-        log.append(CONFIGURATION_STREAM, serde_json::to_vec(&record)?);
-        let mut mesh = Self {
+        mesh.log.append(CONFIGURATION_STREAM, serde_json::to_vec(&record)?);
+        mesh.add_members(specs, &Request::get(probe_path))?;
+        Ok(mesh)
+    }
+
+    /// Starts the instances on a platform's store, which holds a configuration, and waits until
+    /// every node answers `probe` with status 200.
+    pub fn start_on_platform(
+        options: MeshOptions,
+        specs: &[MemberSpec],
+        store: SocketAddr,
+        probe: &Request,
+    ) -> anyhow::Result<Self> {
+        let mut mesh = Self::empty(options, Some(store))?;
+        mesh.add_members(specs, probe)?;
+        Ok(mesh)
+    }
+
+    fn empty(options: MeshOptions, store: Option<SocketAddr>) -> anyhow::Result<Self> {
+        Ok(Self {
             members: Vec::new(),
             client: Client::start()?,
-            log,
+            log: log::start(log::Settings::default())?,
+            store,
             dir: TempDir::new()?,
             options,
-        };
+        })
+    }
+
+    fn add_members(&mut self, specs: &[MemberSpec], probe: &Request) -> anyhow::Result<()> {
         for spec in specs {
-            mesh.add_member(spec)?;
+            self.add_member(spec)?;
         }
-        for i in 0..mesh.members.len() {
-            mesh.wait_until_answered(i, &Request::get(probe_path))?;
+        for i in 0..self.members.len() {
+            self.wait_until_answered(i, probe)?;
         }
-        Ok(mesh)
+        Ok(())
     }
 
     /// Starts the node and the backend server of instance `i`, if they are stopped.
@@ -304,8 +329,8 @@
                 metrics: None,
             },
             advertise: RawAdvertise { peers: proxy.map(|proxy| proxy.addr().to_string()) },
-            log_service: self.log.url(),
-            platform: None,
+            log_service: if self.store.is_some() { String::new() } else { self.log.url() },
+            platform: self.store.map(platform),
             backend: None,
             metrics: None,
             operators: RawOperators::default(),
@@ -318,6 +343,15 @@
     }
 }
 
+fn platform(store: SocketAddr) -> RawPlatform {
+    RawPlatform {
+        store: store.to_string(),
+        retry_share: 0.1,
+        unproven_share: 0.1,
+        stop_grace: None,
+    }
+}
+
 fn start_proxy(ip: Ipv4Addr) -> anyhow::Result<proxy::Handle> {
     let unset_target = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
     let listen = SocketAddr::from((ip, 0));
--- a/tests/feature/calls_soak.rs
+++ b/tests/feature/calls_soak.rs
@@ -3,7 +3,10 @@
 use std::{path::PathBuf, time::Duration};
 
 use parking_lot::Mutex;
-use savorykeel_bench::soak::{self, Fault, Options, Report};
+use savorykeel_bench::{
+    soak::{self, Fault, Options, Report},
+    store_soak,
+};
 use savorykeel_node::settings::RawTesting;
 
 /// Serializes the soaks, which would otherwise starve each other.
@@ -32,6 +35,15 @@
     assert!(report.faults.values().sum::<usize>() > 0, "{report:#?}");
 }
 
+#[test]
+fn no_configuration_goes_back_while_the_store_comes_back_from_copies() {
+    let _guard = SOAK_LOCK.lock();
+    let binary = options(0, 0).binary;
+    let report = store_soak::run(&store_soak::Options { binary, seed: 1, rounds: 3 }).unwrap();
+    assert!(report.violations.is_empty(), "{report:#?}");
+    assert!(report.observed > 0 && report.versions > 1, "{report:#?}");
+}
+
 /// Runs soaks with a mechanism switched off until one finds a violation.
 ///
 /// Which seed causes a violation depends on the timing of the machine, so several
