--- a/crates/node/src/moves/dissemination.rs
+++ b/crates/node/src/moves/dissemination.rs
@@ -63,9 +63,14 @@
 /// many nodes or many routes are therefore sent less often.
 const REPORT_BYTES_PER_SECOND: usize = 6_000;
 
-/// Time between two attempts to pull all targets and states from one node, until one
-/// succeeds and the node has recovered.
-const FIRST_PULL_PERIOD: Duration = Duration::from_millis(40);
+/// Time after its start within which a node usually recovers.
+const START_TIME: Duration = Duration::from_secs(2);
+
+/// Time between two attempts to pull all targets and states from one node in [`START_TIME`].
+const START_PULL_PERIOD: Duration = Duration::from_millis(40);
+
+/// The same later, until one succeeds and the node has recovered; before jitter.
+const FIRST_PULL_PERIOD: Duration = Duration::from_millis(300);
 
 /// Time between two pulls afterwards, before jitter. They repair what pushes may have
 /// missed.
@@ -231,8 +236,11 @@
         return;
     }
     let has_pulled = dissemination.last_pull.borrow().is_some();
-    let is_settled = has_pulled && cx.state.is_serving();
-    let period = if is_settled { crate::control::jittered(PULL_PERIOD) } else { FIRST_PULL_PERIOD };
+    let period = match (has_pulled, cx.state.is_serving()) {
+        (true, true) => crate::control::jittered(PULL_PERIOD),
+        (_, false) if cx.state.uptime() < START_TIME => START_PULL_PERIOD,
+        _ => crate::control::jittered(FIRST_PULL_PERIOD),
+    };
     *dissemination.next_pull.borrow_mut() = now + period;
     let Some(from) = random_member(cx) else { return };
     let (cx, dissemination) = (cx.clone(), dissemination.clone());
