Log why a node that starts doesn't serve yet

The line 'recovering' names what recovery waits for since: whether the end of the log is confirmed, whether others know of a recent return of the store, and whether the node knows the moves. No decision changes.

--- a/crates/node/src/control/presence.rs
+++ b/crates/node/src/control/presence.rs
@@ -323,7 +323,9 @@
         let progress = cx.state.with_recovery(|recovery| recovery.progress());
         if last_progress.replace(progress) != Some(progress) {
             info!(cx.state.logger, "recovering"; "answered" => progress.answered,
-                "zones" => progress.zones, "floor" => progress.floor.0);
+                "zones" => progress.zones, "floor" => progress.floor.0,
+                "log_end" => progress.is_log_end_confirmed,
+                "store_returned" => progress.has_store_returned, "moves" => progress.knows_moves);
         }
         let has_joined = cx.state.has_joined();
         let mut contacts = cx.neighbours().all();
--- a/crates/policy/src/distribution/floor.rs
+++ b/crates/policy/src/distribution/floor.rs
@@ -91,6 +91,12 @@
     pub zones: usize,
     /// Lowest position at which the node may serve.
     pub floor: Position,
+    /// Whether the end of the log was confirmed since the node started.
+    pub is_log_end_confirmed: bool,
+    /// Whether the log has come back from an older copy lately, as other nodes say.
+    pub has_store_returned: bool,
+    /// Whether the node knows what it needs of moves.
+    pub knows_moves: bool,
 }
 
 /// The nodes that can answer a starting node.
@@ -231,7 +237,14 @@
     /// Returns the progress of the recovery.
     pub fn progress(&self) -> RecoveryProgress {
         let (answered, zones) = (self.answered.len(), self.zones.len());
-        RecoveryProgress { answered, zones, floor: self.floor }
+        RecoveryProgress {
+            answered,
+            zones,
+            floor: self.floor,
+            is_log_end_confirmed: self.is_log_end_confirmed,
+            has_store_returned: self.has_store_returned,
+            knows_moves: self.knows_moves(),
+        }
     }
 
     /// Returns whether a node that has applied `position` may serve.
