--- a/crates/bench/src/mesh.rs
+++ b/crates/bench/src/mesh.rs
@@ -36,6 +36,15 @@
 /// Longest time that an orderly stop of a node may take.
 const STOP_TIMEOUT: Duration = Duration::from_secs(45);
 
+/// Time between a copy of the log and its use.
+const LOG_COPY_AGE: Duration = Duration::from_millis(1_000);
+
+/// Time for which the log service is away before it comes back from a copy.
+const LOG_OUTAGE: Duration = Duration::from_millis(300);
+
+/// Longest time that nodes may take to write lost records to the log again.
+const RESTORE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Pause between two checks whether a node answers or has exited.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -181,6 +190,9 @@
     /// Client for single requests to nodes.
     pub client: Client,
     log: log::Handle,
+    /// Configuration that is published, and its newest version.
+    configuration: Option<RawConfiguration>,
+    version: u64,
     /// The platform's store, if it takes the place of the log service.
     store: Option<SocketAddr>,
     dir: TempDir,
@@ -197,8 +209,8 @@
         probe_path: &str,
     ) -> anyhow::Result<Self> {
         let mut mesh = Self::empty(options, None)?;
-        let record = PublishRecord { format: 1, id: "bench-1", base: 0, configuration };
-        mesh.log.append(CONFIGURATION_STREAM, serde_json::to_vec(&record)?);
+        mesh.configuration = Some(configuration.clone());
+        mesh.publish_next()?;
         mesh.add_members(specs, &Request::get(probe_path))?;
         Ok(mesh)
     }
@@ -221,6 +233,8 @@
             members: Vec::new(),
             client: Client::start()?,
             log: log::start(log::Settings::default())?,
+            configuration: None,
+            version: 0,
             store,
             dir: TempDir::new()?,
             options,
@@ -255,6 +269,37 @@
         Ok(())
     }
 
+    /// Publishes the configuration once more, as the next version.
+    fn publish_next(&mut self) -> anyhow::Result<()> {
+        let configuration = self.configuration.as_ref().context("the mesh has no configuration")?;
+        let (base, id) = (self.version, format!("bench-{}", self.version + 1));
+        let record = PublishRecord { format: 1, id: &id, base, configuration };
+        self.log.append(CONFIGURATION_STREAM, serde_json::to_vec(&record)?);
+        self.version += 1;
+        Ok(())
+    }
+
+    /// Publishes a version and lets the log service come back from a copy without it. Returns
+    /// whether the nodes write it again.
+    pub fn return_log(&mut self) -> anyhow::Result<bool> {
+        let copy = self.log.copy();
+        self.publish_next()?;
+        let records = self.log.records(CONFIGURATION_STREAM);
+        thread::sleep(LOG_COPY_AGE);
+        self.log.set_outage(log::Outage::Unavailable);
+        thread::sleep(LOG_OUTAGE);
+        self.log.come_back_from(&copy);
+        self.log.set_outage(log::Outage::None);
+        let started = Instant::now();
+        while self.log.records(CONFIGURATION_STREAM) != records {
+            if started.elapsed() > RESTORE_TIMEOUT {
+                return Ok(false);
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        Ok(true)
+    }
+
     /// Returns the addresses for callers of all running nodes.
     pub fn entries(&self) -> Vec<SocketAddr> {
         self.members.iter().filter_map(Member::callers).collect()
--- a/crates/bench/src/soak/check.rs
+++ b/crates/bench/src/soak/check.rs
@@ -51,6 +51,8 @@
     pub no_outcome: usize,
     /// Planned stops after which the node didn't exit by itself.
     pub stuck_stops: usize,
+    /// Returns of the log service after which the nodes didn't write the lost version again.
+    pub lost_versions: usize,
     /// Runs recorded in the backend servers' ledgers.
     pub runs: usize,
     /// Examples of violations.
@@ -66,6 +68,7 @@
             + self.no_outcome
             + self.missing
             + self.stuck_stops
+            + self.lost_versions
     }
 
     /// Returns the fraction of requests whose callers can't know whether they ran.
@@ -101,6 +104,7 @@
         missing: options.requests - sent.len(),
         faults,
         stuck_stops: log.stuck_stops,
+        lost_versions: log.lost_versions,
         runs: runs.len(),
         ..Report::default()
     };
--- a/crates/bench/src/soak/faults.rs
+++ b/crates/bench/src/soak/faults.rs
@@ -55,9 +55,13 @@
     DropAnswers,
     /// Requests to a node arrive after their entry node has given them up.
     Late,
+    /// The log service comes back from an older copy that lacks the newest version.
+    LogReturn,
 }
 
 /// Faults that are chosen at random; a herd is due after a fixed number of faults.
+///
+/// [`Fault::LogReturn`] isn't one of them, so that the seeds of earlier soaks keep their faults.
 pub const RANDOM_FAULTS: [Fault; 7] = [
     Fault::Kill,
     Fault::Stop,
@@ -75,6 +79,8 @@
     pub(super) counts: BTreeMap<Fault, usize>,
     /// Planned stops after which the node didn't exit by itself.
     pub(super) stuck_stops: usize,
+    /// Returns of the log service after which the nodes didn't write the lost version again.
+    pub(super) lost_versions: usize,
     /// Kills of entry nodes.
     pub(super) kills: Vec<Kill>,
 }
@@ -168,6 +174,7 @@
                 DELAY_DURATION,
             );
         }
+        Fault::LogReturn => log.lost_versions += usize::from(!mesh.return_log()?),
     }
     Ok(())
 }
--- a/crates/bench/src/soak_command.rs
+++ b/crates/bench/src/soak_command.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, bail, ensure};
 use argh::FromArgs;
-use savorykeel_bench::soak::{self, Options};
+use savorykeel_bench::soak::{self, Fault, Options};
 use savorykeel_node::settings::RawTesting;
 
 /// Runs callers against real processes under faults and checks every outcome.
@@ -23,6 +23,9 @@
     /// milliseconds between two faults
     #[argh(option, default = "1000")]
     fault_pause_ms: u64,
+    /// let the log service come back from older copies, too
+    #[argh(switch)]
+    log_returns: bool,
     /// mechanism to switch off: settle, fences or ledger
     #[argh(option)]
     without: Vec<String>,
@@ -30,13 +33,17 @@
 
 /// Runs the soak, prints its report and fails if a guarantee was violated.
 pub fn run(args: &Args) -> anyhow::Result<()> {
+    let mut fault_kinds = soak::RANDOM_FAULTS.to_vec();
+    if args.log_returns {
+        fault_kinds.push(Fault::LogReturn);
+    }
     let options = Options {
         binary: binary()?,
         seed: args.seed,
         requests: args.requests,
         callers: args.callers,
         fault_pause: Duration::from_millis(args.fault_pause_ms),
-        fault_kinds: soak::RANDOM_FAULTS.to_vec(),
+        fault_kinds,
         faults_per_herd: 15,
         requests_per_crash: 2_000,
         testing: testing(&args.without)?,
--- a/tests/feature/calls_soak.rs
+++ b/tests/feature/calls_soak.rs
@@ -35,6 +35,15 @@
     assert!(report.faults.values().sum::<usize>() > 0, "{report:#?}");
 }
 
+#[test]
+fn no_promise_is_broken_while_the_log_comes_back_from_copies() {
+    let _guard = SOAK_LOCK.lock();
+    let fault_kinds = vec![Fault::LogReturn, Fault::Kill, Fault::Pause, Fault::Silence];
+    let report = soak::run(&Options { fault_kinds, ..options(2, 2_000) }).unwrap();
+    assert_eq!(report.violations(), 0, "{report:#?}");
+    assert!(report.faults.contains_key("log-return"), "{report:#?}");
+}
+
 #[test]
 fn no_configuration_goes_back_while_the_store_comes_back_from_copies() {
     let _guard = SOAK_LOCK.lock();
