--- a/crates/policy/tests/moves_orders.rs
+++ b/crates/policy/tests/moves_orders.rs
@@ -3,6 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use proptest::{prelude::*, test_runner::RngSeed};
 use savorykeel_policy::{
     config::{
         model::{Configuration, DueTime},
@@ -193,6 +194,59 @@
     assert_eq!((status.asked, status.since), (ConfigVersion(6), WallMillis(1_000)));
 }
 
+/// What several nodes read in one life of the store and in the next: versions, each with the
+/// offset at which a node reads it, and whether a return is recent.
+fn reads() -> impl Strategy<Value = Vec<(u8, u64, bool)>> {
+    proptest::collection::vec((1..4_u8, 0..20_u64, any::<bool>()), 0..6)
+}
+
+fn tracker_of(reads: &[(u8, u64, bool)]) -> MoveTracker {
+    let mut tracker = MoveTracker::default();
+    for (version, record, is_return_recent) in reads {
+        tracker.apply_order(&order(&format!("v{version}"), *record), *is_return_recent);
+    }
+    tracker
+}
+
+fn merged(trackers: &[&[(u8, u64, bool)]]) -> Vec<Target> {
+    let mut all = MoveTracker::default();
+    for reads in trackers {
+        all.merge(tracker_of(reads).delta_since(TrackerRevision(0)));
+    }
+    let services = all.delta_since(TrackerRevision(0)).services;
+    services.first().map_or(Vec::new(), |service| service.targets.history())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(35),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Nodes that read different offsets in different orders agree once they have heard of each
+    /// other, in whatever order and however often.
+    #[test]
+    fn nodes_agree_on_the_moves_that_they_read(a in reads(), b in reads(), c in reads()) {
+        let expected = merged(&[&a, &b, &c]);
+        prop_assert_eq!(&merged(&[&c, &a, &b]), &expected);
+        prop_assert_eq!(&merged(&[&b, &b, &c, &a, &c]), &expected);
+    }
+
+    /// Reading the order in force again, at any offset, changes nothing.
+    #[test]
+    fn order_in_force_is_never_a_new_move(reads in reads(), record in 0..40_u64) {
+        let mut tracker = tracker_of(&reads);
+        let before = tracker.delta_since(TrackerRevision(0));
+        let newest = before.services.first().and_then(|s| s.targets.history().pop());
+        if let Some(newest) = newest {
+            let again = MoveOrder { version: newest.version, ..order("v1", record) };
+            prop_assert_eq!(tracker.apply_order(&again, false), OrderOutcome::Known);
+            prop_assert_eq!(tracker.delta_since(TrackerRevision(0)), before);
+        }
+    }
+}
+
 fn node(name: &str, version: &str) -> NodeRecord {
     NodeRecord {
         instance: InstanceName::try_from(name).unwrap(),
