--- a/tests/feature/store_return.rs
+++ b/tests/feature/store_return.rs
@@ -13,6 +13,7 @@
 use savorykeel_standins::{
     backend::{Answer, Behaviour},
     log::Outage,
+    proxy::Faults,
 };
 
 use crate::harness::{
@@ -342,3 +343,40 @@
     thread::sleep(2 * AWAY);
     assert_eq!(fleet.log.records(CONFIGURATION_STREAM).len(), records.len() + 1);
 }
+
+/// Nodes that the store turns away learn of the return from the others, and store what is
+/// missing as soon as they reach it.
+#[test]
+fn nodes_that_do_not_reach_the_store_are_not_left_behind() {
+    let options = Options { on_platform: true, log_proxies: true, ..Options::default() };
+    let mut fleet = Fleet::empty(2, options);
+    fleet.store.publish(&configuration(1));
+    let copy = fleet.store.copy();
+    for spec in deployment().services {
+        for i in 0..spec.instances {
+            fleet.add(&spec, (i % 2) as u8 + 1, 20);
+        }
+    }
+    fleet.wait_members();
+    eventually("the first configuration is in force", || fleet.is_routed("/gate/"));
+    eventually("every node has a record", || fleet.store.present().len() == fleet.members.len());
+    fleet.log_proxies[1].set_faults(Faults {
+        refuse: true,
+        drop_requests: true,
+        drop_answers: true,
+        ..Faults::default()
+    });
+    come_back(&fleet, &copy);
+    fleet.store.publish(&configuration(2).route("/newer/", "gate"));
+    assert_routed_in_time(&fleet, "/newer/");
+    let in_zone = |zone| fleet.members.iter().filter(move |m| m.identity.zone == zone).count();
+    eventually("the records of zone 1 stand there again", || {
+        fleet.store.present().len() == in_zone(1)
+    });
+    fleet.log_proxies[1].set_faults(Faults::default());
+    let started = Instant::now();
+    while fleet.store.present().len() < fleet.members.len() {
+        assert!(started.elapsed() < IN_FORCE_LIMIT, "only {:?} are present", fleet.store.present());
+        thread::sleep(Duration::from_millis(50));
+    }
+}
