Share the check for a stored presence record, and tidy what was read again

The check whether the presence stream has a record of a node with its address stood twice, for the node itself and for the nodes of its zone; one function serves both. A needless second iterator in the move tracker and an overlong comment line are gone.

Left as it is: both clients of a store read the era, classify it and turn a late answer into an error, in about ten lines each. Their responses are of different libraries, and a common piece would hold little but that error.

--- a/crates/node/src/control/presence.rs
+++ b/crates/node/src/control/presence.rs
@@ -1,7 +1,7 @@
 //! Discovers other nodes through the log and maintains the presence records of the
 //! availability zone there.
 
-use std::{collections::BTreeMap, pin::pin, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use futures_util::future::join_all;
 use ntex::time::{sleep, timeout};
@@ -129,13 +129,12 @@
 /// Stores the records of the nodes of this availability zone that the presence stream lacks.
 async fn store_missing<L: LogService, P>(cx: &ControlContext<L, P>) -> Result<(), LogError> {
     let records = read_presence(cx).await?;
-    let is_stored = |node: &NodeRecord| {
-        let mut stored = records.iter().map(|record| &record.node);
-        stored.any(|s| s.instance == node.instance && s.peer_addr == node.peer_addr)
-    };
     let own_zone = &cx.state.identity.zone;
     let missing: Vec<NodeRecord> = cx.state.with_members(|members| {
-        members.alive_in(own_zone).filter(|node| !is_stored(node)).cloned().collect()
+        let missing = members
+            .alive_in(own_zone)
+            .filter(|node| !is_record_stored(&records, &node.instance, node.peer_addr));
+        missing.cloned().collect()
     });
     for node in missing {
         let instance = node.instance.clone();
@@ -179,8 +178,9 @@
     cx: &ControlContext<L, P>,
 ) -> Result<bool, LogError> {
     let records = read_presence(cx).await?;
+    let identity = &cx.state.identity;
     let is_due = match cx.log.retains_newest() {
-        true => !is_own_record_stored(cx, &records),
+        true => !is_record_stored(&records, &identity.instance, identity.peer_addr),
         false => is_append_due(cx, &records),
     };
     let appended = if is_due { append(cx).await } else { Ok(()) };
@@ -254,11 +254,14 @@
     cx.state.with_members(|members| members.active().any(|record| record.zone == *zone))
 }
 
-/// Returns whether the stream has a record of this node with its current address.
-fn is_own_record_stored<L, P>(cx: &ControlContext<L, P>, records: &[PresenceRecord]) -> bool {
-    let identity = &cx.state.identity;
+/// Returns whether the stream has a record of a node with its current address.
+fn is_record_stored(
+    records: &[PresenceRecord],
+    instance: &InstanceName,
+    peer_addr: SocketAddr,
+) -> bool {
     let mut nodes = records.iter().map(|record| &record.node);
-    nodes.any(|node| node.instance == identity.instance && node.peer_addr == identity.peer_addr)
+    nodes.any(|node| node.instance == *instance && node.peer_addr == peer_addr)
 }
 
 /// Returns whether this node has to append a record: it has no fresh one, and the
--- a/crates/policy/src/distribution/floor.rs
+++ b/crates/policy/src/distribution/floor.rs
@@ -251,9 +251,10 @@
     ///
     /// The end of the log covers everything that was ever applied, unless the log has come
     /// back from an older copy. If another node says so, or none has said anything, the
-    /// neighbours, which recorded what the node had applied, are asked first. Without the log, answers from several nodes in several availability zones are
-    /// needed; a node whose membership table isn't confirmed can't decide whether the answers
-    /// suffice and doesn't serve.
+    /// neighbours, which recorded what the node had applied, are asked first. Without the log,
+    /// answers from several nodes in several availability zones are needed; a node whose
+    /// membership table isn't confirmed can't decide whether the answers suffice and doesn't
+    /// serve.
     pub fn is_complete(&self, position: Position, peers: &RecoveryPeers) -> bool {
         if position < self.floor || !self.knows_moves() {
             return false;
--- a/crates/policy/src/moves/tracker.rs
+++ b/crates/policy/src/moves/tracker.rs
@@ -235,8 +235,8 @@
         let key = MoveKey { service: service.clone(), asked: active.target.asked };
         let keys = self.keys_of(&service, &active.target);
         // The move keeps its monitor when it becomes known under an earlier id.
-        let monitored = std::mem::take(&mut self.monitors).into_iter();
-        let monitor = monitored.into_iter().find(|(known, _)| keys.contains(known));
+        let mut monitors = std::mem::take(&mut self.monitors).into_iter();
+        let monitor = monitors.find(|(known, _)| keys.contains(known));
         let input = MonitorInput {
             tick,
             wall,
