--- a/review/common-2/mesh.py
+++ b/review/common-2/mesh.py
@@ -20,7 +20,7 @@
 import tempfile
 import threading
 import time
-import tomllib
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -500,8 +500,9 @@
     def __init__(self, folder):
         self.record = Record(folder)
         self.dir = tempfile.mkdtemp(prefix="mesh-")
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-            self.command = shlex.split(tomllib.load(file)["roles"]["node"]["run"])
+        with open(os.path.join(ROOT, "deploy", "system.toml")) as file:
+            role = file.read().partition("[roles.node]")[2]
+        self.command = shlex.split(re.search(r'^run *= *"(.*)"', role, re.MULTILINE)[1])
         if not os.path.exists(os.path.join(ROOT, self.command[0])):
             raise CannotRun("the program isn't built")
         self.network = random.randrange(2, 250)
@@ -573,6 +574,8 @@
         code = 0 if case(mesh) else 1
     except CannotRun as problem:
         print(f"the case couldn't run: {problem}")
+    except Exception:
+        traceback.print_exc()
     finally:
         if mesh:
             mesh.stop()
