--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,7 @@
-"""An upstream that has left gets work again after a restart of the node beside it."""
+"""An acknowledged configuration never comes into force, because of the rank of one route."""
 
 import os
 import sys
-import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -10,78 +9,67 @@
 sys.dont_write_bytecode = True
 import mesh as meshes  # noqa: E402
 
-DRAIN, STABLE = meshes.BOUNDS["drain"], meshes.BOUNDS["stable"]
-# Times in seconds after the acknowledgement of the leaving.
-KILL_AT, RESTART_AT, LATE_BEAT_AT, EXIT_AT, END_AT = 0.3, 0.8, 2.8, 7.0, 8.0
-REQUEST_INTERVAL = 0.05
+CONFIG_APPLY = meshes.BOUNDS["config_apply"]
+KINDS = 20
+# Largest rank of the configuration without the trouble.
+SMALLEST_RANK = 15
+CHECK_S, REQUEST_INTERVAL = 10.0, 0.2
 
 
-def load(machine, until, answers):
-    while time.monotonic() < until:
-        started = time.monotonic()
-        answers.append(machine.request("/orders/book", "POST", body=b"one bag"))
-        time.sleep(max(0.0, REQUEST_INTERVAL - (time.monotonic() - started)))
+def configuration(version, paths, ranks):
+    """Returns a configuration with a route for each path, which has a service and a rank."""
+    document = meshes.configuration(version, ["orders", "prices"])
+    document["listeners"][0]["rules"] = [{
+        "name": f"r-{path}", "kind": "non_idempotent", "slo": "500ms", "priority": rank,
+        "public": False, "match": {"path_prefix": f"/{path}/"},
+        "action": {"service": service, "timeout": "2s", "attempts": 2},
+    } for (path, service), rank in zip(paths.items(), ranks)]
+    return document
 
 
 def case(mesh):
     record = mesh.record
     for number, (zone, service) in enumerate(
-        [("zone-a", "orders"), ("zone-b", "orders"), ("zone-a", "prices"), ("zone-b", "prices")]
+        [("a", "orders"), ("b", "orders"), ("a", "prices"), ("b", "prices")]
     ):
-        mesh.add(f"machine-{number + 1}", zone, service)
-    mesh.start(meshes.configuration(1, ["orders", "prices"], "non_idempotent"))
-    first, entries = mesh.machines[0], mesh.machines[1:]
-    leaver = first.upstream
-
-    def is_used():
-        for entry in entries:
-            entry.request("/orders/warm", "POST", body=b"")
-        return len(leaver.runs) >= 3
-
-    mesh.wait("both upstreams of the service are in use", is_used)
-    time.sleep(STABLE)
+        mesh.add(f"machine-{number + 1}", f"zone-{zone}", service)
+    kept = {f"kind-{n}": "orders" for n in range(KINDS - 2)}
+    first = {**kept, "moved": "orders", "dropped": "orders"}
+    second = {**kept, "moved": "prices", "added": "orders"}
+    mesh.start(configuration(1, first, [0] * KINDS))
+    mesh.wait("the routes are served", lambda: all(
+        machine.request(f"/{path}/x", "POST", body=b"")["status"] == 200
+        for machine in mesh.machines for path in ["moved", "dropped"]))
+    time.sleep(meshes.BOUNDS["stable"])
 
-    leaver.beating = False
-    late_beat = leaver.message()
-    record.write(f"HEARTBEAT seq {leaver.seq} of {leaver.id}, ready, is sent and delayed")
-    if not leaver.send("DELETE"):
-        raise meshes.CannotRun("the leaving wasn't acknowledged")
-    left_at, start = record.now(), time.monotonic()
-    record.write(f"LEAVING of {leaver.id} acknowledged by the node of {first.name}")
-    leaver.state = "left"
-
-    answers, until = [], start + END_AT
-    clients = [threading.Thread(target=load, args=(e, until, answers)) for e in entries]
-    for client in clients:
-        client.start()
-    restarted_at = None
-    sleep_to = lambda at: time.sleep(max(0.0, start + at - time.monotonic()))
-    if meshes.TROUBLE:
-        sleep_to(KILL_AT)
-        first.kill()
-        sleep_to(RESTART_AT)
-        first.start()
-        restarted_at = first.started_at
-    sleep_to(LATE_BEAT_AT)
-    is_acknowledged = leaver.send("PUT", late_beat)
-    record.write(f"the late HEARTBEAT of {leaver.id} arrives, acknowledged: {is_acknowledged}")
-    sleep_to(EXIT_AT)
-    record.write(f"upstream {leaver.id} ends")
-    leaver.exit()
-    for client in clients:
-        client.join()
+    # Each kind of request has a rank of its own, where 0 is the highest.
+    ranks = range(KINDS) if meshes.TROUBLE else [min(n, SMALLEST_RANK) for n in range(KINDS)]
+    mesh.store.write("config", configuration(2, second, ranks))
+    acknowledged_at = record.now()
+    record.write(f"CONFIGURATION 2 acknowledged, with ranks {list(ranks)}")
+    time.sleep(CONFIG_APPLY)
+    answers, until = [], time.monotonic() + CHECK_S
+    while time.monotonic() < until:
+        for machine in mesh.machines:
+            for path in ["moved", "dropped", "added"]:
+                answers.append((path, machine.request(f"/{path}/x", "POST", body=b"")))
+        time.sleep(REQUEST_INTERVAL)
 
-    # All machines are in touch again `stable` after the start of the process.
-    calm_from = left_at if restarted_at is None else restarted_at + STABLE
-    sent = {answer["id"]: answer for answer in answers}
-    late = [r for r in leaver.runs if r["id"] in sent and r["at"] > max(left_at + DRAIN, calm_from)]
-    lost = [r for r in late if sent[r["id"]]["status"] != 200]
-    for run in late[:3] + lost:
-        record.write(f"BROKEN: {run['id']} reaches {leaver.id} {run['at'] - left_at:.3f} s after the "
-                     f"acknowledgement; its client got {sent[run['id']]['status']}")
-    print(f"{len(late)} requests reached the upstream later than {DRAIN} s after the acknowledgement, "
-          f"from machines in touch; {len(lost)} of them weren't answered by it")
-    return not late
+    ran_at = {run["id"]: machine.service for machine in mesh.machines
+              for run in machine.upstream.runs}
+    by_old = {
+        "ran at the old service": [a for path, a in answers
+                                   if path == "moved" and ran_at.get(a["id"]) == "orders"],
+        "ran on a dropped route": [a for path, a in answers
+                                   if path == "dropped" and a["id"] in ran_at],
+        "refused with 404 on a new route": [a for path, a in answers
+                                            if path == "added" and a["status"] == 404],
+    }
+    text = ", ".join(f"{len(found)} {what}" for what, found in by_old.items())
+    text = f"of {len(answers)} requests sent later than {CONFIG_APPLY} s after the acknowledgement, {text}"
+    record.write(text)
+    print(text)
+    return not any(by_old.values())
 
 
 meshes.main(FOLDER, case)
