Complete no move on a node that is cut off from the others

What callers saw: while the machine of a bad version's only server was cut off for 10 s, the move was reported as complete.

Cause: without a live server of another version in the table of the evaluator, and without an earlier order, a move was done after 5 s. A node that reaches nobody has such a table, and is the only evaluator that it knows of. `done` is final and merges everywhere.

Ruled out: the other side completing (its nodes keep the first share until the cut has healed), and the ramp (no rising share on the cut-off node).

Change: an evaluator raises shares, completes moves and ends rechecks only with the quorum: it reaches most of the nodes that it knows of, and most of its probes are answered. Without it, a version is taken back only beside the old one. The end of the old version is what its nodes report; servers on nodes that can't be reached are waited for until 2.5 s before the deadline. It holds for other cuts, because it doesn't depend on their length: nodes out of reach stop counting only while the quorum lasts.

Related paths mended with it: the share that rose by the clock on the cut-off side, a take-back with nothing to compare, `done` written after the cut, a node that starts behind the cut, and 60 s of waiting for an old version that has ended after an earlier move (a move of 16 s missed its deadline).

Tests: feature::moves_cut_off, three of four failed before (completed during the cut, or after it with the store cut off too). membership_quorum: of a random partition one side at most decides. moves_cut_off: the decisions of one evaluator.

--- a/crates/bench/src/moves/strategy.rs
+++ b/crates/bench/src/moves/strategy.rs
@@ -216,6 +216,8 @@
                 unproven_share: UNPROVEN_SHARE,
                 old: Some(&old),
                 baseline: Baseline::Known,
+                may_old_be_cut_off: false,
+                has_quorum: true,
                 new: &new,
                 capacity: input.capacity,
                 evidence: &node.evidence,
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -70,14 +70,18 @@
         if reply.from.recovered {
             self.record_evacuations_known(sent_at);
         }
-        if !self.is_serving() {
+        if !self.is_serving() || !self.are_members_known() {
             let digest = self.with_members(|members| members.digest());
+            let is_confirmed = reply.from.recovered && reply.from.members == digest;
             self.with_recovery(|recovery| {
                 recovery.record_answer(&reply.from, reply.your_floor);
-                if reply.from.recovered && reply.from.members == digest {
+                if is_confirmed {
                     recovery.confirm_members();
                 }
             });
+            if is_confirmed {
+                self.confirm_members();
+            }
         }
         if let Some(ago) = reply.from.current_ago {
             let ago = u64::try_from(ago.as_millis()).unwrap_or(u64::MAX);
--- a/crates/node/src/control/presence.rs
+++ b/crates/node/src/control/presence.rs
@@ -178,6 +178,7 @@
     cx: &ControlContext<L, P>,
 ) -> Result<bool, LogError> {
     let records = read_presence(cx).await?;
+    record_announced(cx, &records);
     let identity = &cx.state.identity;
     let is_due = match cx.log.retains_newest() {
         true => !is_record_stored(&records, &identity.instance, identity.peer_addr),
@@ -200,6 +201,19 @@
     Ok(records.iter().filter_map(|record| PresenceRecord::parse(record).ok()).collect())
 }
 
+/// Records which nodes exist according to the stream. Where it retains records for a time only,
+/// those that are too old say nothing.
+fn record_announced<L: LogService, P>(cx: &ControlContext<L, P>, records: &[PresenceRecord]) {
+    let oldest = match cx.log.retains_newest() {
+        true => None,
+        false => Some((cx.state.clock.wall)()),
+    };
+    let is_fresh =
+        |record: &&PresenceRecord| oldest.is_none_or(|now| record.at + cx.times.presence > now);
+    let fresh = records.iter().filter(is_fresh);
+    cx.state.record_announced(fresh.map(|record| record.node.instance.clone()).collect());
+}
+
 /// Compares tables with nodes of the stream that aren't in this node's table yet.
 ///
 /// It stops in the own availability zone once enough nodes have answered ([`CONTACT_LIMITS`]), and in
--- a/crates/node/src/control/probe.rs
+++ b/crates/node/src/control/probe.rs
@@ -115,6 +115,12 @@
         self.unanswered.borrow().are_many(watched, self.state.now())
     }
 
+    /// Returns whether most of the watched nodes are silent, as on a node that is cut off.
+    pub(crate) fn are_most_silent(&self) -> bool {
+        let watched = || self.neighbours().watched;
+        self.unanswered.borrow().are_most(watched, self.state.now())
+    }
+
     fn is_leaving(&self, contact: &Contact) -> bool {
         let leaves = |entry: &Entry| entry.record.leaving;
         self.state.with_members(|members| members.get(&contact.instance).is_some_and(leaves))
--- a/crates/node/src/moves/controller.rs
+++ b/crates/node/src/moves/controller.rs
@@ -288,8 +288,8 @@
 
     /// Evaluates the move of the local backend server's service and returns whether its
     /// state changed.
-    pub fn evaluate(&self, table: &Table, tick: Tick, wall: WallMillis) -> bool {
-        self.tracker.lock().evaluate(table, tick, wall)
+    pub fn evaluate(&self, table: &Table, tick: Tick, wall: WallMillis, has_quorum: bool) -> bool {
+        self.tracker.lock().evaluate(table, tick, wall, has_quorum)
     }
 
     /// Returns a report on the move in force of each service.
--- a/crates/node/src/moves/dissemination.rs
+++ b/crates/node/src/moves/dissemination.rs
@@ -21,7 +21,11 @@
         message::{MessageBody, ReplyBody, Topic},
     },
     ids::InstanceName,
-    membership::{entry::NodeRecord, rings::Contact},
+    membership::{
+        entry::NodeRecord,
+        quorum::{FleetView, Quorum},
+        rings::Contact,
+    },
     moves::{
         evaluators::{EvaluatorTerm, EvidencePlan, ReportScope},
         evidence::Report,
@@ -96,6 +100,7 @@
     peers: RefCell<BTreeMap<InstanceName, PeerState>>,
     last_evaluation: RefCell<Tick>,
     evaluator_term: RefCell<EvaluatorTerm>,
+    quorum: RefCell<Quorum>,
     last_pull: RefCell<Option<Tick>>,
     next_pull: RefCell<Tick>,
     /// Moves whose rollback has been logged.
@@ -132,7 +137,7 @@
     }
 }
 
-fn evaluate_when_due<L, P>(
+fn evaluate_when_due<L, P: PeerLinks>(
     cx: &ControlContext<L, P>,
     dissemination: &Dissemination,
     table: &Table,
@@ -143,11 +148,12 @@
     let may_evaluate =
         dissemination.evaluator_term.borrow_mut().may_evaluate(is_evaluator, now, wall);
     let is_due = now.since(*dissemination.last_evaluation.borrow()) >= EVALUATION_PERIOD;
-    if !may_evaluate || !is_due {
+    if !is_evaluator || !is_due {
         return;
     }
     *dissemination.last_evaluation.borrow_mut() = now;
-    if !cx.state.moves.evaluate(table, now, wall) {
+    let has_quorum = update_quorum(cx, &mut dissemination.quorum.borrow_mut(), now);
+    if !may_evaluate || !cx.state.moves.evaluate(table, now, wall, has_quorum) {
         return;
     }
     let Some(own) = cx.state.moves.own_report() else { return };
@@ -155,11 +161,35 @@
     if let Some(report) = reports.iter().find(|report| report.service == own.service) {
         info!(cx.state.logger, "move state changed";
             "service" => %report.service, "move" => report.asked.0, "to" => %report.to,
+            "from" => report.from.as_ref().map(|from| from.as_str()),
             "phase" => %report.phase, "share_permille" => report.share_permille.0,
             "reason" => report.reason.as_ref().map(|reason| reason.kind.to_string()));
     }
 }
 
+/// Updates what this node knows of its contact with the fleet, and returns whether it may take
+/// decisions that can't be taken back.
+fn update_quorum<L, P: PeerLinks>(
+    cx: &ControlContext<L, P>,
+    quorum: &mut Quorum,
+    now: Tick,
+) -> bool {
+    let could_decide = quorum.may_decide(now);
+    let are_probes_silent = cx.are_most_silent();
+    let unheard = cx.state.unheard();
+    cx.state.with_members(|members| {
+        quorum.update(&FleetView { members, unheard: &unheard, are_probes_silent }, now);
+    });
+    let may_decide = quorum.may_decide(now);
+    if may_decide != could_decide {
+        let reach = quorum.reach();
+        info!(cx.state.logger, "quorum for moves changed"; "may_decide" => may_decide,
+            "reached" => reach.reached, "counted" => reach.counted,
+            "are_probes_silent" => are_probes_silent);
+    }
+    may_decide
+}
+
 /// Sends changed targets and states to the spread targets, and reports of evidence to their
 /// recipients.
 fn push<L: 'static, P: PeerLinks + 'static>(
--- a/crates/policy/src/membership/failure.rs
+++ b/crates/policy/src/membership/failure.rs
@@ -5,6 +5,8 @@
 
 use crate::{ids::InstanceName, time::Tick};
 
+use super::rings::Contact;
+
 /// Time between two probes of one node by one watcher.
 pub const PROBE_PERIOD: Duration = Duration::from_millis(1_000);
 
@@ -122,4 +124,17 @@
         let silent = self.sent_at.values().filter(is_recent).count();
         silent > 0 && silent >= watched().min(SILENT_NODES_TO_READ)
     }
+
+    /// Returns whether more than half of the watched nodes are silent, as on a node that is cut
+    /// off from the others.
+    pub fn are_most(&self, watched: impl FnOnce() -> Vec<Contact>, now: Tick) -> bool {
+        let is_recent = |sent_at: &Tick| now.since(*sent_at) < UNANSWERED_LIFETIME;
+        if !self.sent_at.values().any(is_recent) {
+            return false;
+        }
+        let is_silent =
+            |contact: &&Contact| self.sent_at.get(&contact.instance).is_some_and(is_recent);
+        let watched = watched();
+        2 * watched.iter().filter(is_silent).count() > watched.len()
+    }
 }
--- a/crates/policy/src/membership/mod.rs
+++ b/crates/policy/src/membership/mod.rs
@@ -8,4 +8,5 @@
 pub mod failure;
 pub mod members;
 pub mod merge;
+pub mod quorum;
 pub mod rings;
--- a/crates/policy/src/moves/active_move.rs
+++ b/crates/policy/src/moves/active_move.rs
@@ -118,6 +118,23 @@
         Some(ActiveMove { target, state, old, baseline })
     }
 
+    /// Returns whether backend servers of another version than the target, which wasn't found to
+    /// be bad, may be running on nodes that can't be reached.
+    pub(super) fn may_other_be_cut_off(
+        &self,
+        table: &ServiceTable,
+        service: &ServiceName,
+        active: &ActiveMove,
+    ) -> bool {
+        let history = self.targets.history(service);
+        let is_bad = |version: &BackendVersion| {
+            let last = history.iter().rev().find(|earlier| earlier.version == *version);
+            last.is_some_and(|earlier| self.state(service, earlier).bad.is_some())
+        };
+        let mut others = table.unreachable.iter().filter(|v| **v != active.target.version);
+        others.any(|version| !is_bad(version))
+    }
+
     /// Returns the version that carried all traffic before the target was
     /// requested: the last one whose move was done, else the target of the first
     /// configuration.
--- a/crates/policy/src/moves/monitor.rs
+++ b/crates/policy/src/moves/monitor.rs
@@ -35,9 +35,14 @@
 /// that has just started doesn't know all instances yet.
 pub const OLD_ABSENCE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Same as [`OLD_ABSENCE_TIMEOUT`], for a service without a known earlier version.
+/// Same as [`OLD_ABSENCE_TIMEOUT`], for a service without a known earlier version and for moves
+/// of at most [`short::MAX_SPAN`].
 pub const NO_BASELINE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time before the deadline at which a move is completed whose old version can't be reached and
+/// may be running behind a partition. It suffices for the status to be written.
+const UNREACHABLE_RESERVE: Duration = Duration::from_millis(2_500);
+
 /// Time constant of the moving average of the slots in use.
 const BUSY_SLOTS_AVERAGING_TIME: Duration = Duration::from_secs(5);
 
@@ -69,6 +74,11 @@
     pub old: Option<&'a BackendVersion>,
     /// Why `old` may be none.
     pub baseline: Baseline,
+    /// Whether another version than `new` may be running on nodes that can't be reached.
+    pub may_old_be_cut_off: bool,
+    /// Whether this node reaches most of the fleet. Without that, it may be the node that is cut
+    /// off.
+    pub has_quorum: bool,
     /// Version that gains traffic.
     pub new: &'a BackendVersion,
     /// Slots of both versions.
@@ -150,7 +160,17 @@
             return desired;
         }
         if let Judgement::Bad(reason) = judgement {
-            desired.bad = Some(reason);
+            // On a node that is cut off, a version without another one to compare it with may
+            // fail because of the cut.
+            if input.has_quorum || input.old.is_some() {
+                desired.bad = Some(reason);
+            }
+            return desired;
+        }
+        if input.old.is_some() || !input.has_quorum {
+            self.old_last_live = input.tick;
+        }
+        if !input.has_quorum {
             return desired;
         }
         if !state.done {
@@ -229,10 +249,9 @@
         judgement: Judgement,
     ) {
         if input.old.is_none() {
-            self.raise_share_without_old(input, desired);
+            self.raise_share_without_old(input, desired, judgement);
             return;
         }
-        self.old_last_live = input.tick;
         let in_step = input.tick.since(self.step_since);
         let settle = match self.is_short() {
             true => short::settle_time(input.longest_request),
@@ -268,14 +287,25 @@
         });
     }
 
-    fn raise_share_without_old(&self, input: &MonitorInput<'_>, desired: &mut MoveState) {
+    fn raise_share_without_old(
+        &self,
+        input: &MonitorInput<'_>,
+        desired: &mut MoveState,
+        judgement: Judgement,
+    ) {
         let timeout = match input.baseline {
-            Baseline::Known => OLD_ABSENCE_TIMEOUT,
-            Baseline::Unknown => NO_BASELINE_TIMEOUT,
             Baseline::Target => Duration::ZERO,
+            Baseline::Unknown => NO_BASELINE_TIMEOUT,
+            Baseline::Known if self.is_short() => NO_BASELINE_TIMEOUT,
+            Baseline::Known => OLD_ABSENCE_TIMEOUT,
         };
-        let is_alone = input.tick.since(self.old_last_live) >= timeout;
-        if is_alone && input.capacity.new_slots > 0 {
+        let is_absent = input.tick.since(self.old_last_live) >= timeout;
+        let may_return = input.may_old_be_cut_off && input.baseline != Baseline::Target;
+        let time_left = Duration::from_millis(self.deadline.at.0.saturating_sub(input.wall.0));
+        let is_last_moment = time_left <= UNREACHABLE_RESERVE;
+        let is_clear = judgement == Judgement::Clear;
+        if is_absent && is_clear && (!may_return || is_last_moment) && input.capacity.new_slots > 0
+        {
             desired.share = Permille::FULL;
             desired.done = true;
         }
--- a/crates/policy/src/moves/tracker.rs
+++ b/crates/policy/src/moves/tracker.rs
@@ -230,7 +230,16 @@
 
     /// Evaluates the move of the local backend server's service and returns whether
     /// its state changed.
-    pub fn evaluate(&mut self, table: &Table, tick: Tick, wall: WallMillis) -> bool {
+    ///
+    /// Without the quorum, the node may be cut off from the others and decides only what the
+    /// calls of both versions show.
+    pub fn evaluate(
+        &mut self,
+        table: &Table,
+        tick: Tick,
+        wall: WallMillis,
+        has_quorum: bool,
+    ) -> bool {
         let Some(own) = self.own.clone() else { return false };
         let service = own.service.clone();
         self.evidence.merge(own);
@@ -250,6 +259,8 @@
             unproven_share: Permille::from_share(table.configuration.limits.unproven_share),
             old: active.old.as_ref(),
             baseline: active.baseline,
+            may_old_be_cut_off: self.may_other_be_cut_off(service_table, &service, &active),
+            has_quorum,
             new: &active.target.version,
             capacity: Capacity {
                 new_slots: slots_of(service_table, &active.target.version),
--- a/crates/policy/src/table.rs
+++ b/crates/policy/src/table.rs
@@ -4,13 +4,17 @@
 //! that no route refers to an unknown service or endpoint.
 //! It is replaced as a whole; see `docs/design/0002-configuration.md`.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use crate::{
     config::model::{Configuration, Route, Service},
     evacuation::Evacuations,
     ids::{BackendVersion, ConfigVersion, InstanceName, ServiceName, ZoneName},
-    membership::entry::{Liveness, NodeRecord},
+    membership::entry::{BackendRecord, Liveness, NodeRecord},
 };
 
 /// An instance whose backend server accepts requests.
@@ -41,6 +45,9 @@
     pub endpoints: Vec<Arc<Endpoint>>,
     /// Endpoints in evacuated zones, which take none until the evacuation is revoked.
     pub evacuated: Vec<Arc<Endpoint>>,
+    /// Versions of the backend servers that can't be reached. They may be running behind a
+    /// partition.
+    pub unreachable: BTreeSet<BackendVersion>,
 }
 
 impl ServiceTable {
@@ -83,16 +90,23 @@
                     service: service.clone(),
                     endpoints: Vec::new(),
                     evacuated: Vec::new(),
+                    unreachable: BTreeSet::new(),
                 };
                 (name.clone(), table)
             })
             .collect();
         for (record, liveness) in members {
-            let Some((service, endpoint)) = endpoint_of(record, liveness) else { continue };
-            let Some(table) = services.get_mut(&service) else { continue };
-            match evacuations.is_evacuated(&endpoint.zone) {
-                true => table.evacuated.push(Arc::new(endpoint)),
-                false => table.endpoints.push(Arc::new(endpoint)),
+            let Some(backend) = running_backend(record) else { continue };
+            let Some(table) = services.get_mut(&backend.service) else { continue };
+            let is_evacuated = evacuations.is_evacuated(&record.zone);
+            let endpoint = || Arc::new(endpoint_of(record, backend, liveness));
+            match liveness {
+                Liveness::Gone => {}
+                Liveness::Unreachable => {
+                    table.unreachable.insert(backend.version.clone());
+                }
+                _ if is_evacuated => table.evacuated.push(endpoint()),
+                _ => table.endpoints.push(endpoint()),
             }
         }
         for table in services.values_mut() {
@@ -107,13 +121,13 @@
     }
 }
 
-fn endpoint_of(record: &NodeRecord, liveness: Liveness) -> Option<(ServiceName, Endpoint)> {
-    let is_reachable = matches!(liveness, Liveness::Alive | Liveness::Suspect);
-    let backend = record.backend.as_ref()?;
-    if !is_reachable || record.leaving || backend.draining {
-        return None;
-    }
-    let endpoint = Endpoint {
+/// Returns the backend server of a node, unless it or the node has announced that it leaves.
+fn running_backend(record: &NodeRecord) -> Option<&BackendRecord> {
+    record.backend.as_ref().filter(|backend| !record.leaving && !backend.draining)
+}
+
+fn endpoint_of(record: &NodeRecord, backend: &BackendRecord, liveness: Liveness) -> Endpoint {
+    Endpoint {
         instance: record.instance.clone(),
         incarnation: record.stamp.incarnation,
         zone: record.zone.clone(),
@@ -121,6 +135,5 @@
         version: backend.version.clone(),
         slots: backend.slots,
         suspect: liveness == Liveness::Suspect,
-    };
-    Some((backend.service.clone(), endpoint))
+    }
 }
--- a/crates/policy/tests/moves_orders.rs
+++ b/crates/policy/tests/moves_orders.rs
@@ -184,12 +184,12 @@
     let (instance, zone) = ("a".try_into().unwrap(), "patras".try_into().unwrap());
     lived.set_local_backend(&instance, 1, &zone, &gate(), &order("v1", 0).version);
     lived.apply_order(&order("v2", 8), false);
-    lived.evaluate(&table, Tick(1_000), WallMillis(1_000));
+    lived.evaluate(&table, Tick(1_000), WallMillis(1_000), true);
     assert_eq!(lived.status(&table).unwrap().since, WallMillis(1_000));
     let mut started = MoveTracker::default();
     started.apply_order(&order("v2", 5), true);
     lived.merge(started.delta_since(TrackerRevision(0)));
-    lived.evaluate(&table, Tick(9_000), WallMillis(9_000));
+    lived.evaluate(&table, Tick(9_000), WallMillis(9_000), true);
     let status = lived.status(&table).unwrap();
     assert_eq!((status.asked, status.since), (ConfigVersion(6), WallMillis(1_000)));
 }
--- a/crates/policy/tests/moves_tracker.rs
+++ b/crates/policy/tests/moves_tracker.rs
@@ -111,8 +111,8 @@
         self.now += 1_000;
         self.exchange_gossip();
         let (tick, wall) = (Tick(self.now), WallMillis(self.now));
-        self.old.evaluate(table, tick, wall);
-        self.new.evaluate(table, tick, wall);
+        self.old.evaluate(table, tick, wall, true);
+        self.new.evaluate(table, tick, wall, true);
     }
 
     fn exchange_gossip(&mut self) {
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -21,6 +21,7 @@
 mod http_semantics;
 mod large_answers;
 mod membership_failure;
+mod moves_cut_off;
 mod moves_stage;
 mod moves_whole;
 mod odd_statuses;
