Let a stage of a short move wait for calls of the new version

What callers saw: after a cut of 10 s, a version that was out of reach and had run no call got all calls at once, until its failures had been reported.

Cause: the stages of a short move followed the clock alone. "Nothing is held against the version" was also true of one of which nothing had been seen.

Change: a stage begins once the version has run 10 calls in the one before, or 0.95 of the time for the ramp has passed, so that a move without calls is still done in time.

Test: moves_short::share_does_not_rise_without_calls. By the clock alone the share of its first three cases was 1,000, whatever the calls.

--- a/crates/policy/src/moves/monitor.rs
+++ b/crates/policy/src/moves/monitor.rs
@@ -266,6 +266,7 @@
         if self.is_short() {
             desired.share = short::next_share(&ShortInput {
                 share: desired.share,
+                step_calls: self.step_calls,
                 elapsed: Duration::from_millis(input.wall.0.saturating_sub(self.deadline.start.0)),
                 span: Duration::from_millis(
                     self.deadline.at.0.saturating_sub(self.deadline.start.0),
--- a/crates/policy/src/moves/short.rs
+++ b/crates/policy/src/moves/short.rs
@@ -18,6 +18,12 @@
 /// End of the second stage, as a fraction of the time for the ramp.
 const LOADED_STAGE_END: f64 = 0.85;
 
+/// Calls of the new version that a stage needs before the next one begins.
+const CALLS_PER_STAGE: u64 = 10;
+
+/// Fraction of the time for the ramp from which the last stage begins without these calls.
+const LAST_STAGE_START: f64 = 0.95;
+
 /// Least and greatest share of the second stage.
 ///
 /// In between, the share is what one instance carries at the full share. The upper
@@ -36,6 +42,8 @@
 pub struct ShortInput<'a> {
     /// Current share.
     pub share: Permille,
+    /// Calls of the new version at this share.
+    pub step_calls: u64,
     /// Time since the start of the move.
     pub elapsed: Duration,
     /// Time from the start of the move within which it should be done.
@@ -53,7 +61,8 @@
 /// Returns the next share.
 ///
 /// It is never below the current one, and doesn't rise while any evidence is against
-/// the version.
+/// the version. Nor does it before the version has run a few calls, as long as there is time: a
+/// version whose instances were out of reach until now has shown nothing.
 pub fn next_share(input: &ShortInput<'_>) -> Permille {
     if input.new_instances == 0 || *input.judgement != Judgement::Clear {
         return input.share;
@@ -70,6 +79,10 @@
     } else {
         Permille::FULL
     };
+    let has_calls = input.share > Permille::NONE && input.step_calls >= CALLS_PER_STAGE;
+    if !has_calls && progress < LAST_STAGE_START {
+        return input.share.max(input.unproven_share);
+    }
     planned.max(input.share)
 }
 
--- a/crates/policy/tests/moves_short.rs
+++ b/crates/policy/tests/moves_short.rs
@@ -130,8 +130,13 @@
 }
 
 fn share_at(elapsed_ms: u64, judgement: &Judgement, share: u16) -> u16 {
+    share_after_calls(100, elapsed_ms, judgement, share)
+}
+
+fn share_after_calls(step_calls: u64, elapsed_ms: u64, judgement: &Judgement, share: u16) -> u16 {
     next_share(&ShortInput {
         share: Permille(share),
+        step_calls,
         elapsed: Duration::from_millis(elapsed_ms),
         span: Duration::from_secs(15),
         longest_request: Duration::from_millis(1_200),
@@ -155,6 +160,18 @@
     assert_eq!(share_at(elapsed_ms, &Judgement::Clear, share), expected);
 }
 
+/// Guards against a version that gets all calls before it has run any: its instances were out of
+/// reach while the time for the first stages passed.
+#[parameterized(
+    before_any_share = { 10_200, 0, 60 },
+    at_the_first_share = { 10_200, 60, 60 },
+    loaded = { 10_200, 200, 200 },
+    out_of_time = { 11_200, 60, 1_000 },
+)]
+fn share_does_not_rise_without_calls(elapsed_ms: u64, share: u16, expected: u16) {
+    assert_eq!(share_after_calls(9, elapsed_ms, &Judgement::Clear, share), expected);
+}
+
 #[test]
 fn share_does_not_rise_after_a_warning() {
     assert_eq!(share_at(14_000, &Judgement::Warning, 60), 60);
