Put into force what the platform's store has accepted

Cause: the checks that tell a publisher of savorykeel what to mend also judged what the store had accepted already. None of their bounds stands on a page of the platform.

Change: AcceptedConfiguration refuses nothing for a bound of this software. Each value takes effect or what is nearest to it, whole; unusual ones are logged. It judges what is read from the store and what nodes pass to each other. The decoder takes any number, name, list with repeats. Publishers are refused what they were refused before.

--- a/crates/adapters/src/metrics/mod.rs
+++ b/crates/adapters/src/metrics/mod.rs
@@ -6,6 +6,7 @@
 mod registry;
 
 use std::{
+    borrow::Cow,
     fmt,
     net::{SocketAddr, UdpSocket},
     sync::Arc,
@@ -178,7 +179,8 @@
     /// Adds `n` to a counter.
     pub fn count(&self, counter: Counter, n: u64, tags: &[Tag<'_>]) {
         if let Some(client) = &self.client {
-            tagged(client.count_with_tags(counter.into(), n), tags).send();
+            let values = statsd_values(tags);
+            tagged(client.count_with_tags(counter.into(), n), tags, &values).send();
         }
         if let Some(registry) = &self.registry {
             registry.count(counter, n, tags);
@@ -188,7 +190,8 @@
     /// Sets a gauge.
     pub fn gauge(&self, gauge: Gauge, value: u64, tags: &[Tag<'_>]) {
         if let Some(client) = &self.client {
-            tagged(client.gauge_with_tags(gauge.into(), value), tags).send();
+            let values = statsd_values(tags);
+            tagged(client.gauge_with_tags(gauge.into(), value), tags, &values).send();
         }
         if let Some(registry) = &self.registry {
             registry.gauge(gauge, value, tags);
@@ -198,7 +201,9 @@
     /// Records a duration.
     pub fn time(&self, timer: Timer, duration: Duration, tags: &[Tag<'_>]) {
         if let Some(client) = &self.client {
-            tagged(client.time_with_tags(timer.into(), duration.as_millis() as u64), tags).send();
+            let values = statsd_values(tags);
+            tagged(client.time_with_tags(timer.into(), duration.as_millis() as u64), tags, &values)
+                .send();
         }
         if let Some(registry) = &self.registry {
             registry.time(timer, duration, tags);
@@ -217,12 +222,24 @@
 fn tagged<'m, 'c, T>(
     mut metric: MetricBuilder<'m, 'c, T>,
     tags: &'m [Tag<'m>],
+    values: &'m [Cow<'m, str>],
 ) -> MetricBuilder<'m, 'c, T>
 where
     T: cadence::Metric + From<String>,
 {
-    for tag in tags {
-        metric = metric.with_tag(tag.key, tag.value);
+    for (tag, value) in tags.iter().zip(values) {
+        metric = metric.with_tag(tag.key, value);
     }
     metric
 }
+
+/// Returns the values of tags with the separators of statsd's format replaced. Operators may choose
+/// names that contain them.
+fn statsd_values<'a>(tags: &[Tag<'a>]) -> Vec<Cow<'a, str>> {
+    const SEPARATORS: [char; 5] = ['|', ',', ':', '#', '\n'];
+    let replaced = |tag: &Tag<'a>| match tag.value.contains(SEPARATORS) {
+        true => Cow::Owned(tag.value.replace(SEPARATORS, "_")),
+        false => Cow::Borrowed(tag.value),
+    };
+    tags.iter().map(replaced).collect()
+}
--- a/crates/adapters/tests/metrics.rs
+++ b/crates/adapters/tests/metrics.rs
@@ -1,6 +1,6 @@
 //! The text served on the metrics address.
 
-use std::time::Duration;
+use std::{net::UdpSocket, time::Duration};
 
 use savorykeel_adapters::metrics::{Counter, Gauge, Metrics, Tag, Timer};
 
@@ -46,3 +46,21 @@
     metrics.count(Counter::Calls, 1, &[]);
     assert_eq!(metrics.page("one"), "");
 }
+
+/// Guards against a line of statsd that a name with its separators breaks apart.
+#[test]
+fn tag_values_hold_no_separator_of_statsd() {
+    let server = UdpSocket::bind("127.0.0.1:0").unwrap();
+    server.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+    let metrics = Metrics::to_statsd(server.local_addr().unwrap(), "savorykeel", "one").unwrap();
+    metrics.count(Counter::Calls, 1, &[Tag { key: "route", value: "kind/0|a:b,c#d" }]);
+    let mut buf = [0; 512];
+    // Lines pass a queue before they can be flushed.
+    let mut attempts = (0..100).map(|_| {
+        metrics.flush();
+        server.recv(&mut buf).ok()
+    });
+    let received = attempts.find_map(|received| received).expect("the line arrives");
+    let line = std::str::from_utf8(&buf[..received]).unwrap().trim_end();
+    assert_eq!(line, "savorykeel.calls:1|c|#instance:one,route:kind/0_a_b_c_d");
+}
--- a/crates/node/src/calls/context.rs
+++ b/crates/node/src/calls/context.rs
@@ -89,7 +89,7 @@
         let of_account = self.account.as_ref().and_then(|account| account.priority);
         match self.caller.is_local_backend {
             true => 0,
-            false => of_account.unwrap_or(self.route.priority) + 1,
+            false => of_account.unwrap_or(self.route.priority).saturating_add(1),
         }
     }
 
--- a/crates/node/src/control/desired.rs
+++ b/crates/node/src/control/desired.rs
@@ -7,6 +7,7 @@
     distribution::floor::Recovery,
     ids::ServiceName,
     moves::orders::{MoveOrder, OrderOutcome, may_be_repeated},
+    refusal::Refusal,
 };
 use savorykeel_ports::{
     desired::{Desired, DesiredRead, DesiredState},
@@ -16,6 +17,9 @@
 
 use super::{context::ControlContext, event::Event, reader::ReadOutcome, state::Counters};
 
+/// Number of unusual values of one configuration that are logged.
+const MAX_UNUSUAL_LOGGED: usize = 8;
+
 /// Reads the platform's store.
 #[derive(Default)]
 pub(super) struct DesiredReader {
@@ -105,14 +109,24 @@
     Counters::add(&cx.state.counters.document_problems, problems);
 }
 
+/// Reports the values of a configuration in force that a publisher would have been refused.
+fn log_unusual<L, P>(cx: &ControlContext<L, P>, number: u64, unusual: &[Refusal]) {
+    for value in unusual.iter().take(MAX_UNUSUAL_LOGGED) {
+        warn!(cx.state.logger, "unusual value in the configuration"; "label" => number,
+            "path" => &value.path, "problem" => &value.problem);
+    }
+    Counters::add(&cx.state.counters.document_problems, unusual.len());
+}
+
 fn apply_configuration<L, P>(cx: &ControlContext<L, P>, desired: Desired) {
     let state = &cx.state;
     Counters::add(&state.counters.log_records, 1);
     let (position, number) = (desired.position(), desired.number);
     state.record_log_next(position.0);
     match state.with_fold(|fold| fold.replace(position, desired.configuration)) {
-        Ok(ReplaceOutcome::Applied) => {
+        Ok(ReplaceOutcome::Applied(unusual)) => {
             info!(state.logger, "configuration accepted"; "version" => position.0, "label" => number);
+            log_unusual(cx, number, &unusual);
             state.emit(Event::FoldAdvanced);
         }
         Ok(ReplaceOutcome::Stale) => {
--- a/crates/policy/src/config/checkpoint.rs
+++ b/crates/policy/src/config/checkpoint.rs
@@ -16,7 +16,7 @@
 use super::{
     delta::ConfigDelta,
     fold::{Fold, PUBLISHES_KEPT, Position, Publish},
-    model::Configuration,
+    model::AcceptedConfiguration,
     raw::RawConfiguration,
 };
 
@@ -116,8 +116,9 @@
         }
         let configuration = match &image.configuration {
             Some(raw) => {
-                let checked = Configuration::try_from(RawConfiguration::clone(raw));
-                Some(Arc::new(checked.map_err(|_| ImageError::Invalid)?))
+                // Another node has put it in force, whatever a publisher would be told about it.
+                let accepted = AcceptedConfiguration::try_from(RawConfiguration::clone(raw));
+                Some(Arc::new(accepted.map_err(|_| ImageError::Invalid)?.configuration))
             }
             None => None,
         };
--- a/crates/policy/src/config/delta.rs
+++ b/crates/policy/src/config/delta.rs
@@ -4,10 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{
-    model::{MAX_ACCOUNTS, MAX_ROUTES},
-    raw::{RawAccount, RawConfiguration, RawLimits, RawRoute, RawService},
-};
+use super::raw::{RawAccount, RawConfiguration, RawLimits, RawRoute, RawService};
+
+/// Largest number of routes or accounts that a delta may rebuild. More than the platform's largest
+/// record or a publish can hold, it bounds the memory that a malformed delta takes.
+const MAX_ITEMS: usize = 1 << 16;
 
 /// A service that is new or changed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -118,7 +119,7 @@
             to.services.insert(change.name, change.service);
         }
         if let Some(runs) = self.routes {
-            to.routes = join(runs, &from.routes, MAX_ROUTES)?;
+            to.routes = join(runs, &from.routes)?;
         }
         if let Some(limits) = self.limits {
             to.limits = limits;
@@ -128,7 +129,7 @@
             Some(AccountsChange::Absent) => to.accounts = None,
             Some(AccountsChange::Listed(runs)) => {
                 let from = from.accounts.as_deref().unwrap_or_default();
-                to.accounts = Some(join(runs, from, MAX_ACCOUNTS)?);
+                to.accounts = Some(join(runs, from)?);
             }
         }
         Ok(to)
@@ -161,8 +162,8 @@
     runs
 }
 
-/// Rebuilds the items from the runs, at most `limit`.
-fn join<T: Named>(runs: Vec<Run<T>>, from: &[T], limit: usize) -> Result<Vec<T>, DeltaMismatch> {
+/// Rebuilds the items from the runs, at most [`MAX_ITEMS`].
+fn join<T: Named>(runs: Vec<Run<T>>, from: &[T]) -> Result<Vec<T>, DeltaMismatch> {
     let mut items = Vec::new();
     for run in runs {
         match run {
@@ -173,7 +174,7 @@
             }
             Run::New(new) => items.extend(new),
         }
-        if items.len() > limit {
+        if items.len() > MAX_ITEMS {
             return Err(DeltaMismatch);
         }
     }
--- a/crates/policy/src/config/fold.rs
+++ b/crates/policy/src/config/fold.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    model::{Configuration, Refusals},
+    model::{AcceptedConfiguration, Configuration, Refusals},
     raw::RawConfiguration,
     record::{PublishRecord, RecordError},
 };
@@ -94,10 +94,10 @@
 }
 
 /// Result of [`Fold::replace`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReplaceOutcome {
-    /// The configuration is in force.
-    Applied,
+    /// The configuration is in force, with these values beyond the bounds of this software.
+    Applied(Vec<Refusal>),
     /// The configuration is no newer than the one in force and was ignored.
     Stale,
 }
@@ -230,7 +230,8 @@
     ///
     /// The position follows from the number that operators give to the configuration, and is
     /// also used as the version. Both only grow, whatever becomes of the records that hold the
-    /// configuration. If the configuration breaks a rule, the previous one stays in force.
+    /// configuration. The platform has accepted it, so that a bound of this software refuses
+    /// nothing; see [`AcceptedConfiguration`].
     pub fn replace(
         &mut self,
         position: Position,
@@ -239,10 +240,11 @@
         if position <= self.position {
             return Ok(ReplaceOutcome::Stale);
         }
-        let configuration = Configuration::try_from(raw.clone())?;
-        self.put_in_force(ConfigVersion(position.0), Arc::new(raw), Arc::new(configuration));
+        let accepted = AcceptedConfiguration::try_from(raw.clone())?;
+        let configuration = Arc::new(accepted.configuration);
+        self.put_in_force(ConfigVersion(position.0), Arc::new(raw), configuration);
         self.position = position;
-        Ok(ReplaceOutcome::Applied)
+        Ok(ReplaceOutcome::Applied(accepted.unusual))
     }
 
     /// Replaces the state by a later one; returns whether it was replaced.
--- a/crates/policy/src/config/raw.rs
+++ b/crates/policy/src/config/raw.rs
@@ -86,8 +86,13 @@
     /// Returns a service whose traffic `version` should carry, with the default
     /// objective.
     pub fn with_version(version: impl Into<String>) -> Self {
+        Self { version: Some(version.into()), ..Self::without_version() }
+    }
+
+    /// Returns a service whose traffic any version may carry, with the default objective.
+    pub fn without_version() -> Self {
         Self {
-            version: Some(version.into()),
+            version: None,
             by: None,
             within_ms: None,
             asked: None,
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -20,17 +20,27 @@
     pub found: String,
 }
 
-fn check_name(raw: &str) -> Result<(), InvalidName> {
-    let is_allowed = |c: u8| c.is_ascii_alphanumeric() || matches!(c, b'.' | b'_' | b'-');
-    if raw.is_empty() || raw.len() > MAX_NAME_BYTES || !raw.bytes().all(is_allowed) {
-        let found = raw.chars().take(MAX_NAME_BYTES).collect();
-        return Err(InvalidName { found });
+impl InvalidName {
+    fn of(raw: &str) -> Self {
+        Self { found: raw.chars().take(MAX_NAME_BYTES).collect() }
     }
-    Ok(())
+}
+
+/// Checks a name that a settings file states or a publisher chooses.
+pub fn check_plain_name(raw: &str) -> Result<(), InvalidName> {
+    let is_allowed = |c: u8| c.is_ascii_alphanumeric() || matches!(c, b'.' | b'_' | b'-');
+    let is_plain = !raw.is_empty() && raw.len() <= MAX_NAME_BYTES;
+    if is_plain && raw.bytes().all(is_allowed) { Ok(()) } else { Err(InvalidName::of(raw)) }
+}
+
+/// Checks a name that a platform has accepted. It may be any text that can stand in a header.
+fn check_accepted_name(raw: &str) -> Result<(), InvalidName> {
+    let is_text = !raw.is_empty() && !raw.contains(|c: char| c.is_control());
+    if is_text { Ok(()) } else { Err(InvalidName::of(raw)) }
 }
 
 macro_rules! name_type {
-    ($(#[$doc:meta])* $name:ident) => {
+    ($(#[$doc:meta])* $name:ident, $check:ident) => {
         $(#[$doc])*
         #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
@@ -52,7 +62,7 @@
             type Error = InvalidName;
 
             fn try_from(raw: &str) -> Result<Self, InvalidName> {
-                check_name(raw)?;
+                $check(raw)?;
                 Ok(Self(raw.into()))
             }
         }
@@ -87,38 +97,38 @@
 
 name_type! {
     /// Name of an instance and of the node that runs on it.
-    InstanceName
+    InstanceName, check_plain_name
 }
 name_type! {
     /// Name of an availability zone.
-    ZoneName
+    ZoneName, check_plain_name
 }
 name_type! {
     /// Name of a region, which groups availability zones.
-    RegionName
+    RegionName, check_plain_name
 }
 name_type! {
     /// Name of a service.
-    ServiceName
+    ServiceName, check_accepted_name
 }
 name_type! {
     /// Name of a route.
-    RouteName
+    RouteName, check_accepted_name
 }
 name_type! {
     /// Name of a client account.
-    AccountName
+    AccountName, check_accepted_name
 }
 name_type! {
     /// Identifier of one publish.
     ///
     /// An append whose answer was lost is retried under the same identifier, so
     /// that the fold recognises the duplicate.
-    PublishId
+    PublishId, check_plain_name
 }
 name_type! {
     /// Version of a backend server's software.
-    BackendVersion
+    BackendVersion, check_accepted_name
 }
 
 /// Position of an accepted configuration in the total order of the fold.
--- a/crates/policy/src/refusal.rs
+++ b/crates/policy/src/refusal.rs
@@ -1,7 +1,7 @@
 //! Collects all validation errors of a document, so that an operator sees them
 //! at once instead of one per attempt.
 
-use crate::ids::InvalidName;
+use crate::ids::{InvalidName, check_plain_name};
 
 /// A reason for which a document is refused, with the JSON path of the value.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error, serde::Serialize, serde::Deserialize)]
@@ -18,6 +18,11 @@
 pub struct Checker {
     /// The refusals collected so far.
     pub refusals: Vec<Refusal>,
+    /// Whether the document is in force elsewhere already, so that it's too late to refuse a
+    /// value because of a bound that only this software has.
+    pub is_accepted: bool,
+    /// Values of an accepted document that break such a bound.
+    pub unusual: Vec<Refusal>,
 }
 
 impl Checker {
@@ -33,12 +38,24 @@
         }
     }
 
+    /// Reports the value at `path` unless `holds`: refuses it to a publisher, and notes it in a
+    /// document that was accepted elsewhere.
+    pub fn bound(&mut self, holds: bool, path: &str, problem: impl FnOnce() -> String) {
+        if holds {
+            return;
+        }
+        let reports = if self.is_accepted { &mut self.unusual } else { &mut self.refusals };
+        reports.push(Refusal { path: path.into(), problem: problem() });
+    }
+
     /// Parses a name; adds a refusal and returns `None` when it is invalid.
     pub fn parse_name<T>(&mut self, path: &str, raw: &str) -> Option<T>
     where
         T: for<'a> TryFrom<&'a str, Error = InvalidName>,
     {
-        T::try_from(raw).map_err(|e| self.refuse(path, e.to_string())).ok()
+        let plain = if self.is_accepted { Ok(()) } else { check_plain_name(raw) };
+        let name = plain.and_then(|()| T::try_from(raw));
+        name.map_err(|e| self.refuse(path, e.to_string())).ok()
     }
 
     /// Adds a refusal unless `value` is a share, which lies between 0 and 1.
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -1,5 +1,6 @@
 //! Feature tests, grouped by topic.
 
+mod accepted_configuration;
 mod accounts;
 mod admin_api;
 mod binary;
