Leave time for the stages of a short move beside a long timeout

What callers would see: with a route timeout as long as the move, the new version gets all calls at once, and the move is never reported as done.

Cause: the wait for the longest request was taken off the time for the stages without a bound; nothing remained, so the last stage began at once.

Change: that wait takes at most 0.6 of the move. Given up: a request that lasts longer than that may be cut when the old servers are stopped.

Test: moves_short::long_timeout_leaves_time_for_the_stages, three cases; without the bound all three failed (share 1,000 after 250 ms in place of 60).

--- a/crates/policy/src/moves/monitor.rs
+++ b/crates/policy/src/moves/monitor.rs
@@ -213,6 +213,11 @@
         matches!(self.asked, Some(DueTime::Within(span)) if span <= short::MAX_SPAN)
     }
 
+    /// Returns the time from the start of the move within which it should be done.
+    fn span(&self) -> Duration {
+        Duration::from_millis(self.deadline.at.0.saturating_sub(self.deadline.start.0))
+    }
+
     /// Applies what the configuration and other nodes changed since the last
     /// evaluation.
     fn apply_state(&mut self, input: &MonitorInput<'_>, state: &MoveState) {
@@ -254,7 +259,7 @@
         }
         let in_step = input.tick.since(self.step_since);
         let settle = match self.is_short() {
-            true => short::settle_time(input.longest_request),
+            true => short::settle_time(input.longest_request, self.span()),
             false => SETTLE_TIME,
         };
         if desired.share == Permille::FULL {
@@ -268,9 +273,7 @@
                 share: desired.share,
                 step_calls: self.step_calls,
                 elapsed: Duration::from_millis(input.wall.0.saturating_sub(self.deadline.start.0)),
-                span: Duration::from_millis(
-                    self.deadline.at.0.saturating_sub(self.deadline.start.0),
-                ),
+                span: self.span(),
                 longest_request: input.longest_request,
                 judgement: &judgement,
                 unproven_share: input.unproven_share,
--- a/crates/policy/src/moves/short.rs
+++ b/crates/policy/src/moves/short.rs
@@ -37,6 +37,10 @@
 /// version is done, so that no request to the old version is still in flight.
 const SETTLE_MARGIN: Duration = Duration::from_millis(600);
 
+/// Largest part of the move that this wait may take, so that a route with a long timeout leaves
+/// time for the stages.
+const MAX_SETTLE_FRACTION: f64 = 0.6;
+
 /// Input of [`next_share`].
 #[derive(Debug, Clone, Copy)]
 pub struct ShortInput<'a> {
@@ -67,7 +71,7 @@
     if input.new_instances == 0 || *input.judgement != Judgement::Clear {
         return input.share;
     }
-    let reserve = STATUS_RESERVE + settle_time(input.longest_request);
+    let reserve = STATUS_RESERVE + settle_time(input.longest_request, input.span);
     let ramp_time = input.span.saturating_sub(reserve);
     let progress = input.elapsed.as_secs_f64() / ramp_time.as_secs_f64().max(0.001);
     let planned = if progress < FIRST_STAGE_END {
@@ -86,10 +90,11 @@
     planned.max(input.share)
 }
 
-/// Returns the time for which the new version must have all traffic before the move
-/// is done.
-pub fn settle_time(longest_request: Duration) -> Duration {
-    longest_request + SETTLE_MARGIN
+/// Returns the time for which the new version must have all traffic before a move that should be
+/// done within `span` is done.
+pub fn settle_time(longest_request: Duration, span: Duration) -> Duration {
+    let longest = span.saturating_sub(STATUS_RESERVE).mul_f64(MAX_SETTLE_FRACTION);
+    (longest_request + SETTLE_MARGIN).min(longest)
 }
 
 /// Returns the number of instances to concentrate a share of the new version on.
--- a/crates/policy/tests/moves_short.rs
+++ b/crates/policy/tests/moves_short.rs
@@ -181,9 +181,34 @@
 fn move_is_done_one_second_early_and_outlasts_the_longest_request() {
     let longest = Duration::from_millis(1_200);
     let full_at = (0..15_000).find(|ms| share_at(*ms, &Judgement::Clear, 0) == 1_000).unwrap();
-    let done = Duration::from_millis(full_at) + settle_time(longest);
-    assert!(settle_time(longest) > longest);
-    assert!(done + Duration::from_secs(1) < Duration::from_secs(15), "{done:?}");
+    let span = Duration::from_secs(15);
+    let done = Duration::from_millis(full_at) + settle_time(longest, span);
+    assert!(settle_time(longest, span) > longest);
+    assert!(done + Duration::from_secs(1) < span, "{done:?}");
+}
+
+/// Guards against a version that gets all calls at once, and a move that is never done, because a
+/// route of the service has a timeout as long as the move.
+#[parameterized(as_long = { 15 }, longer = { 300 }, a_day = { 86_400 })]
+fn long_timeout_leaves_time_for_the_stages(timeout_s: u64) {
+    let (span, longest_request) = (Duration::from_secs(15), Duration::from_secs(timeout_s));
+    let share_at = |elapsed_ms: u64, share: u16| {
+        let input = ShortInput {
+            share: Permille(share),
+            step_calls: 100,
+            elapsed: Duration::from_millis(elapsed_ms),
+            span,
+            longest_request,
+            judgement: &Judgement::Clear,
+            unproven_share: Permille(60),
+            new_instances: 5,
+        };
+        next_share(&input).0
+    };
+    assert_eq!((share_at(250, 0), share_at(3_000, 60)), (60, 200));
+    let full_at = (0..15_000).find(|ms| share_at(*ms, 200) == 1_000).unwrap();
+    let done = Duration::from_millis(full_at) + settle_time(longest_request, span);
+    assert!(done + Duration::from_secs(1) < span, "{done:?}");
 }
 
 #[parameterized(
