Start a move from the version that carries the traffic

Cause: the version to move from was looked for among earlier targets and unnamed versions. v1 never was a target, and once ordered it isn't unnamed, so v2 was taken, whose move had only begun.

Ruled out: nodes that don't know the order (each reader logs it), and calls that fall back (`from` is v2 throughout).

Change: each node observes which version runs alone while a service has no target, under the quorum; it becomes the start of the history with the first order and spreads with it. The stored status names it as well, for nodes that all started since, and counts as a move before the order that they read. The version that carries the traffic keeps it when it is ordered.

--- a/crates/node/src/moves/controller.rs
+++ b/crates/node/src/moves/controller.rs
@@ -286,6 +286,11 @@
         self.tracker.lock().should_send_evidence(table)
     }
 
+    /// Observes which version carries the traffic of each service that has no target.
+    pub fn observe_incumbents(&self, table: &Table, has_quorum: bool) {
+        self.tracker.lock().observe_incumbents(table, has_quorum);
+    }
+
     /// Evaluates the move of the local backend server's service and returns whether its
     /// state changed.
     pub fn evaluate(&self, table: &Table, tick: Tick, wall: WallMillis, has_quorum: bool) -> bool {
--- a/crates/node/src/moves/dissemination.rs
+++ b/crates/node/src/moves/dissemination.rs
@@ -56,6 +56,9 @@
 /// short move has to detect a fault.
 const EVALUATION_PERIOD: Duration = Duration::from_millis(250);
 
+/// Time between two looks of a node that isn't an evaluator at which versions carry traffic.
+const OBSERVATION_PERIOD: Duration = Duration::from_secs(1);
+
 /// Shortest time between two messages with reports of evidence to the same node.
 const MIN_REPORT_PERIOD: Duration = Duration::from_millis(500);
 
@@ -147,12 +150,13 @@
     let is_evaluator = plan.position.is_some();
     let may_evaluate =
         dissemination.evaluator_term.borrow_mut().may_evaluate(is_evaluator, now, wall);
-    let is_due = now.since(*dissemination.last_evaluation.borrow()) >= EVALUATION_PERIOD;
-    if !is_evaluator || !is_due {
+    let period = if is_evaluator { EVALUATION_PERIOD } else { OBSERVATION_PERIOD };
+    if now.since(*dissemination.last_evaluation.borrow()) < period {
         return;
     }
     *dissemination.last_evaluation.borrow_mut() = now;
     let has_quorum = update_quorum(cx, &mut dissemination.quorum.borrow_mut(), now);
+    cx.state.moves.observe_incumbents(table, has_quorum);
     if !may_evaluate || !cx.state.moves.evaluate(table, now, wall, has_quorum) {
         return;
     }
--- a/crates/policy/src/moves/active_move.rs
+++ b/crates/policy/src/moves/active_move.rs
@@ -14,13 +14,10 @@
     monitor::Baseline,
     state::{MoveKey, MoveState, Permille},
     status::Phase,
-    targets::Target,
+    targets::{FIRST_VERSION, Target},
     tracker::MoveTracker,
 };
 
-/// Version of the first configuration that is ever accepted.
-const FIRST_VERSION: ConfigVersion = ConfigVersion(1);
-
 /// The current move of a service.
 pub(super) struct ActiveMove {
     /// The version that gains traffic, with the configuration that requested it.
@@ -97,19 +94,21 @@
         let live: BTreeSet<&BackendVersion> =
             table.all_endpoints().map(|endpoint| &endpoint.version).collect();
         let baseline = self.baseline(service, &history);
-        let is_return =
-            baseline.as_ref().is_some_and(|baseline| baseline.version == target.version);
-        if is_return && state.bad.is_none() {
-            // The target has carried the traffic without interruption.
-            return Some(ActiveMove { target, state, old: None, baseline: Baseline::Target });
-        }
         let is_usable = |candidate: &Target| {
             candidate.version != target.version
                 && live.contains(&candidate.version)
                 && self.state(service, candidate).bad.is_none()
         };
-        let usable_baseline = baseline.filter(is_usable);
         let latest_usable = || history.iter().rev().find(|earlier| is_usable(earlier)).cloned();
+        if let Some(baseline) = self.carried_by_target(table, &history, &target, &baseline)
+            && state.bad.is_none()
+        {
+            // Requests go elsewhere only while the target has no backend server in reach.
+            let is_live = live.contains(&target.version);
+            let old = latest_usable().filter(|_| !is_live).map(|earlier| earlier.version);
+            return Some(ActiveMove { target, state, old, baseline });
+        }
+        let usable_baseline = baseline.filter(is_usable);
         let old = usable_baseline
             .map(|earlier| earlier.version)
             .or_else(|| self.unnamed_baseline(table, &history, &target))
@@ -118,6 +117,31 @@
         Some(ActiveMove { target, state, old, baseline })
     }
 
+    /// Returns how well it is known that the target has carried the traffic without interruption,
+    /// or none if it hasn't.
+    fn carried_by_target(
+        &self,
+        table: &ServiceTable,
+        history: &[Target],
+        target: &Target,
+        baseline: &Option<Target>,
+    ) -> Option<Baseline> {
+        if let Some(baseline) = baseline {
+            return (baseline.version == target.version).then_some(Baseline::Target);
+        }
+        if target.is_incumbent {
+            return Some(Baseline::Target);
+        }
+        // No earlier target was done, so that none had all traffic. If no other version can have
+        // had the rest, a target that wasn't requested before had it.
+        let is_named = |version: &BackendVersion| history.iter().any(|t| t.version == *version);
+        let versions = table.all_endpoints().map(|endpoint| &endpoint.version);
+        let mut others = versions.chain(&table.unreachable).filter(|v| **v != target.version);
+        let is_left_over =
+            !history.is_empty() && !is_named(&target.version) && others.all(is_named);
+        is_left_over.then_some(Baseline::Unknown)
+    }
+
     /// Returns whether backend servers of another version than the target, which wasn't found to
     /// be bad, may be running on nodes that can't be reached.
     pub(super) fn may_other_be_cut_off(
@@ -136,8 +160,8 @@
     }
 
     /// Returns the version that carried all traffic before the target was
-    /// requested: the last one whose move was done, else the target of the first
-    /// configuration.
+    /// requested: the last one whose move was done, else the one before the first request or the
+    /// target of the first configuration.
     fn baseline(&self, service: &ServiceName, history: &[Target]) -> Option<Target> {
         let is_done = |earlier: &&Target| {
             let state = self.state(service, earlier);
@@ -148,8 +172,24 @@
         }
         // A later target whose move was never done took its traffic from a version
         // that no configuration named, so only the first target can be the baseline.
-        let named = history.iter().filter(|earlier| earlier.asked == FIRST_VERSION);
-        named.into_iter().find(|earlier| self.state(service, earlier).bad.is_none()).cloned()
+        let is_first = |earlier: &&Target| earlier.is_incumbent || earlier.asked == FIRST_VERSION;
+        history
+            .iter()
+            .filter(is_first)
+            .find(|earlier| self.state(service, earlier).bad.is_none())
+            .cloned()
+    }
+
+    /// Returns the version that carried the traffic before a move, for its stored status.
+    pub(super) fn traffic_before(
+        &self,
+        service: &ServiceName,
+        active: &ActiveMove,
+    ) -> Option<BackendVersion> {
+        let history = self.targets.history(service);
+        let earlier = history.iter().position(|target| target.asked == active.target.asked);
+        let baseline = self.baseline(service, &history[..earlier.unwrap_or_default()]);
+        baseline.map(|earlier| earlier.version).or_else(|| active.old.clone())
     }
 
     /// Returns the version with the most live instances among those that were never
--- a/crates/policy/src/moves/status.rs
+++ b/crates/policy/src/moves/status.rs
@@ -121,6 +121,8 @@
     pub service: ServiceName,
     /// Version that gains traffic.
     pub version: BackendVersion,
+    /// Version that carried the traffic before, if it is known.
+    pub from: Option<BackendVersion>,
     /// Version of the configuration that requested the move: the move's id.
     pub asked: ConfigVersion,
     /// Phase of the move.
--- a/crates/policy/src/moves/targets.rs
+++ b/crates/policy/src/moves/targets.rs
@@ -17,9 +17,15 @@
 
 use super::orders::{MoveOrder, OrderOutcome};
 
-/// Largest number of targets kept for each service; older ones are discarded.
+/// Version of the first configuration that is ever accepted.
+pub(super) const FIRST_VERSION: ConfigVersion = ConfigVersion(1);
+
+/// Largest number of requests kept for each service; older ones are discarded.
 pub const MAX_TARGETS: usize = 8;
 
+/// Id of the version that carried the traffic before the first request. Requests have higher ids.
+const INCUMBENT: ConfigVersion = ConfigVersion(0);
+
 /// A version that a configuration requested.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
@@ -27,6 +33,8 @@
     pub asked: ConfigVersion,
     /// Requested version of the backend server.
     pub version: BackendVersion,
+    /// Whether it carried all traffic before the first request.
+    pub is_incumbent: bool,
 }
 
 /// A version as a configuration or an order requested it.
@@ -46,6 +54,14 @@
     }
 }
 
+impl Requested {
+    /// Returns a version of which it isn't known how long its move may take: one that carried
+    /// the traffic before, or whose order was replaced.
+    fn earlier(version: &BackendVersion) -> Self {
+        Self { version: version.clone(), within: Some(Duration::ZERO) }
+    }
+}
+
 /// The target versions recorded for one service.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceTargets {
@@ -101,9 +117,32 @@
         *self != before
     }
 
+    /// Records the version that carried the traffic before the first request, unless one is known
+    /// or the first configuration made the request, before which nothing carried traffic.
+    fn record_incumbent(&mut self, version: &BackendVersion) {
+        let Some((first, requested)) = self.asked.first_key_value() else { return };
+        let is_first_configuration = *first == FIRST_VERSION && requested.within.is_none();
+        if *first != INCUMBENT && !is_first_configuration {
+            self.asked.insert(INCUMBENT, Requested::earlier(version));
+        }
+    }
+
+    /// Records the target of a stored status, if it is from before all known ones.
+    fn record_earlier(&mut self, asked: ConfigVersion, version: &BackendVersion) -> bool {
+        let first = self.asked.keys().find(|id| **id > INCUMBENT);
+        let is_earlier = first.is_some_and(|first| (INCUMBENT..*first).contains(&asked));
+        if is_earlier && asked > INCUMBENT {
+            self.asked.insert(asked, Requested::earlier(version));
+            self.discard_oldest();
+        }
+        is_earlier
+    }
+
     fn discard_oldest(&mut self) {
-        while self.asked.len() > MAX_TARGETS {
-            self.asked.pop_first();
+        let requests = self.asked.keys().filter(|id| **id > INCUMBENT).copied();
+        let requests: Vec<ConfigVersion> = requests.collect();
+        for oldest in &requests[..requests.len().saturating_sub(MAX_TARGETS)] {
+            self.asked.remove(oldest);
         }
     }
 
@@ -119,9 +158,20 @@
     fn history_until(&self, applied: ConfigVersion) -> Vec<Target> {
         let mut history: Vec<Target> = Vec::new();
         for (asked, Requested { version, within }) in &self.asked {
-            let is_visible = *asked <= applied || within.is_some();
-            if is_visible && history.last().is_none_or(|last| last.version != *version) {
-                history.push(Target { asked: *asked, version: version.clone() });
+            if *asked > applied && within.is_none() {
+                continue;
+            }
+            match history.last_mut() {
+                // The first request is for the version that carried the traffic already.
+                Some(last) if last.version == *version && last.asked == INCUMBENT => {
+                    last.asked = *asked;
+                }
+                Some(last) if last.version == *version => {}
+                _ => history.push(Target {
+                    asked: *asked,
+                    version: version.clone(),
+                    is_incumbent: *asked == INCUMBENT,
+                }),
             }
         }
         history
@@ -170,6 +220,30 @@
         targets.record_order(order, may_be_repeated)
     }
 
+    /// Records the version that carried a service's traffic before the first request.
+    pub fn record_incumbent(&mut self, service: &ServiceName, version: &BackendVersion) {
+        if let Some(targets) = self.services.get_mut(service) {
+            targets.record_incumbent(version);
+        }
+    }
+
+    /// Records the target of a stored status and the version that carried the traffic before it,
+    /// if they are from before all known requests; returns whether they are.
+    pub fn record_earlier(
+        &mut self,
+        service: &ServiceName,
+        asked: ConfigVersion,
+        version: &BackendVersion,
+        incumbent: Option<&BackendVersion>,
+    ) -> bool {
+        let Some(targets) = self.services.get_mut(service) else { return false };
+        let is_earlier = targets.record_earlier(asked, version);
+        if let Some(incumbent) = incumbent.filter(|_| is_earlier) {
+            targets.record_incumbent(incumbent);
+        }
+        is_earlier
+    }
+
     /// Returns the targets of a service in order; the last is the current one.
     ///
     /// Targets that a peer recorded from a newer configuration are omitted until
--- a/crates/policy/src/moves/tracker.rs
+++ b/crates/policy/src/moves/tracker.rs
@@ -47,6 +47,10 @@
     monitors: BTreeMap<MoveKey, MoveMonitor>,
     /// When each move was first seen, according to the platform's store.
     since: BTreeMap<MoveKey, WallMillis>,
+    /// The version that carries the traffic of each service without a target.
+    incumbents: BTreeMap<ServiceName, BackendVersion>,
+    /// Statuses that were read from the platform's store.
+    stored: BTreeMap<ServiceName, MoveStatus>,
 }
 
 impl MoveTracker {
@@ -58,15 +62,57 @@
         self.targets.apply_configuration(version, configuration);
         for (service, before) in configuration.services.keys().zip(before) {
             if self.targets.history(service) != before {
+                self.record_start(service, before.is_empty());
                 self.mark_changed(service);
             }
         }
     }
 
+    /// Observes which version carries the traffic of each service without a target, so that it is
+    /// known when the first one is requested.
+    ///
+    /// It is the only version that runs, and stays so while another one is started beside it. A
+    /// node that may be cut off from the others can't tell.
+    pub fn observe_incumbents(&mut self, table: &Table, has_quorum: bool) {
+        if !has_quorum {
+            self.incumbents.clear();
+            return;
+        }
+        for (service, table) in &table.services {
+            if self.targets.current(service).is_some() {
+                continue;
+            }
+            let running = table.all_endpoints().map(|endpoint| &endpoint.version);
+            let versions: BTreeSet<&BackendVersion> = running.chain(&table.unreachable).collect();
+            let is_running = |version: &BackendVersion| versions.contains(version);
+            match (versions.first(), versions.len()) {
+                (Some(only), 1) => {
+                    self.incumbents.insert(service.clone(), BackendVersion::clone(only));
+                }
+                _ if self.incumbents.get(service).is_some_and(is_running) => {}
+                _ => drop(self.incumbents.remove(service)),
+            }
+        }
+    }
+
+    /// Records what a move starts from, if its target is the first that this node knows of.
+    fn record_start(&mut self, service: &ServiceName, is_first: bool) {
+        if let Some(incumbent) = self.incumbents.get(service).filter(|_| is_first) {
+            self.targets.record_incumbent(service, incumbent);
+        }
+        let Some(stored) = self.stored.get(service) else { return };
+        let MoveStatus { asked, version, from, .. } = stored;
+        if self.targets.record_earlier(service, *asked, version, from.as_ref()) {
+            self.mark_changed(service);
+        }
+    }
+
     /// Records an order that was read from the platform's store.
     pub fn apply_order(&mut self, order: &MoveOrder, may_be_repeated: bool) -> OrderOutcome {
+        let is_first = self.targets.current(&order.service).is_none();
         let outcome = self.targets.apply_order(order, may_be_repeated);
         if matches!(outcome, OrderOutcome::New(_)) {
+            self.record_start(&order.service, is_first);
             self.mark_changed(&order.service);
         }
         outcome
@@ -169,6 +215,8 @@
         let key = MoveKey { service: status.service.clone(), asked: status.asked };
         let since = self.since.entry(key.clone()).or_insert(status.since);
         *since = status.since.min(*since);
+        self.stored.insert(status.service.clone(), status.clone());
+        self.record_start(&status.service, false);
         let state = match status.phase {
             MovePhase::Running => return false,
             MovePhase::Done => {
@@ -199,6 +247,7 @@
         };
         Some(MoveStatus {
             service: service.clone(),
+            from: self.traffic_before(service, &active),
             version: active.target.version,
             asked: key.asked,
             phase,
@@ -369,8 +418,10 @@
     }
 
     fn merge_service(&mut self, moves: ServiceMoves) -> bool {
+        let is_first = self.targets.current(&moves.service).is_none();
         let mut is_changed = self.targets.merge(&moves.service, &moves.targets);
         if is_changed {
+            self.record_start(&moves.service, is_first);
             self.mark_changed(&moves.service);
         }
         for known in moves.states {
--- a/crates/policy/tests/moves_orders.rs
+++ b/crates/policy/tests/moves_orders.rs
@@ -42,7 +42,7 @@
 
 fn history(targets: &Targets) -> Vec<(u64, String)> {
     let history = targets.history(&gate()).into_iter();
-    history.map(|Target { asked, version }| (asked.0, version.as_str().to_owned())).collect()
+    history.map(|Target { asked, version, .. }| (asked.0, version.as_str().to_owned())).collect()
 }
 
 fn is_current(targets: &Targets, version: &str, id: u64) -> bool {
--- a/crates/policy/tests/moves_status.rs
+++ b/crates/policy/tests/moves_status.rs
@@ -10,6 +10,7 @@
     MoveStatus {
         service: ServiceName::try_from("gate").unwrap(),
         version: BackendVersion::try_from(version).unwrap(),
+        from: None,
         asked: ConfigVersion(asked),
         phase,
         since: WallMillis(1),
--- a/tests/feature/mod.rs
+++ b/tests/feature/mod.rs
@@ -24,6 +24,7 @@
 mod membership_failure;
 mod moves_cut_off;
 mod moves_stage;
+mod moves_succession;
 mod moves_whole;
 mod odd_statuses;
 mod outside_limits;
