--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -70,7 +70,7 @@
         if reply.from.recovered {
             self.record_evacuations_known(sent_at);
         }
-        if !self.is_serving() || !self.are_members_known() {
+        if !self.is_serving() || !self.announced.are_members_known() {
             let digest = self.with_members(|members| members.digest());
             let is_confirmed = reply.from.recovered && reply.from.members == digest;
             self.with_recovery(|recovery| {
@@ -80,7 +80,7 @@
                 }
             });
             if is_confirmed {
-                self.confirm_members();
+                self.announced.confirm_members();
             }
         }
         if let Some(ago) = reply.from.current_ago {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! [`state::ControlState`]. The design and its reasons are described in
 //! `docs/design/0002-configuration.md` and `docs/design/0003-membership.md`.
 
+mod announced;
 mod checkpoints;
 pub mod contact;
 mod context;
--- a/crates/node/src/control/presence.rs
+++ b/crates/node/src/control/presence.rs
@@ -211,7 +211,7 @@
     let is_fresh =
         |record: &&PresenceRecord| oldest.is_none_or(|now| record.at + cx.times.presence > now);
     let fresh = records.iter().filter(is_fresh);
-    cx.state.record_announced(fresh.map(|record| record.node.instance.clone()).collect());
+    cx.state.announced.record(fresh.map(|record| record.node.instance.clone()).collect());
 }
 
 /// Compares tables with nodes of the stream that aren't in this node's table yet.
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,11 +1,11 @@
 //! State that the control loops share with the call path and the operators' API.
 //!
 //! Locks are acquired in the order fold, members, derived values, recovery, floors,
-//! journal, store era, evacuations, moves; the nodes of the log that are unheard of are locked alone;
+//! journal, store era, evacuations, moves; that of the announced nodes is held alone;
 //! no lock is held across an await.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
     path::Path,
     sync::{
@@ -47,6 +47,7 @@
 use crate::{admin::api::PublishedConfiguration, moves::controller::MoveController};
 
 use super::{
+    announced::AnnouncedNodes,
     derived::Derived,
     event::Event,
     journal::{Applied, Journal},
@@ -138,9 +139,8 @@
     topics: Mutex<BTreeMap<Topic, TopicHandler>>,
     spread_targets: Derived<SpreadTargets>,
     evidence_plan: Derived<EvidencePlan>,
-    /// Nodes that the presence stream names, until the membership table is known to be complete.
-    unheard: Mutex<Arc<BTreeSet<InstanceName>>>,
-    are_members_known: AtomicBool,
+    /// Nodes that the log names.
+    pub(crate) announced: AnnouncedNodes,
     is_serving: AtomicBool,
     /// Highest position of the fold that may be applied.
     allowed_position: AtomicU64,
@@ -202,8 +202,7 @@
             topics: Mutex::new(BTreeMap::from([(Topic::Moves, move_handler)])),
             spread_targets: Derived::default(),
             evidence_plan: Derived::default(),
-            unheard: Mutex::default(),
-            are_members_known: AtomicBool::new(false),
+            announced: AnnouncedNodes::default(),
             is_serving: AtomicBool::new(false),
             allowed_position: AtomicU64::new(0),
             has_joined: AtomicBool::new(false),
@@ -248,32 +247,6 @@
         Some(PublishedConfiguration { version: fold.version(), configuration })
     }
 
-    /// Returns the nodes that have announced themselves in the log, as long as the membership
-    /// table may lack some of them.
-    pub(crate) fn unheard(&self) -> Arc<BTreeSet<InstanceName>> {
-        self.unheard.lock().clone()
-    }
-
-    /// Records the nodes that have announced themselves in the log.
-    pub(super) fn record_announced(&self, announced: BTreeSet<InstanceName>) {
-        if !self.are_members_known.load(Ordering::Acquire) {
-            *self.unheard.lock() = Arc::new(announced);
-        }
-    }
-
-    /// Records that the membership table equals that of a node that has recovered. It then has
-    /// each node of the log that hasn't left.
-    pub(super) fn confirm_members(&self) {
-        if !self.are_members_known.swap(true, Ordering::AcqRel) {
-            *self.unheard.lock() = Arc::default();
-        }
-    }
-
-    /// Returns whether the membership table was once confirmed to be complete.
-    pub(super) fn are_members_known(&self) -> bool {
-        self.are_members_known.load(Ordering::Acquire)
-    }
-
     /// Returns the entries of all known members.
     pub fn members(&self) -> Vec<Entry> {
         self.members.lock().entries().cloned().collect()
--- a/crates/node/src/moves/dissemination.rs
+++ b/crates/node/src/moves/dissemination.rs
@@ -180,7 +180,7 @@
 ) -> bool {
     let could_decide = quorum.may_decide(now);
     let are_probes_silent = cx.are_most_silent();
-    let unheard = cx.state.unheard();
+    let unheard = cx.state.announced.unheard();
     cx.state.with_members(|members| {
         quorum.update(&FleetView { members, unheard: &unheard, are_probes_silent }, now);
     });
--- a/crates/policy/src/moves/tracker.rs
+++ b/crates/policy/src/moves/tracker.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    active_move::{instances_of, phase_of, slots_of},
+    active_move::{instances_of, slots_of},
     capacity::Capacity,
     evidence::{Evidence, Observation, Report},
     gossip::{MoveGossip, MoveStateUpdate, ServiceMoves},
@@ -25,8 +25,8 @@
     orders::{MoveOrder, OrderOutcome},
     short,
     split::VersionSplit,
-    state::{BadKind, BadReason, MoveKey, MoveState, Permille},
-    status::{CallCounts, ENDING_FORMAT, MoveEnding, MovePhase, MoveReport, MoveStatus},
+    state::{MoveKey, MoveState, Permille},
+    status::{MoveEnding, MoveStatus},
     targets::Targets,
 };
 
@@ -43,14 +43,14 @@
     revisions: BTreeMap<ServiceName, TrackerRevision>,
     revision: TrackerRevision,
     evidence: Evidence,
-    own: Option<Report>,
-    monitors: BTreeMap<MoveKey, MoveMonitor>,
+    pub(super) own: Option<Report>,
+    pub(super) monitors: BTreeMap<MoveKey, MoveMonitor>,
     /// When each move was first seen, according to the platform's store.
-    since: BTreeMap<MoveKey, WallMillis>,
+    pub(super) since: BTreeMap<MoveKey, WallMillis>,
     /// The version that carries the traffic of each service without a target.
-    incumbents: BTreeMap<ServiceName, BackendVersion>,
+    pub(super) incumbents: BTreeMap<ServiceName, BackendVersion>,
     /// Statuses that were read from the platform's store.
-    stored: BTreeMap<ServiceName, MoveStatus>,
+    pub(super) stored: BTreeMap<ServiceName, MoveStatus>,
 }
 
 impl MoveTracker {
@@ -68,45 +68,6 @@
         }
     }
 
-    /// Observes which version carries the traffic of each service without a target, so that it is
-    /// known when the first one is requested.
-    ///
-    /// It is the only version that runs, and stays so while another one is started beside it. A
-    /// node that may be cut off from the others can't tell.
-    pub fn observe_incumbents(&mut self, table: &Table, has_quorum: bool) {
-        if !has_quorum {
-            self.incumbents.clear();
-            return;
-        }
-        for (service, table) in &table.services {
-            if self.targets.current(service).is_some() {
-                continue;
-            }
-            let running = table.all_endpoints().map(|endpoint| &endpoint.version);
-            let versions: BTreeSet<&BackendVersion> = running.chain(&table.unreachable).collect();
-            let is_running = |version: &BackendVersion| versions.contains(version);
-            match (versions.first(), versions.len()) {
-                (Some(only), 1) => {
-                    self.incumbents.insert(service.clone(), BackendVersion::clone(only));
-                }
-                _ if self.incumbents.get(service).is_some_and(is_running) => {}
-                _ => drop(self.incumbents.remove(service)),
-            }
-        }
-    }
-
-    /// Records what a move starts from, if its target is the first that this node knows of.
-    fn record_start(&mut self, service: &ServiceName, is_first: bool) {
-        if let Some(incumbent) = self.incumbents.get(service).filter(|_| is_first) {
-            self.targets.record_incumbent(service, incumbent);
-        }
-        let Some(stored) = self.stored.get(service) else { return };
-        let MoveStatus { asked, version, from, .. } = stored;
-        if self.targets.record_earlier(service, *asked, version, from.as_ref()) {
-            self.mark_changed(service);
-        }
-    }
-
     /// Records an order that was read from the platform's store.
     pub fn apply_order(&mut self, order: &MoveOrder, may_be_repeated: bool) -> OrderOutcome {
         let is_first = self.targets.current(&order.service).is_none();
@@ -209,52 +170,6 @@
         self.merge_state(key, &ending.state)
     }
 
-    /// Merges the status of a move from the platform's store and returns whether
-    /// the move's state changed.
-    pub fn merge_status(&mut self, status: &MoveStatus) -> bool {
-        let key = MoveKey { service: status.service.clone(), asked: status.asked };
-        let since = self.since.entry(key.clone()).or_insert(status.since);
-        *since = status.since.min(*since);
-        self.stored.insert(status.service.clone(), status.clone());
-        self.record_start(&status.service, false);
-        let state = match status.phase {
-            MovePhase::Running => return false,
-            MovePhase::Done => {
-                MoveState { share: Permille::FULL, done: true, ..MoveState::default() }
-            }
-            MovePhase::TakenBack => {
-                // The stored status has no reason; nodes that detected the fault have it.
-                let bad = BadReason { kind: BadKind::Failing, route: None };
-                MoveState { bad: Some(bad), ..MoveState::default() }
-            }
-        };
-        self.merge_state(key, &state)
-    }
-
-    /// Returns the status of the local backend server's move.
-    ///
-    /// Returns none while its service has no move or this node has not evaluated
-    /// the move yet.
-    pub fn status(&self, table: &Table) -> Option<MoveStatus> {
-        let service = &self.own.as_ref()?.service;
-        let active = self.active_move(table.services.get(service)?, service)?;
-        let key = MoveKey { service: service.clone(), asked: active.target.asked };
-        let deadline = self.monitors.get(&key)?.deadline();
-        let phase = match &active.state {
-            state if state.bad.is_some() => MovePhase::TakenBack,
-            state if state.done => MovePhase::Done,
-            _ => MovePhase::Running,
-        };
-        Some(MoveStatus {
-            service: service.clone(),
-            from: self.traffic_before(service, &active),
-            version: active.target.version,
-            asked: key.asked,
-            phase,
-            since: deadline.start,
-        })
-    }
-
     /// Returns how the calls of a service are split between versions, or none when
     /// no version may take them.
     pub fn split(&self, table: &ServiceTable, service: &ServiceName) -> Option<VersionSplit> {
@@ -340,39 +255,6 @@
             .is_some_and(|active| active.old.is_some() && active.state.bad.is_none())
     }
 
-    /// Returns a report to operators on the current move of each service.
-    pub fn reports(&self, table: &Table) -> Vec<MoveReport> {
-        let reports = table.services.iter();
-        reports.filter_map(|(service, t)| self.report(t, service)).collect()
-    }
-
-    /// Returns the record for the log of the end of the move of the local backend
-    /// server's service.
-    ///
-    /// Returns none while the move has not ended, and on a node that didn't evaluate it,
-    /// which lacks the counts; `at` is the time of the record.
-    pub fn ending(&self, table: &Table, at: WallMillis) -> Option<MoveEnding> {
-        let service = &self.own.as_ref()?.service;
-        let asked = self.targets.current(service)?.asked;
-        self.monitors.get(&MoveKey { service: service.clone(), asked })?;
-        let report = self.report(table.services.get(service)?, service)?;
-        let state = self.state(service, &self.targets.current(service)?);
-        if !state.done && state.bad.is_none() {
-            return None;
-        }
-        Some(MoveEnding {
-            format: ENDING_FORMAT,
-            service: service.clone(),
-            asked: report.asked,
-            to: report.to,
-            from: report.from,
-            state,
-            at,
-            old: report.old,
-            new: report.new,
-        })
-    }
-
     /// Returns the number of instances that the calls of a service's new version are
     /// concentrated on, or none when all instances take calls.
     ///
@@ -394,15 +276,7 @@
         self.targets.current(service).is_none()
     }
 
-    fn requested_deadline(&self, service: &ServiceName) -> Option<WallMillis> {
-        match self.targets.due(service)? {
-            DueTime::By(at) => Some(at),
-            // The start of the move is known only to nodes of the service.
-            DueTime::Within(_) => None,
-        }
-    }
-
-    fn mark_changed(&mut self, service: &ServiceName) {
+    pub(super) fn mark_changed(&mut self, service: &ServiceName) {
         self.revision.0 += 1;
         self.revisions.insert(service.clone(), self.revision);
     }
@@ -431,7 +305,7 @@
         is_changed
     }
 
-    fn merge_state(&mut self, key: MoveKey, state: &MoveState) -> bool {
+    pub(super) fn merge_state(&mut self, key: MoveKey, state: &MoveState) -> bool {
         let service = key.service.clone();
         let is_changed = self.states.entry(key).or_default().merge(state);
         if is_changed {
@@ -447,35 +321,6 @@
         let own = self.own.as_ref().map(|own| &own.instance);
         self.evidence.retain(|instance| live.contains(instance) || Some(instance) == own);
     }
-
-    fn report(&self, table: &ServiceTable, service: &ServiceName) -> Option<MoveReport> {
-        let active = self.active_move(table, service)?;
-        let key = MoveKey { service: service.clone(), asked: active.target.asked };
-        let monitor = self.monitors.get(&key);
-        let share = self.split(table, service).map_or(Permille::NONE, |split| {
-            if *split.new_version() == active.target.version {
-                split.share()
-            } else {
-                Permille::NONE
-            }
-        });
-        Some(MoveReport {
-            service: service.clone(),
-            asked: active.target.asked,
-            phase: phase_of(table, &active, share),
-            from: active.old,
-            to: active.target.version,
-            share_permille: share,
-            by: monitor
-                .map(|monitor| monitor.deadline().at)
-                .or_else(|| self.requested_deadline(service)),
-            by_note: monitor.map(|monitor| monitor.deadline().note),
-            reason: active.state.bad,
-            old: monitor.map_or(CallCounts::default(), MoveMonitor::old_counts),
-            new: monitor.map_or(CallCounts::default(), MoveMonitor::new_counts),
-            is_evidence_thin: monitor.is_some_and(MoveMonitor::is_evidence_thin),
-        })
-    }
 }
 
 /// Returns the longest timeout of the routes that lead to a service.
