--- a/crates/policy/tests/membership_quorum.rs
+++ b/crates/policy/tests/membership_quorum.rs
@@ -1,12 +1,14 @@
 //! Which side of a partition may take decisions that can't be taken back.
 
-use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+mod fixtures;
+
+use std::{collections::BTreeSet, time::Duration};
 
 use proptest::prelude::*;
 use savorykeel_policy::{
-    ids::{ConfigVersion, InstanceName, RegionName, ZoneName},
+    ids::InstanceName,
     membership::{
-        entry::{Liveness, NodeRecord, Stamp},
+        entry::{Liveness, NodeRecord},
         members::Members,
         merge::Entry,
         quorum::{FleetView, Quorum, RETIREMENT_TIME},
@@ -21,16 +23,7 @@
 }
 
 fn record(n: usize) -> NodeRecord {
-    NodeRecord {
-        instance: name(n),
-        stamp: Stamp { incarnation: 1, sequence: 0 },
-        zone: ZoneName::try_from("patras").unwrap(),
-        region: RegionName::try_from("achaia").unwrap(),
-        peer_addr: SocketAddr::from(([127, 0, 0, 1], 1_000 + n as u16)),
-        leaving: false,
-        backend: None,
-        applied: ConfigVersion(0),
-    }
+    fixtures::node(name(n).as_str(), None)
 }
 
 /// Returns the table of a node that knows all nodes and reaches some of them.
--- a/crates/policy/tests/moves_succession.rs
+++ b/crates/policy/tests/moves_succession.rs
@@ -1,96 +1,31 @@
 //! Orders for one service in succession: each starts from the traffic as it is.
 
-use std::{sync::Arc, time::Duration};
+mod fixtures;
 
+use fixtures::{gate, order, table, version};
 use proptest::prelude::*;
 use savorykeel_policy::{
-    config::{model::Configuration, raw::RawConfiguration},
-    ids::{BackendVersion, ConfigVersion, InstanceName, ServiceName, ZoneName},
-    membership::entry::{BackendRecord, Liveness, NodeRecord, Stamp},
+    ids::ConfigVersion,
     moves::{
-        orders::MoveOrder,
+        gossip::MoveStateUpdate,
         state::{BadKind, BadReason, MoveState},
         status::{MovePhase, MoveStatus},
         tracker::{MoveTracker, TrackerRevision},
     },
-    table::Table,
-    time::{Tick, WallMillis},
+    time::WallMillis,
 };
 use yare::parameterized;
 
-/// Largest number of 1,000 requests that an unproven version may get.
-const UNPROVEN: usize = 60;
+/// Largest number of 1,000 requests that an unproven version gets, with the spread of hashes.
+const UNPROVEN: usize = 80;
 
 /// Offsets of the orders in the store.
 const FIRST: u64 = 5;
 const SECOND: u64 = 6;
-const THIRD: u64 = 9;
-
-fn gate() -> ServiceName {
-    ServiceName::try_from("gate").unwrap()
-}
-
-fn version(name: &str) -> BackendVersion {
-    BackendVersion::try_from(name).unwrap()
-}
-
-fn configuration() -> Arc<Configuration> {
-    let raw: RawConfiguration = serde_json::from_value(serde_json::json!({
-        "format": 1,
-        "services": {"gate": {"version": null}},
-        "routes": [{"name": "open", "match": {"path": "/"}, "service": "gate",
-            "idempotent": false, "timeout_ms": 1_000}],
-        "limits": {"unproven_share": 0.05},
-    }))
-    .unwrap();
-    Arc::new(Configuration::try_from(raw).unwrap())
-}
-
-/// Returns a table with one backend server of each version, those after `|` out of reach.
-fn table(versions: &str) -> Table {
-    let (reached, unreachable) = versions.split_once('|').unwrap_or((versions, ""));
-    let with = |versions: &str, liveness| {
-        let versions: Vec<String> = versions.split_whitespace().map(str::to_owned).collect();
-        versions.into_iter().map(move |version| (version, liveness))
-    };
-    let all = with(reached, Liveness::Alive).chain(with(unreachable, Liveness::Unreachable));
-    let records: Vec<(NodeRecord, Liveness)> = all
-        .enumerate()
-        .map(|(i, (of, liveness))| {
-            let backend = BackendRecord {
-                service: gate(),
-                version: version(&of),
-                slots: 20,
-                draining: false,
-            };
-            let record = NodeRecord {
-                instance: InstanceName::try_from(format!("node-{i}")).unwrap(),
-                stamp: Stamp::default(),
-                zone: ZoneName::try_from("patras").unwrap(),
-                region: "achaia".try_into().unwrap(),
-                peer_addr: "127.0.0.1:1".parse().unwrap(),
-                leaving: false,
-                backend: Some(backend),
-                applied: ConfigVersion(0),
-            };
-            (record, liveness)
-        })
-        .collect();
-    let members = records.iter().map(|(record, liveness)| (record, *liveness));
-    Table::build(ConfigVersion(1), configuration(), members, &Default::default())
-}
-
-fn order(tracker: &mut MoveTracker, to: &str, record: u64) {
-    let within = Duration::from_secs(15);
-    let order = MoveOrder { service: gate(), version: version(to), within, record };
-    tracker.apply_order(&order, false);
-}
 
 /// Returns a node that has just started.
 fn started() -> MoveTracker {
-    let mut tracker = MoveTracker::default();
-    tracker.apply_configuration(ConfigVersion(1), &configuration());
-    tracker
+    fixtures::started("v1")
 }
 
 /// Returns a node that saw only `v1` run before the first order.
@@ -101,13 +36,15 @@
     tracker
 }
 
-/// Makes the node an evaluator and lets it evaluate from `from` to `to`, in milliseconds.
-fn evaluate(tracker: &mut MoveTracker, versions: &str, from: u64, to: u64) {
-    let (instance, zone) = ("node-0".try_into().unwrap(), "patras".try_into().unwrap());
-    tracker.set_local_backend(&instance, 1, &zone, &gate(), &version("v1"));
-    for now in (from..to).step_by(250) {
-        tracker.evaluate(&table(versions), Tick(now), WallMillis(now), true);
-    }
+/// Returns a node that lived and knows of an order to move to `v2`.
+fn moving_to_v2() -> MoveTracker {
+    let mut tracker = lived();
+    order(&mut tracker, "v2", FIRST);
+    tracker
+}
+
+fn evaluate(tracker: &mut MoveTracker, versions: &str, times: std::ops::Range<u64>) {
+    fixtures::evaluate(tracker, &table(versions), true, times, |_, _| true);
 }
 
 /// Returns how many of 1,000 requests each of the versions gets.
@@ -125,109 +62,86 @@
 /// traffic and only the end of the move is missing.
 #[parameterized(at_once = { 250 }, rising = { 3_000 }, all_but_done = { 12_250 })]
 fn order_back_keeps_the_traffic_where_it_is(ordered_at: u64) {
-    let mut tracker = lived();
-    order(&mut tracker, "v2", FIRST);
-    evaluate(&mut tracker, "v1 v2", 0, ordered_at);
+    let mut tracker = moving_to_v2();
+    evaluate(&mut tracker, "v1 v2", 0..ordered_at);
     order(&mut tracker, "v1", SECOND);
     for now in [ordered_at, ordered_at + 1_000, ordered_at + 20_000] {
         assert_eq!(traffic(&tracker, "v1 v2", ["v1", "v2"]), [1_000, 0]);
-        evaluate(&mut tracker, "v1 v2", now, now + 500);
+        evaluate(&mut tracker, "v1 v2", now..now + 500);
     }
     assert_eq!(tracker.status(&table("v1 v2")).unwrap().phase, MovePhase::Done);
 }
 
 #[test]
 fn order_back_after_a_move_that_is_done_is_a_new_move() {
-    let mut tracker = lived();
-    order(&mut tracker, "v2", FIRST);
-    evaluate(&mut tracker, "v1 v2", 0, 15_000);
+    let mut tracker = moving_to_v2();
+    evaluate(&mut tracker, "v1 v2", 0..15_000);
     assert_eq!(tracker.status(&table("v2")).unwrap().phase, MovePhase::Done);
     order(&mut tracker, "v1", SECOND);
     assert_eq!(traffic(&tracker, "v1 v2", ["v1", "v2"]), [0, 1_000]);
-    evaluate(&mut tracker, "v1 v2", 15_000, 16_000);
+    evaluate(&mut tracker, "v1 v2", 15_000..16_000);
     let [v1, v2] = traffic(&tracker, "v1 v2", ["v1", "v2"]);
-    assert!(v1 > 0 && v1 <= UNPROVEN + 20 && v1 + v2 == 1_000, "{v1} and {v2}");
+    assert!(v1 > 0 && v1 <= UNPROVEN && v1 + v2 == 1_000, "{v1} and {v2}");
 }
 
 /// The version that rose loses its share at once, and the third one starts from nothing.
 #[test]
 fn third_version_takes_its_traffic_from_the_first() {
-    let mut tracker = lived();
-    order(&mut tracker, "v2", FIRST);
-    evaluate(&mut tracker, "v1 v2", 0, 3_000);
+    let mut tracker = moving_to_v2();
+    evaluate(&mut tracker, "v1 v2", 0..3_000);
     order(&mut tracker, "v3", SECOND);
     assert_eq!(traffic(&tracker, "v1 v2 v3", ["v1", "v2", "v3"]), [1_000, 0, 0]);
-    evaluate(&mut tracker, "v1 v2 v3", 3_000, 4_000);
+    evaluate(&mut tracker, "v1 v2 v3", 3_000..4_000);
     let [v1, v2, v3] = traffic(&tracker, "v1 v2 v3", ["v1", "v2", "v3"]);
-    assert!(v2 == 0 && v3 > 0 && v3 <= UNPROVEN + 20 && v1 + v3 == 1_000, "{v1}, {v2}, {v3}");
-}
-
-#[test]
-fn order_back_and_forth_starts_from_nothing_again() {
-    let mut tracker = lived();
-    order(&mut tracker, "v2", FIRST);
-    evaluate(&mut tracker, "v1 v2", 0, 12_250);
-    order(&mut tracker, "v1", SECOND);
-    order(&mut tracker, "v2", THIRD);
-    assert_eq!(traffic(&tracker, "v1 v2", ["v1", "v2"]), [1_000, 0]);
+    assert!(v2 == 0 && v3 > 0 && v3 <= UNPROVEN && v1 + v3 == 1_000, "{v1}, {v2}, {v3}");
 }
 
 #[test]
 fn same_order_again_changes_nothing() {
-    let mut tracker = lived();
-    order(&mut tracker, "v2", FIRST);
-    evaluate(&mut tracker, "v1 v2", 0, 3_000);
+    let mut tracker = moving_to_v2();
+    evaluate(&mut tracker, "v1 v2", 0..3_000);
     let before = traffic(&tracker, "v1 v2", ["v1", "v2"]);
     order(&mut tracker, "v2", SECOND);
     assert_eq!(traffic(&tracker, "v1 v2", ["v1", "v2"]), before);
 }
 
-#[test]
-fn order_for_a_version_without_servers_leaves_the_traffic() {
-    let mut tracker = lived();
-    order(&mut tracker, "v2", FIRST);
-    order(&mut tracker, "v3", SECOND);
-    assert_eq!(traffic(&tracker, "v1 v2", ["v1", "v2"]), [1_000, 0]);
-    assert_eq!(traffic(&tracker, "v1 v2 | v3", ["v1", "v2"]), [1_000, 0]);
-}
-
-/// Requests aren't refused because the version that they belong to is out of reach.
-#[test]
-fn order_back_to_a_version_out_of_reach_refuses_nothing() {
+/// Where the traffic is after orders in succession, of which a node may have missed the first: the
+/// store keeps the newest one of a service only. Requests aren't refused because the version that
+/// they belong to is out of reach.
+#[parameterized(
+    back_and_forth = { &["v2", "v1", "v2"], "v1 v2", [1_000, 0, 0] },
+    no_servers = { &["v2", "v3"], "v1 v2", [1_000, 0, 0] },
+    servers_out_of_reach = { &["v2", "v3"], "v1 v2 | v3", [1_000, 0, 0] },
+    back_out_of_reach = { &["v2", "v1"], "v2 | v1", [0, 1_000, 0] },
+    missed_the_first_and_back = { &["v1"], "v1 v2", [1_000, 0, 0] },
+    missed_the_first_of_three = { &["v3"], "v1 v2 v3", [1_000, 0, 0] },
+)]
+fn orders_leave_the_traffic_where_it_is(orders: &[&str], at: &str, expected: [usize; 3]) {
     let mut tracker = lived();
-    order(&mut tracker, "v2", FIRST);
-    order(&mut tracker, "v1", SECOND);
-    assert_eq!(traffic(&tracker, "v2 | v1", ["v2"]), [1_000]);
-    assert_eq!(traffic(&tracker, "v1 v2", ["v1", "v2"]), [1_000, 0]);
+    for (to, record) in orders.iter().zip(FIRST..) {
+        order(&mut tracker, to, record);
+        if record == FIRST && *to == "v2" {
+            // It gets all traffic, and only the end of the move is missing.
+            evaluate(&mut tracker, "v1 v2", 0..12_250);
+        }
+    }
+    assert_eq!(traffic(&tracker, at, ["v1", "v2", "v3"]), expected);
 }
 
 /// The verdict on the first order's version arrives after the second order.
 #[test]
 fn late_verdict_on_the_version_before_changes_nothing() {
-    let mut tracker = lived();
-    order(&mut tracker, "v2", FIRST);
+    let mut tracker = moving_to_v2();
     let mut late = tracker.delta_since(TrackerRevision(0));
     let bad = Some(BadReason { kind: BadKind::Failing, route: None });
     let state = MoveState { bad, ..MoveState::default() };
     let asked = ConfigVersion(FIRST + 1);
-    late.services[0]
-        .states
-        .push(savorykeel_policy::moves::gossip::MoveStateUpdate { asked, state });
+    late.services[0].states.push(MoveStateUpdate { asked, state });
     order(&mut tracker, "v1", SECOND);
     tracker.merge(late);
     assert_eq!(traffic(&tracker, "v1 v2", ["v1", "v2"]), [1_000, 0]);
 }
 
-/// The store keeps the newest order of a service only.
-#[test]
-fn node_that_missed_the_first_order_knows_what_carried_the_traffic() {
-    for to in ["v1", "v3"] {
-        let mut tracker = lived();
-        order(&mut tracker, to, SECOND);
-        assert_eq!(traffic(&tracker, "v1 v2 v3", ["v1", "v2", "v3"]), [1_000, 0, 0], "to {to}");
-    }
-}
-
 #[test]
 fn node_that_was_cut_off_does_not_rely_on_what_it_saw() {
     let mut tracker = lived();
@@ -285,9 +199,8 @@
 
 #[test]
 fn status_names_the_version_that_carried_the_traffic() {
-    let mut tracker = lived();
-    order(&mut tracker, "v2", FIRST);
-    evaluate(&mut tracker, "v1 v2", 0, 500);
+    let mut tracker = moving_to_v2();
+    evaluate(&mut tracker, "v1 v2", 0..500);
     assert_eq!(tracker.status(&table("v1 v2")).unwrap().from, Some(version("v1")));
 }
 
