Log when the quorum allows decisions again

The line compared two looks at the same moment, so that the end of the 2 s in which a node collects evidence wasn't logged, at a start or after a cut. No decision changes.

--- a/crates/node/src/moves/dissemination.rs
+++ b/crates/node/src/moves/dissemination.rs
@@ -6,7 +6,7 @@
 //! move. See `docs/design/0016-spread.md`.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
@@ -104,6 +104,8 @@
     last_evaluation: RefCell<Tick>,
     evaluator_term: RefCell<EvaluatorTerm>,
     quorum: RefCell<Quorum>,
+    /// Whether the quorum allowed decisions when that was last logged.
+    could_decide: Cell<bool>,
     last_pull: RefCell<Option<Tick>>,
     next_pull: RefCell<Tick>,
     /// Moves whose rollback has been logged.
@@ -155,7 +157,7 @@
         return;
     }
     *dissemination.last_evaluation.borrow_mut() = now;
-    let has_quorum = update_quorum(cx, &mut dissemination.quorum.borrow_mut(), now);
+    let has_quorum = update_quorum(cx, dissemination, now);
     cx.state.moves.observe_incumbents(table, has_quorum);
     if !may_evaluate || !cx.state.moves.evaluate(table, now, wall, has_quorum) {
         return;
@@ -175,17 +177,17 @@
 /// decisions that can't be taken back.
 fn update_quorum<L, P: PeerLinks>(
     cx: &ControlContext<L, P>,
-    quorum: &mut Quorum,
+    dissemination: &Dissemination,
     now: Tick,
 ) -> bool {
-    let could_decide = quorum.may_decide(now);
+    let mut quorum = dissemination.quorum.borrow_mut();
     let are_probes_silent = cx.are_most_silent();
     let unheard = cx.state.announced.unheard();
     cx.state.with_members(|members| {
         quorum.update(&FleetView { members, unheard: &unheard, are_probes_silent }, now);
     });
     let may_decide = quorum.may_decide(now);
-    if may_decide != could_decide {
+    if dissemination.could_decide.replace(may_decide) != may_decide {
         let reach = quorum.reach();
         info!(cx.state.logger, "quorum for moves changed"; "may_decide" => may_decide,
             "reached" => reach.reached, "counted" => reach.counted,
