Take back what fails also on a node that reaches few others

What callers would see: with the two machines of the old version frozen, half of four, a version that fails half of its requests got all of them for 10 s.

Failures are evidence on any node that others send requests to; only where no other node can be reached they may be the effect of a cut.

In the log both evaluators have no quorum for the time of the freeze.

Change: a node knows its standing: majority, minority, alone. Completing needs the majority as before; a verdict without comparison is left out only alone.

--- a/crates/bench/src/moves/strategy.rs
+++ b/crates/bench/src/moves/strategy.rs
@@ -6,6 +6,7 @@
 use savorykeel_policy::{
     config::model::DueTime,
     ids::BackendVersion,
+    membership::quorum::Standing,
     moves::{
         capacity::Capacity,
         evidence::{Evidence, Report},
@@ -217,7 +218,7 @@
                 old: Some(&old),
                 baseline: Baseline::Known,
                 may_old_be_cut_off: false,
-                has_quorum: true,
+                standing: Standing::Majority,
                 new: &new,
                 capacity: input.capacity,
                 evidence: &node.evidence,
--- a/crates/node/src/control/probe.rs
+++ b/crates/node/src/control/probe.rs
@@ -9,7 +9,9 @@
     ids::InstanceName,
     membership::{
         entry::Liveness,
-        failure::{PROBE_PERIOD, PROBE_TIMEOUT, ProbeVerdict, SuspicionBackoff, evaluate_probe},
+        failure::{
+            PROBE_PERIOD, PROBE_TIMEOUT, ProbeVerdict, Silence, SuspicionBackoff, evaluate_probe,
+        },
         merge::Entry,
         rings::{Contact, Neighbours},
     },
@@ -115,10 +117,10 @@
         self.unanswered.borrow().are_many(watched, self.state.now())
     }
 
-    /// Returns whether most of the watched nodes are silent, as on a node that is cut off.
-    pub(crate) fn are_most_silent(&self) -> bool {
+    /// Returns how many of the watched nodes are silent.
+    pub(crate) fn silence(&self) -> Silence {
         let watched = || self.neighbours().watched;
-        self.unanswered.borrow().are_most(watched, self.state.now())
+        self.unanswered.borrow().silence(watched, self.state.now())
     }
 
     fn is_leaving(&self, contact: &Contact) -> bool {
--- a/crates/node/src/moves/controller.rs
+++ b/crates/node/src/moves/controller.rs
@@ -17,7 +17,7 @@
 use parking_lot::Mutex;
 use savorykeel_policy::{
     ids::{BackendVersion, InstanceName, RouteName, ServiceName, ZoneName},
-    membership::entry::BackendRecord,
+    membership::{entry::BackendRecord, quorum::Standing},
     moves::{
         circuit_breaker::CircuitBreaker,
         evaluators::ReportScope,
@@ -287,14 +287,20 @@
     }
 
     /// Observes which version carries the traffic of each service that has no target.
-    pub fn observe_incumbents(&self, table: &Table, has_quorum: bool) {
-        self.tracker.lock().observe_incumbents(table, has_quorum);
+    pub fn observe_incumbents(&self, table: &Table, standing: Standing) {
+        self.tracker.lock().observe_incumbents(table, standing);
     }
 
     /// Evaluates the move of the local backend server's service and returns whether its
     /// state changed.
-    pub fn evaluate(&self, table: &Table, tick: Tick, wall: WallMillis, has_quorum: bool) -> bool {
-        self.tracker.lock().evaluate(table, tick, wall, has_quorum)
+    pub fn evaluate(
+        &self,
+        table: &Table,
+        tick: Tick,
+        wall: WallMillis,
+        standing: Standing,
+    ) -> bool {
+        self.tracker.lock().evaluate(table, tick, wall, standing)
     }
 
     /// Returns a report on the move in force of each service.
--- a/crates/node/src/moves/dissemination.rs
+++ b/crates/node/src/moves/dissemination.rs
@@ -23,7 +23,7 @@
     ids::InstanceName,
     membership::{
         entry::NodeRecord,
-        quorum::{FleetView, Quorum},
+        quorum::{FleetView, Quorum, Standing},
         rings::Contact,
     },
     moves::{
@@ -104,8 +104,8 @@
     last_evaluation: RefCell<Tick>,
     evaluator_term: RefCell<EvaluatorTerm>,
     quorum: RefCell<Quorum>,
-    /// Whether the quorum allowed decisions when that was last logged.
-    could_decide: Cell<bool>,
+    /// What was last logged of this node's standing.
+    logged_standing: Cell<Option<Standing>>,
     last_pull: RefCell<Option<Tick>>,
     next_pull: RefCell<Tick>,
     /// Moves whose rollback has been logged.
@@ -157,9 +157,9 @@
         return;
     }
     *dissemination.last_evaluation.borrow_mut() = now;
-    let has_quorum = update_quorum(cx, dissemination, now);
-    cx.state.moves.observe_incumbents(table, has_quorum);
-    if !may_evaluate || !cx.state.moves.evaluate(table, now, wall, has_quorum) {
+    let standing = update_standing(cx, dissemination, now);
+    cx.state.moves.observe_incumbents(table, standing);
+    if !may_evaluate || !cx.state.moves.evaluate(table, now, wall, standing) {
         return;
     }
     let Some(own) = cx.state.moves.own_report() else { return };
@@ -173,27 +173,25 @@
     }
 }
 
-/// Updates what this node knows of its contact with the fleet, and returns whether it may take
-/// decisions that can't be taken back.
-fn update_quorum<L, P: PeerLinks>(
+/// Updates what this node knows of its contact with the fleet, and returns what it may conclude.
+fn update_standing<L, P: PeerLinks>(
     cx: &ControlContext<L, P>,
     dissemination: &Dissemination,
     now: Tick,
-) -> bool {
+) -> Standing {
     let mut quorum = dissemination.quorum.borrow_mut();
-    let are_probes_silent = cx.are_most_silent();
+    let silence = cx.silence();
     let unheard = cx.state.announced.unheard();
     cx.state.with_members(|members| {
-        quorum.update(&FleetView { members, unheard: &unheard, are_probes_silent }, now);
+        quorum.update(&FleetView { members, unheard: &unheard, silence }, now);
     });
-    let may_decide = quorum.may_decide(now);
-    if dissemination.could_decide.replace(may_decide) != may_decide {
+    let standing = quorum.standing(now);
+    if dissemination.logged_standing.replace(Some(standing)) != Some(standing) {
         let reach = quorum.reach();
-        info!(cx.state.logger, "quorum for moves changed"; "may_decide" => may_decide,
-            "reached" => reach.reached, "counted" => reach.counted,
-            "are_probes_silent" => are_probes_silent);
+        info!(cx.state.logger, "standing in the fleet changed"; "standing" => %standing,
+            "reached" => reach.reached, "counted" => reach.counted, "silent" => %silence);
     }
-    may_decide
+    standing
 }
 
 /// Sends changed targets and states to the spread targets, and reports of evidence to their
--- a/crates/policy/src/membership/failure.rs
+++ b/crates/policy/src/membership/failure.rs
@@ -85,6 +85,18 @@
     }
 }
 
+/// How many of the nodes that a node probes don't answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Silence {
+    /// At most half of them.
+    Few,
+    /// More than half.
+    Most,
+    /// All, as on a node that is cut off from the others.
+    All,
+}
+
 /// Number of watched nodes without an answer from which a node reads the log itself.
 const SILENT_NODES_TO_READ: usize = 2;
 
@@ -125,16 +137,19 @@
         silent > 0 && silent >= watched().min(SILENT_NODES_TO_READ)
     }
 
-    /// Returns whether more than half of the watched nodes are silent, as on a node that is cut
-    /// off from the others.
-    pub fn are_most(&self, watched: impl FnOnce() -> Vec<Contact>, now: Tick) -> bool {
+    /// Returns how many of the watched nodes are silent.
+    pub fn silence(&self, watched: impl FnOnce() -> Vec<Contact>, now: Tick) -> Silence {
         let is_recent = |sent_at: &Tick| now.since(*sent_at) < UNANSWERED_LIFETIME;
         if !self.sent_at.values().any(is_recent) {
-            return false;
+            return Silence::Few;
         }
         let is_silent =
             |contact: &&Contact| self.sent_at.get(&contact.instance).is_some_and(is_recent);
         let watched = watched();
-        2 * watched.iter().filter(is_silent).count() > watched.len()
+        match watched.iter().filter(is_silent).count() {
+            silent if silent == watched.len() && silent > 0 => Silence::All,
+            silent if 2 * silent > watched.len() => Silence::Most,
+            _ => Silence::Few,
+        }
     }
 }
--- a/crates/policy/src/membership/quorum.rs
+++ b/crates/policy/src/membership/quorum.rs
@@ -11,7 +11,7 @@
 
 use crate::{ids::InstanceName, time::Tick};
 
-use super::{entry::Liveness, members::Members};
+use super::{entry::Liveness, failure::Silence, members::Members};
 
 /// Time after which a node that can't be reached no longer counts. Only time in which this node
 /// has the quorum counts, so that the smaller side of a partition never becomes the larger one.
@@ -31,9 +31,21 @@
     /// Nodes that have announced themselves in the log, of which the node has not heard
     /// otherwise. Only a node that has just started has any.
     pub unheard: &'a BTreeSet<InstanceName>,
-    /// Whether most of the nodes that the node probes are silent. A cut shows here first:
-    /// each node probes few others, so that it takes long until it knows that it reaches none.
-    pub are_probes_silent: bool,
+    /// How many of the nodes that the node probes are silent. A cut shows here first: each node
+    /// probes few others, so that it takes long until it knows that it reaches none.
+    pub silence: Silence,
+}
+
+/// What a node may conclude from what it sees.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Standing {
+    /// It reaches most of the fleet, and no other side of a partition does.
+    Majority,
+    /// It reaches others, but there may be as many that it doesn't reach.
+    Minority,
+    /// It reaches no other node, so that all that it sees may be the effect of a cut.
+    Alone,
 }
 
 /// Number of nodes that count, and of those that can be reached.
@@ -59,6 +71,7 @@
 pub struct Quorum {
     reach: Reach,
     has_quorum: bool,
+    is_alone: bool,
     /// Start of the time with the quorum; brief losses don't interrupt it.
     held_since: Option<Tick>,
     lost_since: Option<Tick>,
@@ -94,12 +107,19 @@
             .map(|name| (name.clone(), absence_of(name).after(self.has_quorum, now)))
             .collect();
         self.reach = self.count(view);
-        self.set(self.reach.is_quorum() && !view.are_probes_silent, now);
+        self.is_alone = self.reach.reached < 2.min(self.reach.counted);
+        self.is_alone |= view.silence == Silence::All;
+        self.set(self.reach.is_quorum() && view.silence == Silence::Few, now);
     }
 
-    /// Returns whether the node may take decisions that can't be taken back.
-    pub fn may_decide(&self, now: Tick) -> bool {
-        self.has_quorum && self.held_since.is_some_and(|since| now.since(since) >= WARM_UP)
+    /// Returns what the node may conclude.
+    pub fn standing(&self, now: Tick) -> Standing {
+        let is_warm = self.held_since.is_some_and(|since| now.since(since) >= WARM_UP);
+        match (self.has_quorum, self.is_alone) {
+            (true, _) if is_warm => Standing::Majority,
+            (false, true) => Standing::Alone,
+            _ => Standing::Minority,
+        }
     }
 
     /// Returns the counts of the last update.
--- a/crates/policy/src/moves/incumbents.rs
+++ b/crates/policy/src/moves/incumbents.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     ids::{BackendVersion, ServiceName},
+    membership::quorum::Standing,
     table::Table,
 };
 
@@ -22,8 +23,8 @@
     ///
     /// It is the only version that runs, and stays so while another one is started beside it. A
     /// node that may be cut off from the others can't tell.
-    pub fn observe_incumbents(&mut self, table: &Table, has_quorum: bool) {
-        if !has_quorum {
+    pub fn observe_incumbents(&mut self, table: &Table, standing: Standing) {
+        if standing != Standing::Majority {
             self.incumbents.clear();
             return;
         }
--- a/crates/policy/src/moves/monitor.rs
+++ b/crates/policy/src/moves/monitor.rs
@@ -5,6 +5,7 @@
 use crate::{
     config::model::DueTime,
     ids::{BackendVersion, RouteName},
+    membership::quorum::Standing,
     time::{Tick, WallMillis},
 };
 
@@ -76,9 +77,8 @@
     pub baseline: Baseline,
     /// Whether another version than `new` may be running on nodes that can't be reached.
     pub may_old_be_cut_off: bool,
-    /// Whether this node reaches most of the fleet. Without that, it may be the node that is cut
-    /// off.
-    pub has_quorum: bool,
+    /// What this node may conclude. Outside the majority, it may be the node that is cut off.
+    pub standing: Standing,
     /// Version that gains traffic.
     pub new: &'a BackendVersion,
     /// Slots of both versions.
@@ -162,15 +162,16 @@
         if let Judgement::Bad(reason) = judgement {
             // On a node that is cut off, a version without another one to compare it with may
             // fail because of the cut.
-            if input.has_quorum || input.old.is_some() {
+            if input.standing != Standing::Alone || input.old.is_some() {
                 desired.bad = Some(reason);
             }
             return desired;
         }
-        if input.old.is_some() || !input.has_quorum {
+        let is_majority = input.standing == Standing::Majority;
+        if input.old.is_some() || !is_majority {
             self.old_last_live = input.tick;
         }
-        if !input.has_quorum {
+        if !is_majority {
             return desired;
         }
         if !state.done {
--- a/crates/policy/src/moves/tracker.rs
+++ b/crates/policy/src/moves/tracker.rs
@@ -11,7 +11,7 @@
 use crate::{
     config::model::{Configuration, DueTime},
     ids::{BackendVersion, ConfigVersion, InstanceName, RouteName, ServiceName, ZoneName},
-    membership::entry::Stamp,
+    membership::{entry::Stamp, quorum::Standing},
     table::{ServiceTable, Table},
     time::{Tick, WallMillis},
 };
@@ -195,14 +195,13 @@
     /// Evaluates the move of the local backend server's service and returns whether
     /// its state changed.
     ///
-    /// Without the quorum, the node may be cut off from the others and decides only what the
-    /// calls of both versions show.
+    /// Outside the majority, the node may be cut off from the others and doesn't complete moves.
     pub fn evaluate(
         &mut self,
         table: &Table,
         tick: Tick,
         wall: WallMillis,
-        has_quorum: bool,
+        standing: Standing,
     ) -> bool {
         let Some(own) = self.own.clone() else { return false };
         let service = own.service.clone();
@@ -224,7 +223,7 @@
             old: active.old.as_ref(),
             baseline: active.baseline,
             may_old_be_cut_off: self.may_other_be_cut_off(service_table, &service, &active),
-            has_quorum,
+            standing,
             new: &active.target.version,
             capacity: Capacity {
                 new_slots: slots_of(service_table, &active.target.version),
--- a/crates/policy/tests/membership_quorum.rs
+++ b/crates/policy/tests/membership_quorum.rs
@@ -9,9 +9,10 @@
     ids::InstanceName,
     membership::{
         entry::{Liveness, NodeRecord},
+        failure::Silence,
         members::Members,
         merge::Entry,
-        quorum::{FleetView, Quorum, RETIREMENT_TIME},
+        quorum::{FleetView, Quorum, RETIREMENT_TIME, Standing},
     },
     time::Tick,
 };
@@ -39,9 +40,9 @@
 
 fn update(quorum: &mut Quorum, members: &Members, at: u64) -> bool {
     let unheard = BTreeSet::new();
-    let view = FleetView { members, unheard: &unheard, are_probes_silent: false };
+    let view = FleetView { members, unheard: &unheard, silence: Silence::Few };
     quorum.update(&view, Tick(at));
-    quorum.may_decide(Tick(at))
+    quorum.standing(Tick(at)) == Standing::Majority
 }
 
 /// Updates once a second and returns whether the node may decide at the end.
@@ -124,9 +125,11 @@
     let mut quorum = Quorum::default();
     assert!(may_decide_after(&mut quorum, &whole, 0..5));
     let unheard = BTreeSet::new();
-    let view = FleetView { members: &whole, unheard: &unheard, are_probes_silent: true };
+    let view = FleetView { members: &whole, unheard: &unheard, silence: Silence::Most };
     quorum.update(&view, Tick(5 * SECOND));
-    assert!(!quorum.may_decide(Tick(5 * SECOND)));
+    assert_eq!(quorum.standing(Tick(5 * SECOND)), Standing::Minority);
+    quorum.update(&FleetView { silence: Silence::All, ..view }, Tick(6 * SECOND));
+    assert_eq!(quorum.standing(Tick(6 * SECOND)), Standing::Alone);
 }
 
 /// A node that started behind a cut knows the others only from the log.
@@ -136,9 +139,9 @@
     let announced: BTreeSet<InstanceName> = (0..4).map(name).collect();
     let mut quorum = Quorum::default();
     let mut update = |members: &Members, second: u64| {
-        let view = FleetView { members, unheard: &announced, are_probes_silent: false };
+        let view = FleetView { members, unheard: &announced, silence: Silence::Few };
         quorum.update(&view, Tick(second * SECOND));
-        quorum.may_decide(Tick(second * SECOND))
+        quorum.standing(Tick(second * SECOND)) == Standing::Majority
     };
     assert!((0..120).all(|second| !update(&alone, second)));
     let whole = table(4, &(0..4).collect());
--- a/crates/policy/tests/moves_orders.rs
+++ b/crates/policy/tests/moves_orders.rs
@@ -10,7 +10,10 @@
         raw::RawConfiguration,
     },
     ids::{BackendVersion, ConfigVersion, InstanceName, ServiceName, ZoneName},
-    membership::entry::{BackendRecord, Liveness, NodeRecord, Stamp},
+    membership::{
+        entry::{BackendRecord, Liveness, NodeRecord, Stamp},
+        quorum::Standing,
+    },
     moves::{
         orders::{MoveOrder, OrderOutcome, REPEAT_WINDOW, may_be_repeated},
         targets::{Target, Targets},
@@ -184,12 +187,12 @@
     let (instance, zone) = ("a".try_into().unwrap(), "patras".try_into().unwrap());
     lived.set_local_backend(&instance, 1, &zone, &gate(), &order("v1", 0).version);
     lived.apply_order(&order("v2", 8), false);
-    lived.evaluate(&table, Tick(1_000), WallMillis(1_000), true);
+    lived.evaluate(&table, Tick(1_000), WallMillis(1_000), Standing::Majority);
     assert_eq!(lived.status(&table).unwrap().since, WallMillis(1_000));
     let mut started = MoveTracker::default();
     started.apply_order(&order("v2", 5), true);
     lived.merge(started.delta_since(TrackerRevision(0)));
-    lived.evaluate(&table, Tick(9_000), WallMillis(9_000), true);
+    lived.evaluate(&table, Tick(9_000), WallMillis(9_000), Standing::Majority);
     let status = lived.status(&table).unwrap();
     assert_eq!((status.asked, status.since), (ConfigVersion(6), WallMillis(1_000)));
 }
--- a/crates/policy/tests/moves_succession.rs
+++ b/crates/policy/tests/moves_succession.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 use savorykeel_policy::{
     ids::ConfigVersion,
+    membership::quorum::Standing,
     moves::{
         gossip::MoveStateUpdate,
         state::{BadKind, BadReason, MoveState},
@@ -31,8 +32,8 @@
 /// Returns a node that saw only `v1` run before the first order.
 fn lived() -> MoveTracker {
     let mut tracker = started();
-    tracker.observe_incumbents(&table("v1 v1"), true);
-    tracker.observe_incumbents(&table("v1 v1 v2 v2 v2"), true);
+    tracker.observe_incumbents(&table("v1 v1"), Standing::Majority);
+    tracker.observe_incumbents(&table("v1 v1 v2 v2 v2"), Standing::Majority);
     tracker
 }
 
@@ -44,7 +45,7 @@
 }
 
 fn evaluate(tracker: &mut MoveTracker, versions: &str, times: std::ops::Range<u64>) {
-    fixtures::evaluate(tracker, &table(versions), true, times, |_, _| true);
+    fixtures::evaluate(tracker, &table(versions), Standing::Majority, times, |_, _| true);
 }
 
 /// Returns how many of 1,000 requests each of the versions gets.
@@ -145,12 +146,12 @@
 #[test]
 fn node_that_was_cut_off_does_not_rely_on_what_it_saw() {
     let mut tracker = lived();
-    tracker.observe_incumbents(&table("v1 | v1"), false);
-    tracker.observe_incumbents(&table("v1 v2"), true);
+    tracker.observe_incumbents(&table("v1 | v1"), Standing::Minority);
+    tracker.observe_incumbents(&table("v1 v2"), Standing::Majority);
     order(&mut tracker, "v2", SECOND);
     assert_eq!(traffic(&tracker, "v1 v2", ["v1", "v2"]), [1_000, 0]);
     let mut cut_off = started();
-    cut_off.observe_incumbents(&table("v2"), false);
+    cut_off.observe_incumbents(&table("v2"), Standing::Minority);
     order(&mut cut_off, "v2", FIRST);
     assert_eq!(traffic(&cut_off, "v1 v2", ["v1", "v2"]), [1_000, 0]);
 }
@@ -160,7 +161,7 @@
     let mut other = lived();
     order(&mut other, "v2", FIRST);
     let mut tracker = started();
-    tracker.observe_incumbents(&table("v1 v2 v2"), true);
+    tracker.observe_incumbents(&table("v1 v2 v2"), Standing::Majority);
     tracker.merge(other.delta_since(TrackerRevision(0)));
     order(&mut tracker, "v1", SECOND);
     assert_eq!(traffic(&tracker, "v1 v2", ["v1", "v2"]), [1_000, 0]);
--- a/crates/policy/tests/moves_tracker.rs
+++ b/crates/policy/tests/moves_tracker.rs
@@ -7,7 +7,10 @@
     distribution::era::StoreEra,
     evacuation::{StatementOrder, ZoneStatement},
     ids::{BackendVersion, ConfigVersion, InstanceName, RouteName, ServiceName, ZoneName},
-    membership::entry::{BackendRecord, Liveness, NodeRecord, Stamp},
+    membership::{
+        entry::{BackendRecord, Liveness, NodeRecord, Stamp},
+        quorum::Standing,
+    },
     moves::{
         evidence::{Ending, Observation, Report},
         state::{BadKind, Permille},
@@ -111,8 +114,8 @@
         self.now += 1_000;
         self.exchange_gossip();
         let (tick, wall) = (Tick(self.now), WallMillis(self.now));
-        self.old.evaluate(table, tick, wall, true);
-        self.new.evaluate(table, tick, wall, true);
+        self.old.evaluate(table, tick, wall, Standing::Majority);
+        self.new.evaluate(table, tick, wall, Standing::Majority);
     }
 
     fn exchange_gossip(&mut self) {
