Count silent nodes that a cut-off node no longer watches

What callers would see: in a fleet where a node probes few of the others, a node that is cut off counted as connected for moments, in which it could raise the share of a version.

Cause: once the silent nodes that it watched were found unreachable, it watched others, which hadn't had the time to be silent. So none of its watched nodes was silent, and its table still had most of the fleet alive.

Test: membership_failure::node_that_watches_others_in_place_of_silent_ones_is_ still_cut_off; before, `few` were silent at its end.

--- a/crates/policy/src/membership/failure.rs
+++ b/crates/policy/src/membership/failure.rs
@@ -138,18 +138,21 @@
     }
 
     /// Returns how many of the watched nodes are silent.
+    ///
+    /// Nodes that were watched until they were found unreachable count too. On a node that is cut
+    /// off, those that it watches in their place haven't had the time to be silent.
     pub fn silence(&self, watched: impl FnOnce() -> Vec<Contact>, now: Tick) -> Silence {
         let is_recent = |sent_at: &Tick| now.since(*sent_at) < UNANSWERED_LIFETIME;
-        if !self.sent_at.values().any(is_recent) {
+        let silent = self.sent_at.values().filter(|sent_at| is_recent(sent_at)).count();
+        if silent == 0 {
             return Silence::Few;
         }
-        let is_silent =
-            |contact: &&Contact| self.sent_at.get(&contact.instance).is_some_and(is_recent);
         let watched = watched();
-        match watched.iter().filter(is_silent).count() {
-            silent if silent == watched.len() && silent > 0 => Silence::All,
-            silent if 2 * silent > watched.len() => Silence::Most,
-            _ => Silence::Few,
+        let is_silent =
+            |contact: &Contact| self.sent_at.get(&contact.instance).is_some_and(is_recent);
+        if !watched.is_empty() && watched.iter().all(is_silent) {
+            return Silence::All;
         }
+        if 2 * silent > watched.len() { Silence::Most } else { Silence::Few }
     }
 }
--- a/crates/policy/tests/membership_failure.rs
+++ b/crates/policy/tests/membership_failure.rs
@@ -11,8 +11,8 @@
     distribution::zone_rank::{READERS_PER_ZONE, ranked},
     ids::{ConfigVersion, InstanceName, RegionName, ZoneName},
     membership::{
-        entry::{NodeRecord, Stamp},
-        failure::{PROBE_PERIOD, PROBE_TIMEOUT, UnansweredProbes},
+        entry::{Liveness, NodeRecord, Stamp},
+        failure::{PROBE_PERIOD, PROBE_TIMEOUT, Silence, UnansweredProbes},
         members::Members,
         merge::Entry,
         rings::Neighbours,
@@ -174,3 +174,24 @@
     unanswered.record_silence(&a, Tick(1_000));
     assert!(!unanswered.are_many(|| 4, Tick(3_500)), "the older silence has expired");
 }
+
+/// Guards against a node of a large fleet that is cut off and takes itself for connected at the
+/// moment at which the nodes that it watched are found unreachable: it watches others instead,
+/// which haven't had the time to be silent.
+#[test]
+fn node_that_watches_others_in_place_of_silent_ones_is_still_cut_off() {
+    let mut members = fleet(4, 10);
+    let own = members.own_name().clone();
+    let watched = |members: &Members| Neighbours::of(&own, members).watched;
+    let first = watched(&members);
+    let mut probes = UnansweredProbes::default();
+    let sent_at = Tick(0) + PROBE_PERIOD;
+    first.iter().for_each(|contact| probes.record_silence(&contact.instance, sent_at));
+    let now = sent_at + PROBE_TIMEOUT;
+    assert_eq!(probes.silence(|| watched(&members), now), Silence::All);
+    for contact in &first {
+        members.degrade(&contact.instance, Liveness::Unreachable, now);
+    }
+    assert!(watched(&members).iter().all(|contact| !first.contains(contact)));
+    assert_eq!(probes.silence(|| watched(&members), now + PROBE_PERIOD), Silence::Most);
+}
