Bound the memory of the search for unreachable routes

What callers would see: a node that checks a configuration with a very long path takes more memory than its machine has, and ends; so does each node that the configuration reaches.

Cause: the search for routes that no request reaches copied each prefix of a path, up to four times, before its length was judged. The memory grows with the square of the length. Publishers and the platform's store were affected alike.

Change: paths beyond the bound of 1,024 bytes aren't searched for. A publisher is refused them in any case; for an accepted configuration only a log line about an unreachable route is left out.

--- a/crates/policy/src/config/shadow.rs
+++ b/crates/policy/src/config/shadow.rs
@@ -5,7 +5,7 @@
     sync::Arc,
 };
 
-use super::model::Route;
+use super::model::{MAX_PATH_BYTES, Route};
 
 /// The methods that earlier routes match under one [`MatchKey`].
 #[derive(Default)]
@@ -27,9 +27,12 @@
 impl EarlierRoutes {
     /// Returns whether earlier routes match every request that `route` would match.
     ///
-    /// Only the route's own key and those of shorter prefixes are looked up, so that
-    /// a hostile configuration can't cause unbounded cost.
+    /// Only the route's own key and those of shorter prefixes are looked up, and none for a path
+    /// beyond the bound, so that a hostile configuration can't cause unbounded cost.
     pub(super) fn shadow(&self, route: &Route) -> bool {
+        if route.path.len() > MAX_PATH_BYTES {
+            return false;
+        }
         let covering: Vec<&CoveredMethods> =
             covering_keys(route).iter().filter_map(|key| self.covered.get(key)).collect();
         if covering.iter().any(|covered| covered.has_any_method) {
