Wait for the entry node in the test of odd statuses

Trace: the entry node's only log line on its standing says that it knew two nodes of three, and each of its requests went to the first backend server. The run that the test waited for was that of the fixture, which calls each node itself before the test begins, so the wait ended at once. A node that knows one server can't send a request elsewhere.

Change: the test waits for a run that a call by way of the entry node causes, which is what its comment says. The checks are the same.

--- a/tests/feature/odd_statuses.rs
+++ b/tests/feature/odd_statuses.rs
@@ -86,7 +86,8 @@
     fleet.publish_first(&deployment, "/odd");
     // An idempotent request can go elsewhere only if its entry node knows the other server.
     eventually("the other backend server is reached", || {
-        fleet.call_route(0, "/odd").is_some() && !fleet.members[2].runs().is_empty()
+        let before = fleet.members[2].runs().len();
+        fleet.call_route(0, "/odd").is_some() && fleet.members[2].runs().len() > before
     });
     fleet.members[1].stop_backend();
     let server = OddServer::start(status);
