Test the memory for a long path at nodes, with the fixtures there

It publishes a path of 32 KiB through the store's stand-in and holds the peak memory of each node against the same bound, the 260 MiB of a node's machine.

No product code changes.

--- a/tests/feature/accepted_configuration.rs
+++ b/tests/feature/accepted_configuration.rs
@@ -12,12 +12,19 @@
 use crate::harness::{
     deployment::{Deployment, ServiceSpec},
     fleet::{Fleet, Options},
+    process::peak_memory_kib,
     wait::eventually,
 };
 
 /// Time within which an acknowledged configuration has to be in force.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Memory of a node's machine.
+const MACHINE_KIB: u64 = 260 << 10;
+
+/// Bytes of a long path. Up to eight times as many fit a record of the store.
+const LONG_PATH_BYTES: usize = 32 << 10;
+
 /// Returns a configuration with a route to `gate` for each path, each with a rank of its own.
 fn ranked(number: u64, paths: &[String]) -> Value {
     let bytes = ConfigurationDocument::new(number, &["gate", "history"]).to_bytes();
@@ -72,3 +79,20 @@
         assert!(!node.log().contains("configuration refused"));
     }
 }
+
+/// Guards against nodes that run out of memory over a long path in a configuration that the store
+/// has accepted.
+#[test]
+fn long_path_needs_little_memory() {
+    let services = vec![ServiceSpec::new("gate", 2, false)];
+    let deployment = Deployment { zones: 1, services, slots: 20 };
+    let fleet = Fleet::start(&deployment, Options { on_platform: true, ..Options::default() });
+    fleet.wait_members();
+    let paths = ["/a".repeat(LONG_PATH_BYTES / 2), "/beside/".into()];
+    fleet.store.publish_document(&ranked(1, &paths));
+    eventually("the configuration is in force", || fleet.is_routed("/beside/"));
+    for member in &fleet.members {
+        let peak_kib = peak_memory_kib(member.node().pid());
+        assert!(peak_kib <= MACHINE_KIB, "{peak_kib} KiB at {:?}", member.identity.instance);
+    }
+}
